--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint'
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'target/**'] },
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
   {
--- /dev/null
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -0,0 +1,94 @@
+/**
+ * The fleet's records in the store that concern changes of primary, and entry hosts. Each is a small
+ * JSON document that every host reads.
+ */
+import { backendServerId, type AttemptId, type BackendServerId } from '@nutmegcourse/shared'
+import { attemptId } from '@nutmegcourse/shared'
+
+/** Who changes a service's primary, or who led after the last change. */
+export type ChangeRecord =
+  /** Stands under its holder's lease: it vanishes with a holder that dies or is cut off. */
+  | { readonly phase: 'claimed'; readonly holder: string; readonly attempt: AttemptId }
+  | { readonly phase: 'done'; readonly holder: string; readonly primary: BackendServerId }
+
+/** A host finds the primary of a service silent. */
+export interface SuspicionRecord {
+  readonly primary: BackendServerId
+}
+
+/** An entry host that takes callers. */
+export interface HostRecord {
+  readonly zone: string
+  readonly region: string
+}
+
+const CHANGE_PREFIX = 'change/'
+const SUSPICION_PREFIX = 'suspicion/'
+const HOST_PREFIX = 'host/'
+
+export const changeKey = (service: string): string => CHANGE_PREFIX + service
+export const suspicionKey = (service: string, host: string): string =>
+  `${SUSPICION_PREFIX}${service}/${host}`
+export const hostKey = (host: string): string => HOST_PREFIX + host
+
+export type RecordName =
+  | { readonly kind: 'change'; readonly service: string }
+  | { readonly kind: 'suspicion'; readonly service: string; readonly host: string }
+  | { readonly kind: 'host'; readonly host: string }
+
+export function readRecordName(key: string): RecordName | null {
+  if (key.startsWith(CHANGE_PREFIX)) {
+    return { kind: 'change', service: key.slice(CHANGE_PREFIX.length) }
+  }
+  if (key.startsWith(HOST_PREFIX)) return { kind: 'host', host: key.slice(HOST_PREFIX.length) }
+  const [service, host] = key.slice(SUSPICION_PREFIX.length).split('/')
+  if (!key.startsWith(SUSPICION_PREFIX) || service === undefined || host === undefined) return null
+  return { kind: 'suspicion', service, host }
+}
+
+export function readChangeRecord(text: string): ChangeRecord | null {
+  const fields = parse(text)
+  const holder = textOf(fields, 'holder')
+  const attempt = textOf(fields, 'attempt')
+  const primary = textOf(fields, 'primary')
+  if (holder === null) return null
+  if (fields['phase'] === 'claimed' && attempt !== null) {
+    return { phase: 'claimed', holder, attempt: attemptId(attempt) }
+  }
+  if (fields['phase'] === 'done' && primary !== null) {
+    return { phase: 'done', holder, primary: backendServerId(primary) }
+  }
+  return null
+}
+
+export function readSuspicionRecord(text: string): SuspicionRecord | null {
+  const primary = textOf(parse(text), 'primary')
+  return primary === null ? null : { primary: backendServerId(primary) }
+}
+
+export function readHostRecord(text: string): HostRecord | null {
+  const fields = parse(text)
+  const zone = textOf(fields, 'zone')
+  const region = textOf(fields, 'region')
+  return zone === null || region === null ? null : { zone, region }
+}
+
+export const writeRecord = (record: ChangeRecord | SuspicionRecord | HostRecord): string =>
+  JSON.stringify(record)
+
+type Fields = Readonly<Record<string, unknown>>
+
+const textOf = (fields: Fields, name: string): string | null => {
+  const value = fields[name]
+  return typeof value === 'string' ? value : null
+}
+
+/** An empty table for text that is no table: the reader then finds no field and gives null. */
+function parse(text: string): Fields {
+  try {
+    const value: unknown = JSON.parse(text)
+    return typeof value === 'object' && value !== null ? (value as Fields) : {}
+  } catch {
+    return {}
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/synchronous/index.ts
@@ -0,0 +1,3 @@
+export * from './changeRecord.js'
+export * from './primaryChange.js'
+export * from './primarySuspicion.js'
--- /dev/null
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -0,0 +1,206 @@
+/**
+ * Replaces the primary of a group whose writes are acknowledged once one replica has received them.
+ *
+ * What must hold: every acknowledged write is in the log of the server that is promoted. The order
+ * of steps sees to it, whether the old primary is dead, cut off or well:
+ *
+ * 1. All replicas but the candidate are paused. From then on only the candidate can acknowledge, so
+ *    all that is acknowledged later is in its log.
+ * 2. The candidate is asked for its position. At or past all paused ones, it also holds everything
+ *    acknowledged before: each such write is in one replica at least.
+ * 3. If it stays behind one of them, it is paused too, and the one with the most is promoted.
+ *
+ * A replica that can not be reached may hold, and go on acknowledging, what nobody else has. Then
+ * only the old primary's word helps: it steps down, which ends its writes, and the candidate must
+ * reach its position. A primary that lives goes on serving through steps 1 to 3 until the promotion
+ * takes effect, so a planned move interrupts writes hardly at all.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import {
+  comparePositions,
+  isAtOrPast,
+  term,
+  type BackendServerId,
+  type LogPosition,
+  type Term,
+} from '@nutmegcourse/shared'
+import type { ServerReport } from '@nutmegcourse/protocol'
+
+export interface GroupMember {
+  readonly server: BackendServerId
+  readonly isLeaving: boolean
+  /** Lower is a better place for a primary. */
+  readonly distance: number
+}
+
+export interface ChangePlan {
+  readonly oldPrimary: BackendServerId | null
+  /** Every server of the group that may hold acknowledged writes, the old primary not among them. */
+  readonly replicas: readonly GroupMember[]
+  /** Acknowledged writes stand in so many replicas at least. */
+  readonly synchronousReplicas: number
+}
+
+/** Orders to backend servers. Null when no answer came in time. */
+export interface GroupOrders {
+  report(server: BackendServerId): Promise<ServerReport | null>
+  pause(server: BackendServerId, term: Term): Promise<ServerReport | null>
+  stepDown(server: BackendServerId, term: Term): Promise<ServerReport | null>
+  /** Waits before a server is asked again. */
+  rest(): Promise<void>
+}
+
+export interface ChosenPrimary {
+  readonly server: BackendServerId
+  readonly position: LogPosition
+  /** Where each replica that answered stood. */
+  readonly positions: readonly { readonly server: BackendServerId; readonly at: LogPosition }[]
+  readonly how: 'candidateHoldsAll' | 'furthestOfAll' | 'oldPrimarySteppedDown'
+}
+
+export type ChoiceFailure =
+  /** No replica answers. */
+  | { readonly kind: 'noReplica' }
+  /** Somebody who may hold more can be neither paused nor made to step down. */
+  | { readonly kind: 'unknownReplica'; readonly server: BackendServerId }
+  | { readonly kind: 'notCaughtUp'; readonly server: BackendServerId }
+
+/** How often a candidate that is behind is asked again before the next way is taken. */
+const CATCH_UP_QUESTIONS = 10
+
+interface Replica extends GroupMember {
+  readonly report: ServerReport
+}
+
+export class PrimaryChoice {
+  readonly #plan: ChangePlan
+  readonly #orders: GroupOrders
+
+  constructor(plan: ChangePlan, orders: GroupOrders) {
+    this.#plan = plan
+    this.#orders = orders
+  }
+
+  /** Finds the server to promote, and keeps it safe to promote. */
+  async choose(): Promise<Result<ChosenPrimary, ChoiceFailure>> {
+    const { replicas, oldPrimary } = this.#plan
+    const asked = await Promise.all(replicas.map(member => this.#ask(member)))
+    const known = asked.filter(replica => replica !== null)
+    const [candidate] = rank(known)
+    if (candidate === undefined) return err({ kind: 'noReplica' })
+    const next = term(Math.max(...known.map(newestTerm)) + 1)
+    const others = replicas.filter(member => member.server !== candidate.server)
+    const paused = await Promise.all(others.map(member => this.#pause(member, next)))
+    const missing = others.find((_, index) => paused[index] === null)
+    if (missing !== undefined) return this.#chooseByOldPrimary(candidate, missing, next)
+    const answered = paused.filter(replica => replica !== null)
+    const chosen = await this.#awaitCandidate(candidate, answered, oldPrimary !== null)
+    return chosen === null ? this.#chooseFurthest(candidate, answered, next) : ok(chosen)
+  }
+
+  async #ask(member: GroupMember): Promise<Replica | null> {
+    const report = await this.#orders.report(member.server)
+    return report === null ? null : { ...member, report }
+  }
+
+  async #pause(member: GroupMember, next: Term): Promise<Replica | null> {
+    const report = await this.#orders.pause(member.server, next)
+    return report === null || report.pausedFor === 0 ? null : { ...member, report }
+  }
+
+  /** Null when the candidate does not reach the paused replicas. */
+  async #awaitCandidate(
+    candidate: Replica,
+    paused: readonly Replica[],
+    mayCatchUp: boolean,
+  ): Promise<ChosenPrimary | null> {
+    const questions = mayCatchUp ? CATCH_UP_QUESTIONS : 1
+    for (let asked = 0; asked < questions; asked += 1) {
+      if (asked > 0) await this.#orders.rest()
+      const report = await this.#orders.report(candidate.server)
+      if (report === null || report.pausedFor !== 0) return null
+      const holdsAll = paused.every(other => isAtOrPast(report.received, other.report.received))
+      if (holdsAll) {
+        return chosenOf({ ...candidate, report }, paused, 'candidateHoldsAll')
+      }
+    }
+    return null
+  }
+
+  async #chooseFurthest(
+    candidate: Replica,
+    paused: readonly Replica[],
+    next: Term,
+  ): Promise<Result<ChosenPrimary, ChoiceFailure>> {
+    const last = await this.#pause(candidate, next)
+    if (last === null) return err({ kind: 'unknownReplica', server: candidate.server })
+    const all = [last, ...paused]
+    const [furthest] = [...all].sort(byPosition)
+    if (furthest === undefined) return err({ kind: 'noReplica' })
+    return ok(chosenOf(furthest, all, 'furthestOfAll'))
+  }
+
+  async #chooseByOldPrimary(
+    candidate: Replica,
+    missing: GroupMember,
+    next: Term,
+  ): Promise<Result<ChosenPrimary, ChoiceFailure>> {
+    const { oldPrimary } = this.#plan
+    const failure: ChoiceFailure = { kind: 'unknownReplica', server: missing.server }
+    if (oldPrimary === null) return err(failure)
+    const last = await this.#orders.stepDown(oldPrimary, next)
+    if (last?.role !== 'replica') return err(failure)
+    for (let asked = 0; asked < CATCH_UP_QUESTIONS; asked += 1) {
+      const report = await this.#orders.report(candidate.server)
+      if (report !== null && isAtOrPast(report.received, last.received)) {
+        return ok(chosenOf({ ...candidate, report }, [], 'oldPrimarySteppedDown'))
+      }
+      await this.#orders.rest()
+    }
+    return err({ kind: 'notCaughtUp', server: candidate.server })
+  }
+}
+
+const newestTerm = (replica: Replica): number =>
+  Math.max(replica.report.term, replica.report.pausedFor, replica.report.received.term)
+
+/**
+ * Replicas whose logs differ by no more than this many records count as equally far: that much is
+ * on its way to any of them at a given moment. One that receives nothing is soon further behind.
+ */
+const CLOSE_RECORDS = 20
+
+/** Servers that stay and can still receive first, then those not far behind, then the better place. */
+function rank(replicas: readonly Replica[]): Replica[] {
+  return [...replicas].sort(
+    (left, right) =>
+      Number(left.isLeaving) - Number(right.isLeaving) ||
+      Number(left.report.pausedFor !== 0) - Number(right.report.pausedFor !== 0) ||
+      byReach(left, right) ||
+      left.distance - right.distance ||
+      byPosition(left, right),
+  )
+}
+
+function byReach(left: Replica, right: Replica): number {
+  const [one, other] = [left.report.received, right.report.received]
+  if (one.term !== other.term) return other.term - one.term
+  const difference = other.offset - one.offset
+  return Math.abs(difference) <= CLOSE_RECORDS ? 0 : difference
+}
+
+const byPosition = (left: Replica, right: Replica): number =>
+  comparePositions(right.report.received, left.report.received) ||
+  Number(left.isLeaving) - Number(right.isLeaving) ||
+  left.distance - right.distance
+
+const chosenOf = (
+  chosen: Replica,
+  all: readonly Replica[],
+  how: ChosenPrimary['how'],
+): ChosenPrimary => ({
+  server: chosen.server,
+  position: chosen.report.received,
+  positions: all.map(({ server, report }) => ({ server, at: report.received })),
+  how,
+})
--- /dev/null
+++ b/packages/host/src/backendServerState.ts
@@ -0,0 +1,116 @@
+/**
+ * One backend server as this host uses it: its connections, how fast and how alive it is.
+ *
+ * @internal
+ */
+import type { Milliseconds } from '@nutmegcourse/shared'
+import type { BackendAddress, BackendServerEntry } from '@nutmegcourse/protocol'
+import { LatencyEstimate } from '@nutmegcourse/state'
+import type { HostContext } from './hostContext.js'
+import { ServerPool } from './serverPool.js'
+
+/** What the way to a server costs before anything is measured, in milliseconds. */
+const LATENCY_IN_ZONE = 8
+const LATENCY_IN_REGION = 11
+const LATENCY_PAST_THE_LINK = 50
+
+/** After this long without a word from a server that owes one, it is asked whether it lives. */
+const TOUCH_AFTER_MILLISECONDS = 150
+
+/** How far away: in this host's zone, in its region, or past the paid link. */
+export type Distance = 0 | 1 | 2
+
+export class BackendServerState {
+  readonly pool: ServerPool
+  readonly latency: LatencyEstimate
+  readonly distance: Distance
+  readonly #context: HostContext
+  #entry: BackendServerEntry
+  #touchStartedAt: Milliseconds | null = null
+  #cancelTouch: (() => void) | null = null
+  #touchedAt = Number.NEGATIVE_INFINITY
+
+  constructor(context: HostContext, entry: BackendServerEntry, connectionLimit: number) {
+    this.#context = context
+    this.#entry = entry
+    this.pool = new ServerPool(context, addressOf(entry), connectionLimit)
+    this.distance = distanceOf(context, entry)
+    const floors = [LATENCY_IN_ZONE, LATENCY_IN_REGION, LATENCY_PAST_THE_LINK] as const
+    this.latency = new LatencyEstimate(floors[this.distance])
+  }
+
+  get entry(): BackendServerEntry {
+    return this.#entry
+  }
+
+  set entry(entry: BackendServerEntry) {
+    this.#entry = entry
+  }
+
+  get address(): BackendAddress {
+    return addressOf(this.#entry)
+  }
+
+  /** When it last gave a sign of life. */
+  get heardAt(): number {
+    return Math.max(this.pool.lastHeardAt, this.#touchedAt)
+  }
+
+  /** How long it has owed a sign of life; 0 when it owes none. */
+  silentFor(now: Milliseconds): number {
+    if (this.#touchStartedAt === null) return 0
+    return Math.max(0, now - Math.max(this.#touchStartedAt, this.heardAt))
+  }
+
+  /** Asks a server that has been quiet whether it lives. Its operating system answers, not its queue. */
+  watchLife(now: Milliseconds, isWatched: boolean): void {
+    const isQuiet = now - this.heardAt > TOUCH_AFTER_MILLISECONDS
+    if (this.#touchStartedAt !== null) {
+      if (this.heardAt > this.#touchStartedAt) this.endTouch()
+      return
+    }
+    if (!isQuiet || !(isWatched || this.pool.busy > 0 || this.pool.waiting > 0)) return
+    this.#touch(now)
+  }
+
+  /** Forgets an open question: after a standstill of this host it says nothing of the server. */
+  endTouch(): void {
+    this.#cancelTouch?.()
+    this.#cancelTouch = null
+    this.#touchStartedAt = null
+  }
+
+  close(): void {
+    this.endTouch()
+    this.pool.close()
+  }
+
+  #touch(now: Milliseconds): void {
+    const { answered, cancel } = this.#context.dialer.touch(this.address)
+    this.#touchStartedAt = now
+    this.#cancelTouch = cancel
+    void answered.then(result => {
+      if (this.#cancelTouch !== cancel) return
+      this.#cancelTouch = null
+      this.#touchStartedAt = null
+      if (result.isOk()) {
+        this.#touchedAt = this.#context.clock.now()
+        this.pool.refusals = 0
+      } else this.pool.refusals += 1
+    })
+  }
+}
+
+const addressOf = (entry: BackendServerEntry): BackendAddress => ({
+  service: entry.service,
+  server: entry.server,
+  host: entry.host,
+  port: entry.port,
+})
+
+function distanceOf(context: HostContext, entry: BackendServerEntry): Distance {
+  const { zone, region, regions } = context.settings
+  if (entry.zone === zone) return 0
+  return regions.get(entry.zone) === region ? 1 : 2
+}
+
--- /dev/null
+++ b/packages/host/src/callerSession.ts
@@ -0,0 +1,370 @@
+/**
+ * One caller's session: what it may ask, in which order, and what it is told. Statements that change
+ * only the session are answered here; BEGIN too, so that a transaction takes a connection no earlier
+ * than its first statement.
+ *
+ * @internal
+ */
+import { addMilliseconds, type LogPosition } from '@nutmegcourse/shared'
+import type {
+  CallerAnswer,
+  CallerEvents,
+  CallerLink,
+  CallerRefusal,
+  CallerStatement,
+  Route,
+  SessionStatus,
+} from '@nutmegcourse/protocol'
+import { SessionValues } from '@nutmegcourse/state'
+import type { RemoteStatement } from './attempt.js'
+import type { HostContext } from './hostContext.js'
+import type { ServiceDesk } from './serviceDesk.js'
+import type {
+  RunningTransaction,
+  SessionState,
+  StatementRequest,
+  StatementResult,
+  StatementRunner,
+} from './statementRunner.js'
+
+/** Where a database's callers are served; null when no route has the name. */
+export interface RouteLookup {
+  find(database: string): { readonly route: Route; readonly desk: ServiceDesk } | null
+  /** False until the first configuration is known. */
+  readonly isKnown: boolean
+  readonly idleTransactionMilliseconds: number
+  /** Resolves once a configuration is known or `span` milliseconds have passed. */
+  whenKnown(span: number): Promise<void>
+}
+
+/** A caller gives up when its session is not taken within two seconds; this leaves it time to hear why. */
+const WELCOME_LIMIT_MILLISECONDS = 1500
+
+/** Statements that one caller may send ahead of their answers. */
+const QUEUE_LIMIT = 64
+
+type TransactionState =
+  | { readonly kind: 'none' }
+  /** The caller was told that it began; no connection holds it yet. */
+  | { readonly kind: 'declared'; readonly readOnly: boolean }
+  | {
+      readonly kind: 'running'
+      readonly route: Route
+      readonly transaction: RunningTransaction
+    }
+  /** It is gone; the caller has yet to end it. */
+  | { readonly kind: 'failed' }
+
+export class CallerSession implements CallerEvents {
+  readonly #context: HostContext
+  readonly #link: CallerLink
+  readonly #routes: RouteLookup
+  readonly #runner: StatementRunner
+  readonly #onEnd: (session: CallerSession) => void
+  readonly #state: SessionState = { values: new SessionValues(), ownPosition: null }
+  readonly #queue: CallerStatement[] = []
+  #database: string | null = null
+  #transaction: TransactionState = { kind: 'none' }
+  #isWelcome = false
+  #isWorking = false
+  #isOver = false
+  #closesWhenIdle = false
+  #idleTimer: NodeJS.Timeout | null = null
+
+  constructor(
+    context: HostContext,
+    link: CallerLink,
+    routes: RouteLookup,
+    runner: StatementRunner,
+    onEnd: (session: CallerSession) => void,
+  ) {
+    this.#context = context
+    this.#link = link
+    this.#routes = routes
+    this.#runner = runner
+    this.#onEnd = onEnd
+    link.listen(this)
+  }
+
+  /** Whether it waits for an answer or has a transaction open. */
+  get isBusy(): boolean {
+    return this.#isWorking || this.#queue.length > 0 || this.#transaction.kind !== 'none'
+  }
+
+  started(database: string, _user: string): void {
+    if (this.#database !== null) {
+      this.#refuseSession('malformed', 'the session has begun already')
+      return
+    }
+    this.#database = database
+    void this.#welcome(database)
+  }
+
+  statement(statement: CallerStatement): void {
+    if (this.#isOver) return
+    if (this.#database === null || this.#queue.length >= QUEUE_LIMIT) {
+      this.#refuseSession('malformed', 'a statement before the session began, or too many at once')
+      return
+    }
+    this.#queue.push(statement)
+    if (this.#isWelcome && !this.#isWorking) void this.#work()
+  }
+
+  ended(): void {
+    if (this.#isOver) return
+    this.#isOver = true
+    this.#queue.length = 0
+    this.#stopIdleTimer()
+    // A statement that runs on the transaction's connection sees to it when its answer comes.
+    if (!this.#isWorking) this.#dropTransaction()
+    this.#onEnd(this)
+  }
+
+  /** Ends the session now if it rests, else as soon as it does. */
+  closeWhenIdle(): void {
+    this.#closesWhenIdle = true
+    this.#closeIfIdle()
+  }
+
+  /** Ends an open transaction that rests between two statements; nothing of it is kept. */
+  abortTransaction(): void {
+    if (this.#isWorking || this.#transaction.kind !== 'running') return
+    this.#dropTransaction()
+    this.#transaction = { kind: 'failed' }
+  }
+
+  async #welcome(database: string): Promise<void> {
+    if (!this.#routes.isKnown) await this.#routes.whenKnown(WELCOME_LIMIT_MILLISECONDS)
+    if (this.#isOver) return
+    if (!this.#routes.isKnown) {
+      this.#refuseSession('tooManyCallers', 'this host has no configuration yet')
+      return
+    }
+    if (this.#routes.find(database) === null) {
+      this.#refuseSession('unknownDatabase', 'no such database')
+      return
+    }
+    this.#isWelcome = true
+    this.#link.welcome()
+    if (this.#queue.length > 0) void this.#work()
+    else this.#closeIfIdle()
+  }
+
+  #refuseSession(refusal: CallerRefusal, detail: string): void {
+    this.#context.log.write('session_refused', { database: this.#database, refusal, detail })
+    this.#link.reject(refusal, detail)
+    this.ended()
+  }
+
+  async #work(): Promise<void> {
+    this.#isWorking = true
+    this.#stopIdleTimer()
+    for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+      const { answer, position } = await this.#serve(next)
+      if (this.#isOver) break
+      this.#link.answer(answer, this.#status, position)
+    }
+    this.#isWorking = false
+    if (this.#isOver) this.#dropTransaction()
+    else this.#afterWork()
+  }
+
+  #afterWork(): void {
+    this.#closeIfIdle()
+    if (this.#isOver || this.#transaction.kind !== 'running') return
+    const limit = this.#routes.idleTransactionMilliseconds
+    if (!Number.isFinite(limit)) return
+    this.#idleTimer = setTimeout(() => {
+      this.#context.log.write('idle_transaction_ended', { database: this.#database, limit })
+      this.abortTransaction()
+    }, limit)
+  }
+
+  #closeIfIdle(): void {
+    if (!this.#closesWhenIdle || this.#isOver || this.isBusy) return
+    this.#link.close()
+    this.ended()
+  }
+
+  #stopIdleTimer(): void {
+    if (this.#idleTimer !== null) clearTimeout(this.#idleTimer)
+    this.#idleTimer = null
+  }
+
+  get #status(): SessionStatus {
+    switch (this.#transaction.kind) {
+      case 'none':
+        return 'idle'
+      case 'declared':
+      case 'running':
+        return 'open'
+      case 'failed':
+        return 'failed'
+    }
+  }
+
+  async #serve(statement: CallerStatement): Promise<StatementResult> {
+    const { body } = statement
+    if (this.#transaction.kind === 'failed') return this.#serveFailed(statement)
+    switch (body.kind) {
+      case 'malformed':
+        return refusal('malformed', body.detail)
+      case 'begin':
+        if (this.#transaction.kind !== 'none') return refusal('malformed', 'a transaction is open')
+        this.#transaction = { kind: 'declared', readOnly: body.readOnly }
+        return ACKNOWLEDGED
+      case 'rollback':
+        this.#dropTransaction()
+        return ACKNOWLEDGED
+      case 'set':
+        this.#state.values.values.set(body.name, body.value)
+        return ACKNOWLEDGED
+      case 'prepare':
+        this.#state.values.prepared.set(body.name, { effect: body.effect, shape: body.shape })
+        return ACKNOWLEDGED
+      case 'close':
+        this.#state.values.prepared.delete(body.name)
+        return ACKNOWLEDGED
+      case 'read':
+      case 'write':
+      case 'commit':
+      case 'execute':
+        return this.#serveRemote({ ...statement, body })
+    }
+  }
+
+  /** Ending it rolls back; that is no commit, and the caller is told so. */
+  #serveFailed(statement: CallerStatement): StatementResult {
+    switch (statement.body.kind) {
+      case 'rollback':
+        this.#transaction = { kind: 'none' }
+        return ACKNOWLEDGED
+      case 'commit':
+        this.#transaction = { kind: 'none' }
+        return refusal('aborted', 'the transaction was rolled back')
+      default:
+        return refusal('malformed', 'the transaction has failed and must be ended')
+    }
+  }
+
+  async #serveRemote(statement: RemoteStatement): Promise<StatementResult> {
+    const transaction = this.#transaction
+    const { body } = statement
+    if (body.kind === 'execute' && !this.#state.values.prepared.has(body.name)) {
+      return this.#fail(refusal('unknownStatement', 'no such prepared statement'))
+    }
+    if (body.kind === 'commit' && transaction.kind === 'none') {
+      return refusal('malformed', 'no transaction is open')
+    }
+    const place = this.#findPlace()
+    if (place === null) return this.#fail(refusal('unknownDatabase', 'no such database'))
+    const request = this.#requestFor(statement, place)
+    const result = await this.#run(request)
+    this.#logRefusal(request, result)
+    return result
+  }
+
+  /** A change of a route applies from the next transaction on, so a running one keeps its own. */
+  #findPlace(): { readonly route: Route; readonly desk: ServiceDesk } | null {
+    const transaction = this.#transaction
+    if (transaction.kind === 'running') {
+      return { route: transaction.route, desk: transaction.transaction.desk }
+    }
+    return this.#routes.find(this.#database ?? '')
+  }
+
+  #requestFor(
+    statement: RemoteStatement,
+    place: { readonly route: Route; readonly desk: ServiceDesk },
+  ): StatementRequest {
+    const arrivedAt = this.#context.clock.now()
+    return {
+      ...place,
+      session: this.#state,
+      statement,
+      isWrite: this.#isWrite(statement),
+      arrivedAt,
+      deadline: addMilliseconds(arrivedAt, place.route.statementTimeoutMilliseconds),
+    }
+  }
+
+  #isWrite({ body }: RemoteStatement): boolean {
+    if (body.kind === 'execute') {
+      return this.#state.values.prepared.get(body.name)?.effect === 'write'
+    }
+    return body.kind === 'write'
+  }
+
+  async #run(request: StatementRequest): Promise<StatementResult> {
+    const transaction = this.#transaction
+    switch (transaction.kind) {
+      case 'none':
+      case 'failed':
+        return this.#runner.single(request)
+      case 'declared': {
+        if (transaction.readOnly && request.isWrite) {
+          return this.#fail(refusal('readOnly', 'the transaction only reads'))
+        }
+        const begun = await this.#runner.begin(request, transaction.readOnly)
+        this.#noteTransaction(request, begun.transaction)
+        return begun.result
+      }
+      case 'running': {
+        const gone = await this.#runner.continue(request, transaction.transaction)
+        this.#noteTransaction(request, gone.transaction)
+        return gone.result
+      }
+    }
+  }
+
+  #noteTransaction(
+    request: StatementRequest,
+    transaction: RunningTransaction | null,
+  ): void {
+    if (transaction !== null) {
+      this.#transaction = { kind: 'running', route: request.route, transaction }
+      return
+    }
+    const isEnded = request.statement.body.kind === 'commit'
+    this.#transaction = isEnded ? { kind: 'none' } : { kind: 'failed' }
+  }
+
+  /** Inside a transaction a refused statement ends it. */
+  #fail(result: StatementResult): StatementResult {
+    if (this.#transaction.kind === 'none') return result
+    this.#dropTransaction()
+    this.#transaction = { kind: 'failed' }
+    return result
+  }
+
+  #dropTransaction(): void {
+    if (this.#transaction.kind === 'running') {
+      this.#runner.endTransaction(this.#transaction.transaction, 'open')
+    }
+    this.#transaction = { kind: 'none' }
+  }
+
+  #logRefusal(request: StatementRequest, { answer }: StatementResult): void {
+    if (answer.kind !== 'refused') return
+    this.#context.log.write('statement_refused', {
+      request: request.statement.id,
+      database: this.#database,
+      route: request.route.name,
+      statement: request.statement.body.kind,
+      write: request.isWrite,
+      primary: request.desk.primary?.entry.server ?? null,
+      refusal: answer.refusal,
+      detail: answer.detail,
+      tookMilliseconds: Math.round(this.#context.clock.now() - request.arrivedAt),
+    })
+  }
+}
+
+const ACKNOWLEDGED: StatementResult = { answer: { kind: 'acknowledged' }, position: null }
+
+function refusal(which: CallerRefusal, detail: string): StatementResult {
+  const answer: CallerAnswer = { kind: 'refused', refusal: which, detail }
+  const position: LogPosition | null = null
+  return { answer, position }
+}
+
--- /dev/null
+++ b/packages/host/src/configurationBook.ts
@@ -0,0 +1,37 @@
+/**
+ * The operators' newest configuration. Versions only grow: whatever answer comes late, a host never
+ * goes back in one life.
+ *
+ * @internal
+ */
+import type { FleetConfiguration, Route } from '@nutmegcourse/protocol'
+import { Signal } from './waiting.js'
+
+export class ConfigurationBook {
+  readonly #known = new Signal()
+  #configuration: FleetConfiguration | null = null
+  #routes = new Map<string, Route>()
+
+  get current(): FleetConfiguration | null {
+    return this.#configuration
+  }
+
+  /** False when it is not newer. */
+  take(configuration: FleetConfiguration): boolean {
+    if (this.#configuration !== null && configuration.version <= this.#configuration.version) {
+      return false
+    }
+    this.#configuration = configuration
+    this.#routes = new Map(configuration.routes.map(route => [route.database, route]))
+    this.#known.raise()
+    return true
+  }
+
+  route(database: string): Route | null {
+    return this.#routes.get(database) ?? null
+  }
+
+  async whenKnown(span: number): Promise<void> {
+    if (this.#configuration === null) await this.#known.wait(span)
+  }
+}
--- /dev/null
+++ b/packages/host/src/decisionLog.ts
@@ -0,0 +1,52 @@
+/**
+ * One structured line for each decision, within a budget: a flood of one event costs at most so many
+ * lines a second, and a line says how many were left out.
+ */
+import type { Log } from '@nutmegcourse/observability'
+
+/** Lines of one event a second. At 15 microseconds a line, all events together stay below 1% of a core. */
+const LINES_A_SECOND = 15
+
+const SECOND = 1000
+
+export type LogFields = Readonly<Record<string, unknown>>
+
+interface Budget {
+  second: number
+  written: number
+  leftOut: number
+}
+
+export class DecisionLog {
+  readonly #log: Pick<Log, 'info'>
+  readonly #budgets = new Map<string, Budget>()
+
+  constructor(log: Pick<Log, 'info'>) {
+    this.#log = log
+  }
+
+  write(event: string, fields: LogFields = {}): void {
+    const budget = this.#budgetOf(event)
+    const second = Math.floor(performance.now() / SECOND)
+    if (budget.second !== second) {
+      if (budget.leftOut > 0) this.#log.info('lines_left_out', { of: event, lines: budget.leftOut })
+      budget.second = second
+      budget.written = 0
+      budget.leftOut = 0
+    }
+    if (budget.written >= LINES_A_SECOND) {
+      budget.leftOut += 1
+      return
+    }
+    budget.written += 1
+    this.#log.info(event, fields)
+  }
+
+  #budgetOf(event: string): Budget {
+    const known = this.#budgets.get(event)
+    if (known !== undefined) return known
+    const budget = { second: 0, written: 0, leftOut: 0 }
+    this.#budgets.set(event, budget)
+    return budget
+  }
+}
--- /dev/null
+++ b/packages/host/src/entryHost.ts
@@ -0,0 +1,327 @@
+/** One entry host: takes callers, follows the store, and keeps the services it needs in order. */
+import { createServer, type Server, type Socket } from 'node:net'
+import { readHostRecord, readRecordName, type HostRecord } from '@nutmegcourse/coordination'
+import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
+import type {
+  BackendDialer,
+  CallerLink,
+  DirectoryChange,
+  FleetConfiguration,
+  HostSettings,
+  PromotionPort,
+  StoreLink,
+} from '@nutmegcourse/protocol'
+import { ServerDirectory, type DirectoryNews } from '@nutmegcourse/state'
+import { CallerSession, type RouteLookup } from './callerSession.js'
+import { ConfigurationBook } from './configurationBook.js'
+import type { DecisionLog } from './decisionLog.js'
+import type { HostContext } from './hostContext.js'
+import { HostRegistration } from './hostRegistration.js'
+import { PrimaryKeeper } from './primaryKeeper.js'
+import { PrimaryProbe } from './primaryProbe.js'
+import { ServiceDesk } from './serviceDesk.js'
+import { StatementRunner } from './statementRunner.js'
+import { StoreFollower } from './storeFollower.js'
+import { rest } from './waiting.js'
+
+/** What an entry host reaches the world through. */
+export interface EntryHostPorts {
+  readonly dialer: BackendDialer
+  readonly store: StoreLink
+  readonly promotion: PromotionPort
+  callerLink(socket: Socket): CallerLink
+}
+
+/** Everything that is due by time is looked at this often. */
+const TICK_MILLISECONDS = 25
+
+/** A gap between two ticks that only a standstill of the process explains. */
+const STANDSTILL_MILLISECONDS = 250
+
+/** Idle callers are sent away over this long after the signal to stop, so that they do not all reconnect at once. */
+const CLOSING_SPAN_SHARE = 0.25
+
+/** Open transactions get this part of the grace to end. */
+const TRANSACTION_GRACE_SHARE = 0.5
+
+/** The process ends before it is killed. */
+const EXIT_RESERVE_MILLISECONDS = 400
+
+/** Connections that may wait to be accepted. */
+const BACKLOG = 1024
+
+interface ServiceParts {
+  readonly desk: ServiceDesk
+  readonly probe: PrimaryProbe
+  readonly keeper: PrimaryKeeper
+}
+
+export class EntryHost implements RouteLookup {
+  readonly #context: HostContext
+  readonly #ports: EntryHostPorts
+  readonly #directory: ServerDirectory
+  readonly #configuration = new ConfigurationBook()
+  readonly #services = new Map<string, ServiceParts>()
+  readonly #hosts = new Map<string, HostRecord>()
+  readonly #sessions = new Set<CallerSession>()
+  readonly #runner: StatementRunner
+  readonly #follower: StoreFollower
+  readonly #registration: HostRegistration
+  #server: Server | null = null
+  #timer: NodeJS.Timeout | null = null
+  #lastTick = Number.NEGATIVE_INFINITY
+  #isStopping = false
+
+  constructor(
+    settings: HostSettings,
+    ports: EntryHostPorts,
+    log: DecisionLog,
+    clock: Clock,
+    random: RandomSource,
+  ) {
+    this.#context = { settings, clock, random, dialer: ports.dialer, log, hostCount: 1 }
+    this.#ports = ports
+    this.#directory = new ServerDirectory(settings.drainMilliseconds)
+    this.#runner = new StatementRunner(this.#context)
+    this.#follower = new StoreFollower(this.#context, ports.store, {
+      changed: change => {
+        this.#changed(change)
+      },
+      listed: changes => {
+        this.#listed(changes)
+      },
+    })
+    this.#registration = new HostRegistration(this.#context, ports.store)
+  }
+
+  /** Whether new callers are welcome: it can tell where their work goes. */
+  get isReady(): boolean {
+    if (this.#isStopping || this.#configuration.current === null) return false
+    return [...this.#services.values()].every(({ desk }) => desk.servers.length > 0)
+  }
+
+  get isKnown(): boolean {
+    return this.#configuration.current !== null
+  }
+
+  get idleTransactionMilliseconds(): number {
+    return this.#configuration.current?.idleTransactionMilliseconds ?? Number.POSITIVE_INFINITY
+  }
+
+  whenKnown(span: number): Promise<void> {
+    return this.#configuration.whenKnown(span)
+  }
+
+  find(database: string): ReturnType<RouteLookup['find']> {
+    const route = this.#configuration.route(database)
+    const parts = route === null ? undefined : this.#services.get(route.service)
+    return route === null || parts === undefined ? null : { route, desk: parts.desk }
+  }
+
+  start(): void {
+    const { host, port } = this.#context.settings.callers
+    this.#server = createServer({ allowHalfOpen: true }, socket => {
+      this.#accept(socket)
+    })
+    this.#server.listen({ host, port, backlog: BACKLOG })
+    this.#timer = setInterval(() => {
+      this.#tick()
+    }, TICK_MILLISECONDS)
+    void this.#follower.run()
+    void this.#registration.run()
+  }
+
+  /** Takes no new work, lets what runs end, and resolves when the process may exit. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) return
+    this.#isStopping = true
+    const { clock, settings } = this.#context
+    const startedAt = clock.now()
+    const grace = settings.graceMilliseconds
+    void this.#registration.withdraw()
+    await this.#closeIdleSessions(grace * CLOSING_SPAN_SHARE)
+    while (this.#isWorking && clock.now() - startedAt < grace * TRANSACTION_GRACE_SHARE) {
+      await rest(TICK_MILLISECONDS)
+    }
+    for (const session of this.#sessions) session.abortTransaction()
+    while (this.#isWorking && clock.now() - startedAt < grace - EXIT_RESERVE_MILLISECONDS) {
+      await rest(TICK_MILLISECONDS)
+    }
+    this.#close()
+  }
+
+  get #isWorking(): boolean {
+    return (
+      [...this.#sessions].some(session => session.isBusy) ||
+      [...this.#services.values()].some(({ keeper }) => keeper.isChanging)
+    )
+  }
+
+  /** The balancer still sends callers until it has seen twice that the host is not ready. */
+  async #closeIdleSessions(span: number): Promise<void> {
+    const { clock } = this.#context
+    const startedAt = clock.now()
+    for (;;) {
+      const elapsed = clock.now() - startedAt
+      const remaining = Math.max(0, span - elapsed)
+      const sessions = [...this.#sessions]
+      const steps = Math.max(1, Math.ceil(remaining / TICK_MILLISECONDS))
+      const now = Math.ceil(sessions.length / steps)
+      for (const session of sessions.slice(0, now)) session.closeWhenIdle()
+      if (remaining === 0) break
+      await rest(TICK_MILLISECONDS)
+    }
+    for (const session of this.#sessions) session.closeWhenIdle()
+  }
+
+  #close(): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#server?.close()
+    this.#follower.stop()
+    for (const { desk } of this.#services.values()) desk.close()
+  }
+
+  #accept(socket: Socket): void {
+    const link = this.#ports.callerLink(socket)
+    const session = new CallerSession(this.#context, link, this, this.#runner, ended => {
+      this.#sessions.delete(ended)
+    })
+    this.#sessions.add(session)
+  }
+
+  #tick(): void {
+    const now = this.#context.clock.now()
+    const wasStandingStill = now - this.#lastTick > STANDSTILL_MILLISECONDS
+    this.#lastTick = now
+    for (const news of this.#directory.expire(now)) this.#apply(news, now)
+    for (const { desk, probe, keeper } of this.#services.values()) {
+      for (const server of desk.servers) {
+        // What was asked before a standstill was answered while nobody looked.
+        if (wasStandingStill) server.endTouch()
+        server.watchLife(now, server === desk.primary)
+        server.pool.tick(now, this.#directory.mayTakeWork(server.entry.server, now))
+      }
+      probe.tick(now)
+      if (!this.#isStopping) keeper.tick(now)
+    }
+  }
+
+  #listed(changes: readonly DirectoryChange[]): void {
+    const now = this.#context.clock.now()
+    const listed = new Set(
+      changes.flatMap(change => (change.kind === 'server' ? [change.entry.server] : [])),
+    )
+    const records = new Set(
+      changes.flatMap(change => (change.kind === 'record' ? [change.key] : [])),
+    )
+    for (const change of changes) this.#changed(change)
+    for (const news of this.#directory.keepOnly(listed, now)) this.#apply(news, now)
+    for (const host of this.#hosts.keys()) {
+      if (!records.has(`host/${host}`)) this.#hosts.delete(host)
+    }
+    for (const [service, { keeper }] of this.#services) {
+      if (!records.has(`change/${service}`)) keeper.heardChange(null, 0)
+    }
+  }
+
+  #changed(change: DirectoryChange): void {
+    const now = this.#context.clock.now()
+    switch (change.kind) {
+      case 'configuration':
+        this.#configure(change.configuration)
+        return
+      case 'server': {
+        const news = this.#directory.list(change.entry, now)
+        if (news !== null) this.#apply(news, now)
+        return
+      }
+      case 'serverGone': {
+        const news = this.#directory.unlist(change.server, now)
+        if (news !== null) this.#apply(news, now)
+        return
+      }
+      case 'record':
+        this.#recordChanged(change.key, change.value, change.revision)
+        return
+      case 'unreadable':
+        this.#context.log.write('entry_unreadable', { key: change.key, detail: change.detail })
+    }
+  }
+
+  #configure(configuration: FleetConfiguration): void {
+    if (!this.#configuration.take(configuration)) return
+    const { version, routes, services } = configuration
+    this.#context.log.write('configuration_taken', { version, routes: routes.length })
+    for (const service of services) this.#configureService(service)
+    for (const [name, { probe }] of this.#services) {
+      probe.guarantees = routes.filter(route => route.service === name).map(each => each.guarantee)
+    }
+  }
+
+  #configureService(service: FleetConfiguration['services'][number]): void {
+    const known = this.#services.get(service.name)
+    if (known !== undefined) {
+      known.desk.configuration = service
+      return
+    }
+    const desk = new ServiceDesk(this.#context, this.#directory, service)
+    const { store, promotion } = this.#ports
+    const keeper = new PrimaryKeeper(
+      this.#context,
+      desk,
+      this.#directory,
+      store,
+      promotion,
+      this.#hosts,
+    )
+    this.#services.set(service.name, { desk, probe: new PrimaryProbe(this.#context, desk), keeper })
+    const now = this.#context.clock.now()
+    for (const { entry } of this.#directory.ofService(service.name)) desk.appeared(entry, now)
+  }
+
+  #apply(news: DirectoryNews, now: Milliseconds): void {
+    const { entry } = news
+    this.#context.log.write(`server_${news.kind}`, {
+      server: entry.server,
+      service: entry.service,
+      role: entry.role,
+      zone: entry.zone,
+      isLeaving: entry.isLeaving,
+    })
+    const desk = this.#services.get(entry.service)?.desk
+    switch (news.kind) {
+      case 'appeared':
+        desk?.appeared(entry, now)
+        return
+      case 'changed':
+        desk?.changedEntry(entry, news.before, now)
+        return
+      case 'unlisted':
+        desk?.changed.raise()
+        return
+      case 'removed':
+        desk?.removed(entry.server)
+    }
+  }
+
+  #recordChanged(key: string, value: string | null, revision: number): void {
+    const name = readRecordName(key)
+    switch (name?.kind) {
+      case 'change':
+        this.#services.get(name.service)?.keeper.heardChange(value, revision)
+        return
+      case 'suspicion':
+        if (name.host === this.#context.settings.entryHost) return
+        this.#services.get(name.service)?.keeper.heardSuspicion(name.host, value)
+        return
+      case 'host': {
+        const record = value === null ? null : readHostRecord(value)
+        if (record === null) this.#hosts.delete(name.host)
+        else this.#hosts.set(name.host, record)
+        this.#context.hostCount = Math.max(1, this.#hosts.size)
+        return
+      }
+      case undefined:
+    }
+  }
+}
--- /dev/null
+++ b/packages/host/src/hostRegistration.ts
@@ -0,0 +1,84 @@
+/**
+ * Tells the other entry hosts, through the store, that this one runs. They divide the connections
+ * of each backend server by the number of hosts.
+ *
+ * @internal
+ */
+import { hostKey, writeRecord } from '@nutmegcourse/coordination'
+import type { StoreLink } from '@nutmegcourse/protocol'
+import type { HostContext } from './hostContext.js'
+import { rest } from './waiting.js'
+
+/**
+ * The record is for shares that need no precision, so it is renewed rarely: a call each few minutes
+ * and host, where a heartbeat of a second would be most of the calls that the fleet makes. A host that lost
+ * power is counted until the lease ends, which costs the others a part of their shares.
+ */
+const LIFETIME_MILLISECONDS = 300_000
+const RENEW_AFTER_MILLISECONDS = 100_000
+
+const CALL_LIMIT_MILLISECONDS = 1500
+const RETRY_MILLISECONDS = 2000
+
+export class HostRegistration {
+  readonly #context: HostContext
+  readonly #store: StoreLink
+  #lease: number | null = null
+  #isStopped = false
+
+  constructor(context: HostContext, store: StoreLink) {
+    this.#context = context
+    this.#store = store
+  }
+
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      const isKept = this.#lease === null ? await this.#register() : await this.#renew(this.#lease)
+      const span = isKept ? RENEW_AFTER_MILLISECONDS : RETRY_MILLISECONDS
+      await rest(span * (0.75 + this.#context.random.next() / 2))
+    }
+  }
+
+  /** The host stops: the others may have its share. */
+  async withdraw(): Promise<void> {
+    this.#isStopped = true
+    if (this.#lease === null) return
+    await this.#store.endLease(this.#lease, CALL_LIMIT_MILLISECONDS)
+  }
+
+  async #register(): Promise<boolean> {
+    const lease = await this.#store.grantLease(LIFETIME_MILLISECONDS, CALL_LIMIT_MILLISECONDS)
+    if (lease.isErr()) return this.#failed(lease.error.kind)
+    const { entryHost, zone, region } = this.#context.settings
+    const change = await this.#store.change(
+      {
+        expected: [],
+        puts: [
+          {
+            key: hostKey(entryHost),
+            value: writeRecord({ zone, region }),
+            lease: lease.value,
+          },
+        ],
+        removes: [],
+      },
+      CALL_LIMIT_MILLISECONDS,
+    )
+    if (change.isErr()) return this.#failed(change.error.kind)
+    if (change.value.kind !== 'made') return this.#failed(change.value.kind)
+    this.#lease = lease.value
+    return true
+  }
+
+  async #renew(lease: number): Promise<boolean> {
+    const renewed = await this.#store.renewLease(lease, CALL_LIMIT_MILLISECONDS)
+    if (renewed.isErr()) return this.#failed(renewed.error.kind)
+    if (!renewed.value) this.#lease = null
+    return renewed.value
+  }
+
+  #failed(why: string): false {
+    this.#context.log.write('registration_failed', { why })
+    return false
+  }
+}
--- /dev/null
+++ b/packages/host/src/index.ts
@@ -0,0 +1,1 @@
+export { EntryHost, type EntryHostPorts } from './entryHost.js'
--- /dev/null
+++ b/packages/host/src/primaryKeeper.ts
@@ -0,0 +1,369 @@
+/**
+ * Sees to it that one service has a primary that works: watches for silence, tells the other hosts of
+ * it, claims the change when it is this host's turn, and carries it out.
+ *
+ * The claim is a record in the store under a lease; the store's revision of it is the fencing token,
+ * so a holder that was frozen finds its orders refused once another has claimed. A claim that
+ * vanishes without the change being done is taken up by another host: replicas may be paused, and
+ * an order to promote may still be under way, which only a newer token stops.
+ *
+ * @internal
+ */
+import {
+  PrimaryChoice,
+  PrimarySuspicion,
+  RANK_PAUSE_MILLISECONDS,
+  VOTE_LIFETIME_MILLISECONDS,
+  changeKey,
+  mixHashes,
+  readChangeRecord,
+  readSuspicionRecord,
+  stableHash,
+  suspicionKey,
+  writeRecord,
+  type ChangeRecord,
+  type ChosenPrimary,
+} from '@nutmegcourse/coordination'
+import {
+  addMilliseconds,
+  attemptId,
+  milliseconds,
+  type BackendServerId,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
+import type { PromotionPort, StoreLink } from '@nutmegcourse/protocol'
+import type { ServerDirectory } from '@nutmegcourse/state'
+import { GroupControl } from './groupControl.js'
+import type { HostContext } from './hostContext.js'
+import type { ServiceDesk } from './serviceDesk.js'
+import { rest } from './waiting.js'
+
+/** A change takes one to two seconds; the lease outlives its slowest steps and is renewed between them. */
+const CLAIM_MILLISECONDS = 4000
+const CALL_LIMIT_MILLISECONDS = 1000
+
+/** Rounds of one claim: each asks all servers anew. */
+const ROUNDS = 40
+const ROUND_PAUSE_MILLISECONDS = 100
+
+/** Tries of one order to promote: the order is idempotent under its token. */
+const PROMOTION_TRIES = 8
+
+/** A promotion shows within the time that the platform takes for one, and a reserve. */
+const EFFECT_LIMIT_MILLISECONDS = 3000
+const EFFECT_PAUSE_MILLISECONDS = 20
+
+/** After a change or a claim by another, before this host thinks of one again. */
+const SETTLE_MILLISECONDS = 800
+
+interface Claim {
+  readonly token: number
+  readonly lease: number
+}
+
+interface KnownRecord {
+  readonly record: ChangeRecord
+  readonly revision: number
+}
+
+export class PrimaryKeeper {
+  readonly #context: HostContext
+  readonly #desk: ServiceDesk
+  readonly #directory: ServerDirectory
+  readonly #store: StoreLink
+  readonly #promotion: PromotionPort
+  readonly #hosts: ReadonlyMap<string, unknown>
+  readonly #suspicion = new PrimarySuspicion()
+  readonly #control: GroupControl
+  #known: KnownRecord | null = null
+  /** Another host's claim ended without a word that it was done. */
+  #abandonedAt: Milliseconds | null = null
+  #quietUntil = milliseconds(0)
+  #isChanging = false
+  #voteCastAt: Milliseconds | null = null
+  #attempts = 0
+
+  constructor(
+    context: HostContext,
+    desk: ServiceDesk,
+    directory: ServerDirectory,
+    store: StoreLink,
+    promotion: PromotionPort,
+    hosts: ReadonlyMap<string, unknown>,
+  ) {
+    this.#context = context
+    this.#desk = desk
+    this.#directory = directory
+    this.#store = store
+    this.#promotion = promotion
+    this.#hosts = hosts
+    this.#control = new GroupControl(context, desk)
+  }
+
+  get isChanging(): boolean {
+    return this.#isChanging
+  }
+
+  heardChange(value: string | null, revision: number): void {
+    const now = this.#context.clock.now()
+    const record = value === null ? null : readChangeRecord(value)
+    const before = this.#known
+    this.#known = record === null ? null : { record, revision }
+    if (record?.phase === 'done') {
+      this.#abandonedAt = null
+      this.#quietUntil = addMilliseconds(now, SETTLE_MILLISECONDS)
+      if (before?.revision !== revision) this.#desk.toldToLead(record.primary, now)
+    } else if (record?.phase === 'claimed') this.#abandonedAt = null
+    else if (before?.record.phase === 'claimed') this.#abandonedAt = now
+  }
+
+  heardSuspicion(host: string, value: string | null): void {
+    const suspicion = value === null ? null : readSuspicionRecord(value)
+    if (suspicion === null) this.#suspicion.heardNoVote(host)
+    else this.#suspicion.heardVote(host, suspicion.primary, this.#context.clock.now())
+  }
+
+  tick(now: Milliseconds): void {
+    if (this.#isChanging || now < this.#quietUntil) return
+    const reason = this.#reasonToChange(now)
+    if (reason === null || this.#isClaimedByOther()) return
+    this.#isChanging = true
+    void this.#change(reason).finally(() => {
+      this.#isChanging = false
+      this.#quietUntil = addMilliseconds(this.#context.clock.now(), SETTLE_MILLISECONDS)
+    })
+  }
+
+  #reasonToChange(now: Milliseconds): string | null {
+    const rank = this.#rank()
+    const turn = rank * RANK_PAUSE_MILLISECONDS
+    if (this.#abandonedAt !== null && now >= addMilliseconds(this.#abandonedAt, turn)) {
+      return 'abandoned'
+    }
+    const { primary } = this.#desk
+    if (primary === null) return null
+    const known = this.#directory.get(primary.entry.server)
+    const leavingSince = known?.leavingSince ?? null
+    if (leavingSince !== null && now >= addMilliseconds(leavingSince, turn)) return 'leaving'
+    const signs = {
+      primary: primary.entry.server,
+      silentMilliseconds: primary.silentFor(now),
+      refusals: primary.pool.refusals,
+    }
+    const advice = this.#suspicion.advise(signs, this.#hosts.size, rank, now)
+    if (advice === 'trust') this.#withdrawVote()
+    else this.#castVote(primary.entry.server, now)
+    return advice === 'act' ? 'silent' : null
+  }
+
+  /** This host's place among the hosts, other for each service so that the work is spread. */
+  #rank(): number {
+    const service = stableHash(this.#desk.name)
+    const weight = (host: string): number => mixHashes(stableHash(host), service)
+    const own = weight(this.#context.settings.entryHost)
+    let rank = 0
+    for (const host of this.#hosts.keys()) if (weight(host) > own) rank += 1
+    return rank
+  }
+
+  #isClaimedByOther(): boolean {
+    const record = this.#known?.record
+    return record?.phase === 'claimed' && record.holder !== this.#context.settings.entryHost
+  }
+
+  #castVote(primary: BackendServerId, now: Milliseconds): void {
+    const last = this.#voteCastAt
+    if (last !== null && now < addMilliseconds(last, VOTE_LIFETIME_MILLISECONDS / 2)) return
+    this.#voteCastAt = now
+    this.#context.log.write('primary_suspected', { service: this.#desk.name, primary })
+    void this.#putVote(writeRecord({ primary }))
+  }
+
+  #withdrawVote(): void {
+    if (this.#voteCastAt === null) return
+    this.#voteCastAt = null
+    void this.#putVote(null)
+  }
+
+  async #putVote(value: string | null): Promise<void> {
+    const key = suspicionKey(this.#desk.name, this.#context.settings.entryHost)
+    const puts = value === null ? [] : [{ key, value, lease: 0 }]
+    const removes = value === null ? [key] : []
+    const made = await this.#store.change({ expected: [], puts, removes }, CALL_LIMIT_MILLISECONDS)
+    // A vote that got lost is cast again when it would lapse.
+    if (made.isErr()) this.#context.log.write('vote_failed', { ...made.error })
+  }
+
+  async #change(reason: string): Promise<void> {
+    const claim = await this.#claim()
+    if (claim === null) return
+    this.#context.log.write('change_claimed', {
+      service: this.#desk.name,
+      reason,
+      token: claim.token,
+      primary: this.#desk.primary?.entry.server ?? null,
+    })
+    for (let round = 0; round < ROUNDS; round += 1) {
+      if (round > 0) await rest(ROUND_PAUSE_MILLISECONDS)
+      const next = await this.#round(claim)
+      if (next === 'again') continue
+      if (next === 'done') await this.#store.endLease(claim.lease, CALL_LIMIT_MILLISECONDS)
+      return
+    }
+    this.#context.log.write('change_given_up', { service: this.#desk.name, token: claim.token })
+  }
+
+  async #round(claim: Claim): Promise<'done' | 'again' | 'lost'> {
+    if (!(await this.#keepClaim(claim))) return 'lost'
+    const oldPrimary = this.#desk.primary?.entry.server ?? null
+    const choice = new PrimaryChoice(
+      {
+        oldPrimary,
+        replicas: this.#members(oldPrimary),
+        synchronousReplicas: this.#desk.configuration.synchronousReplicas,
+      },
+      this.#control,
+    )
+    const chosen = await choice.choose()
+    if (chosen.isErr()) {
+      this.#context.log.write('change_waits', { service: this.#desk.name, ...chosen.error })
+      return 'again'
+    }
+    this.#logChoice(claim, chosen.value)
+    return this.#promote(claim, chosen.value.server)
+  }
+
+  #members(oldPrimary: BackendServerId | null) {
+    return this.#directory
+      .ofService(this.#desk.name)
+      .filter(({ entry }) => entry.server !== oldPrimary)
+      .map(({ entry, leavingSince, goneSince }) => ({
+        server: entry.server,
+        isLeaving: leavingSince !== null || goneSince !== null,
+        distance: this.#desk.server(entry.server)?.distance ?? 0,
+      }))
+  }
+
+  async #promote(claim: Claim, server: BackendServerId): Promise<'done' | 'again' | 'lost'> {
+    const order = {
+      service: this.#desk.name,
+      server,
+      holder: this.#context.settings.entryHost,
+      fencingToken: claim.token,
+    }
+    for (let tried = 0; tried < PROMOTION_TRIES; tried += 1) {
+      if (tried > 0) await rest(ROUND_PAUSE_MILLISECONDS)
+      const outcome = await this.#promotion.promote(order, CALL_LIMIT_MILLISECONDS)
+      this.#context.log.write('promotion_ordered', { ...order, outcome: outcome.kind })
+      switch (outcome.kind) {
+        case 'accepted':
+          return this.#awaitEffect(claim, server)
+        case 'rejected':
+          return (await this.#keepClaim(claim)) ? 'again' : 'lost'
+        case 'unavailable':
+          if (!(await this.#keepClaim(claim))) return 'lost'
+          continue
+        case 'noAnswer':
+          // It may be carried out any time; asking again settles it.
+          continue
+      }
+    }
+    return 'again'
+  }
+
+  async #awaitEffect(claim: Claim, server: BackendServerId): Promise<'done' | 'again'> {
+    const { clock } = this.#context
+    const limit = addMilliseconds(clock.now(), EFFECT_LIMIT_MILLISECONDS)
+    while (clock.now() < limit) {
+      const report = await this.#control.report(server)
+      if (report?.role === 'primary') {
+        this.#desk.toldToLead(server, clock.now())
+        await this.#recordDone(claim, server)
+        return 'done'
+      }
+      await rest(EFFECT_PAUSE_MILLISECONDS)
+    }
+    return 'again'
+  }
+
+  async #claim(): Promise<Claim | null> {
+    const lifetime = Math.max(
+      CLAIM_MILLISECONDS,
+      this.#context.settings.store.shortestLeaseMilliseconds,
+    )
+    const lease = await this.#store.grantLease(lifetime, CALL_LIMIT_MILLISECONDS)
+    if (lease.isErr()) return this.#claimFailed(lease.error.kind)
+    const { entryHost } = this.#context.settings
+    this.#attempts += 1
+    const attempt = attemptId(`${entryHost}/${String(this.#attempts)}/${String(lease.value)}`)
+    const key = changeKey(this.#desk.name)
+    const value = writeRecord({ phase: 'claimed', holder: entryHost, attempt })
+    const revision = this.#known?.revision ?? 0
+    const made = await this.#store.change(
+      { expected: [{ key, revision }], puts: [{ key, value, lease: lease.value }], removes: [] },
+      CALL_LIMIT_MILLISECONDS,
+    )
+    if (made.isErr()) {
+      if (made.error.kind !== 'noAnswer') return this.#claimFailed(made.error.kind)
+      return this.#settleClaim(attempt, lease.value)
+    }
+    if (made.value.kind === 'made') return { token: made.value.revision, lease: lease.value }
+    if (made.value.kind === 'conflict') {
+      const [record] = made.value.records
+      this.heardChange(record?.value ?? null, record?.revision ?? 0)
+    }
+    return this.#claimFailed(made.value.kind)
+  }
+
+  /** The answer to a claim was lost: what the store holds tells whether it was made. */
+  async #settleClaim(attempt: string, lease: number): Promise<Claim | null> {
+    const read = await this.#store.read(changeKey(this.#desk.name), CALL_LIMIT_MILLISECONDS)
+    if (read.isErr()) return this.#claimFailed(read.error.kind)
+    const record = read.value === null ? null : readChangeRecord(read.value.value)
+    const isOwn = record?.phase === 'claimed' && record.attempt === attempt
+    if (!isOwn || read.value === null) return this.#claimFailed('lost')
+    return { token: read.value.revision, lease }
+  }
+
+  #claimFailed(why: string): null {
+    this.#context.log.write('claim_failed', { service: this.#desk.name, why })
+    return null
+  }
+
+  /** Renews the lease. False when the claim is gone; a store that is away says nothing. */
+  async #keepClaim(claim: Claim): Promise<boolean> {
+    const renewed = await this.#store.renewLease(claim.lease, CALL_LIMIT_MILLISECONDS)
+    if (renewed.isErr() || renewed.value) return true
+    this.#context.log.write('claim_lost', { service: this.#desk.name, token: claim.token })
+    return false
+  }
+
+  async #recordDone(claim: Claim, primary: BackendServerId): Promise<void> {
+    const key = changeKey(this.#desk.name)
+    const { entryHost: holder } = this.#context.settings
+    const value = writeRecord({ phase: 'done', holder, primary })
+    const made = await this.#store.change(
+      {
+        expected: [{ key, revision: claim.token }],
+        puts: [{ key, value, lease: 0 }],
+        removes: [],
+      },
+      CALL_LIMIT_MILLISECONDS,
+    )
+    this.#context.log.write('change_done', {
+      service: this.#desk.name,
+      primary,
+      token: claim.token,
+      recorded: made.isOk() ? made.value.kind : made.error.kind,
+    })
+  }
+
+  #logChoice(claim: Claim, chosen: ChosenPrimary): void {
+    this.#context.log.write('primary_chosen', {
+      service: this.#desk.name,
+      token: claim.token,
+      ...chosen,
+    })
+  }
+}
+
--- /dev/null
+++ b/packages/host/src/serverPool.ts
@@ -0,0 +1,243 @@
+/**
+ * This host's connections to one backend server, and who waits for one.
+ *
+ * @internal
+ */
+import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import type { BackendAddress, BackendLink, LinkFailure } from '@nutmegcourse/protocol'
+import {
+  ConnectionValues,
+  WaitingLine,
+  connectionsToOpen,
+  poolLimits,
+  type PoolLimits,
+  type SessionValues,
+  type Waiter,
+} from '@nutmegcourse/state'
+import type { HostContext } from './hostContext.js'
+import { OVERDUE, within } from './waiting.js'
+
+/** One connection, and what is known of it. */
+export interface PooledLink {
+  readonly link: BackendLink
+  readonly values: ConnectionValues
+  idleSince: Milliseconds
+}
+
+export type AcquireFailure = 'unreachable' | 'full' | 'overdue' | 'withdrawn'
+
+export type Acquired = { readonly link: PooledLink } | { readonly failure: AcquireFailure }
+
+interface LinkWaiter extends Waiter {
+  readonly session: SessionValues
+  settle(acquired: Acquired): void
+}
+
+/** A server that takes a connection does so within tens of milliseconds, past the link too. */
+const OPEN_LIMIT_MILLISECONDS = 1000
+
+/** After a refusal for want of connections; others give theirs back within about this time. */
+const FULL_PAUSE_MILLISECONDS = 60
+
+/** After a refused connection. A server that starts again is found within this time. */
+const REFUSED_PAUSE_MILLISECONDS = 80
+
+/** A connection beyond this host's share goes back when nothing has needed it for so long. */
+const SURPLUS_IDLE_MILLISECONDS = 600
+
+/** Connections that are kept although nothing needs them, so that the first request needs no handshake. */
+const WARM_CONNECTIONS = 1
+
+export class ServerPool {
+  readonly #context: HostContext
+  readonly #address: BackendAddress
+  readonly #idle: PooledLink[] = []
+  readonly #all = new Set<PooledLink>()
+  readonly #line = new WaitingLine<LinkWaiter>()
+  #connectionLimit: number
+  #opening = 0
+  #mayOpenAt = milliseconds(0)
+  #isClosed = false
+  /** Refused connections in a row. */
+  refusals = 0
+
+  constructor(context: HostContext, address: BackendAddress, connectionLimit: number) {
+    this.#context = context
+    this.#address = address
+    this.#connectionLimit = connectionLimit
+  }
+
+  set connectionLimit(limit: number) {
+    this.#connectionLimit = limit
+  }
+
+  get waiting(): number {
+    return this.#line.size
+  }
+
+  get busy(): number {
+    return this.#all.size - this.#idle.length
+  }
+
+  get size(): number {
+    return this.#all.size + this.#opening
+  }
+
+  /** When bytes last came on any connection. */
+  get lastHeardAt(): number {
+    let last = Number.NEGATIVE_INFINITY
+    for (const { link } of this.#all) last = Math.max(last, link.lastHeardAt)
+    return last
+  }
+
+  /** A connection whose values fit the session best, or a place in the line for one. */
+  acquire(session: SessionValues, priority: number, deadline: Milliseconds): Promise<Acquired> {
+    if (this.#isClosed) return Promise.resolve({ failure: 'withdrawn' })
+    const idle = this.#takeIdle(session)
+    if (idle !== null) return Promise.resolve({ link: idle })
+    return new Promise(resolve => {
+      const waiter: LinkWaiter = {
+        priority,
+        deadline,
+        session,
+        settle: acquired => {
+          clearTimeout(timer)
+          resolve(acquired)
+        },
+      }
+      const timer = setTimeout(
+        () => {
+          this.#line.leave(waiter)
+          resolve({ failure: 'overdue' })
+        },
+        Math.max(0, deadline - this.#context.clock.now()),
+      )
+      this.#line.join(waiter)
+      this.#openMore()
+    })
+  }
+
+  /** An idle connection, or null; nothing waits for it. */
+  takeIdleNow(): PooledLink | null {
+    return this.#idle.pop() ?? null
+  }
+
+  /** The connection is outside any transaction and owes no answer. */
+  release(pooled: PooledLink): void {
+    if (!pooled.link.isOpen || this.#isClosed) {
+      this.discard(pooled)
+      return
+    }
+    const waiter = this.#line.next()
+    if (waiter !== null) {
+      waiter.settle({ link: pooled })
+      return
+    }
+    pooled.idleSince = this.#context.clock.now()
+    this.#idle.push(pooled)
+  }
+
+  /** The connection owes an answer or is in an unknown state: nobody may use it again. */
+  discard(pooled: PooledLink): void {
+    this.#all.delete(pooled)
+    const index = this.#idle.indexOf(pooled)
+    if (index >= 0) this.#idle.splice(index, 1)
+    pooled.link.close()
+    if (!this.#isClosed) this.#openMore()
+  }
+
+  /** Sends those who wait elsewhere. */
+  withdrawWaiting(failure: AcquireFailure): void {
+    for (const waiter of this.#line.takeAll()) waiter.settle({ failure })
+  }
+
+  tick(now: Milliseconds, keepWarm: boolean): void {
+    this.#closeSurplus(now, keepWarm)
+    this.#openMore(keepWarm ? WARM_CONNECTIONS : 0)
+  }
+
+  /** Takes no more work; connections in use end with their work. */
+  close(): void {
+    this.#isClosed = true
+    this.withdrawWaiting('withdrawn')
+    for (const pooled of [...this.#idle]) this.discard(pooled)
+  }
+
+  #limits(): PoolLimits {
+    return poolLimits(this.#connectionLimit, this.#context.hostCount)
+  }
+
+  #takeIdle(session: SessionValues): PooledLink | null {
+    let best = -1
+    let least = Number.POSITIVE_INFINITY
+    for (let index = this.#idle.length - 1; index >= 0; index -= 1) {
+      const distance = this.#idle[index]?.values.distance(session) ?? least
+      if (distance >= least) continue
+      least = distance
+      best = index
+    }
+    const [pooled] = best < 0 ? [] : this.#idle.splice(best, 1)
+    return pooled ?? null
+  }
+
+  #openMore(warm = 0): void {
+    if (this.#isClosed || this.#context.clock.now() < this.#mayOpenAt) return
+    const state = {
+      size: this.size,
+      opening: this.#opening,
+      idle: this.#idle.length,
+      waiting: this.#line.size,
+    }
+    const missing = connectionsToOpen(state, this.#limits(), warm)
+    for (let opened = 0; opened < missing; opened += 1) void this.#open()
+  }
+
+  async #open(): Promise<void> {
+    this.#opening += 1
+    const { clock } = this.#context
+    const { link, opened } = this.#context.dialer.open(this.#address)
+    const limit = addMilliseconds(clock.now(), OPEN_LIMIT_MILLISECONDS)
+    const result = await within(opened, limit, clock)
+    this.#opening -= 1
+    if (result === OVERDUE) {
+      link.close()
+      this.#failedToOpen({ kind: 'connectionLost' })
+      return
+    }
+    if (result.isErr()) {
+      this.#failedToOpen(result.error)
+      return
+    }
+    this.refusals = 0
+    const pooled = { link, values: new ConnectionValues(), idleSince: clock.now() }
+    this.#all.add(pooled)
+    link.onClosed(() => {
+      this.discard(pooled)
+    })
+    this.release(pooled)
+  }
+
+  #failedToOpen(failure: LinkFailure): void {
+    const { log, clock, random } = this.#context
+    const isFull = failure.kind === 'rejected' && failure.refusal === 'tooManyConnections'
+    if (failure.kind === 'connectionRefused') this.refusals += 1
+    const span = isFull ? FULL_PAUSE_MILLISECONDS : REFUSED_PAUSE_MILLISECONDS
+    this.#mayOpenAt = addMilliseconds(clock.now(), span * (0.5 + random.next()))
+    log.write('connection_not_opened', {
+      server: this.#address.server,
+      service: this.#address.service,
+      ...failure,
+      waiting: this.#line.size,
+    })
+    if (isFull && this.#all.size > 0) return
+    this.withdrawWaiting(isFull ? 'full' : 'unreachable')
+  }
+
+  #closeSurplus(now: Milliseconds, keepWarm: boolean): void {
+    const { share } = this.#limits()
+    const keep = keepWarm ? share : 0
+    const [oldest] = this.#idle
+    if (oldest === undefined || this.#all.size <= keep) return
+    if (now >= addMilliseconds(oldest.idleSince, SURPLUS_IDLE_MILLISECONDS)) this.discard(oldest)
+  }
+}
--- /dev/null
+++ b/packages/host/src/serviceDesk.ts
@@ -0,0 +1,174 @@
+/**
+ * One service on this host: its servers, who leads, how fresh reads must be, and who may serve what.
+ *
+ * @internal
+ */
+import type { BackendServerId, LogPosition, Milliseconds } from '@nutmegcourse/shared'
+import type { BackendServerEntry, ReadGuarantee, ServiceConfiguration } from '@nutmegcourse/protocol'
+import {
+  FreshnessBounds,
+  Leadership,
+  rankForRead,
+  type ReadCandidate,
+  type ReadNeed,
+  type ServerDirectory,
+} from '@nutmegcourse/state'
+import { BackendServerState } from './backendServerState.js'
+import type { HostContext } from './hostContext.js'
+import { Signal } from './waiting.js'
+
+export class ServiceDesk {
+  readonly name: string
+  readonly bounds = new FreshnessBounds()
+  /** Raised whenever a request that waits may find something new. */
+  readonly changed = new Signal()
+  readonly #context: HostContext
+  readonly #directory: ServerDirectory
+  readonly #leadership = new Leadership()
+  readonly #servers = new Map<BackendServerId, BackendServerState>()
+  #configuration: ServiceConfiguration
+
+  constructor(
+    context: HostContext,
+    directory: ServerDirectory,
+    configuration: ServiceConfiguration,
+  ) {
+    this.#context = context
+    this.#directory = directory
+    this.#configuration = configuration
+    this.name = configuration.name
+  }
+
+  get configuration(): ServiceConfiguration {
+    return this.#configuration
+  }
+
+  set configuration(configuration: ServiceConfiguration) {
+    this.#configuration = configuration
+    for (const server of this.#servers.values()) {
+      server.pool.connectionLimit = configuration.connectionLimit
+    }
+  }
+
+  get servers(): readonly BackendServerState[] {
+    return [...this.#servers.values()]
+  }
+
+  server(id: BackendServerId): BackendServerState | undefined {
+    return this.#servers.get(id)
+  }
+
+  /** Who is taken for the primary, whether or not it may be given work. */
+  get primary(): BackendServerState | null {
+    const { primary } = this.#leadership
+    return primary === null ? null : (this.#servers.get(primary) ?? null)
+  }
+
+  /** The primary, if writes may be sent there now. */
+  writablePrimary(now: Milliseconds): BackendServerState | null {
+    const { primary } = this
+    if (primary === null || !this.#directory.mayTakeWork(primary.entry.server, now)) return null
+    return primary
+  }
+
+  appeared(entry: BackendServerEntry, now: Milliseconds): void {
+    this.#servers.get(entry.server)?.close()
+    this.#leadership.forget(entry.server)
+    const limit = this.#configuration.connectionLimit
+    this.#servers.set(entry.server, new BackendServerState(this.#context, entry, limit))
+    if (entry.role === 'primary') this.#leads(entry.server, now, 'entry')
+    this.changed.raise()
+  }
+
+  changedEntry(entry: BackendServerEntry, before: BackendServerEntry, now: Milliseconds): void {
+    const server = this.#servers.get(entry.server)
+    if (server === undefined) {
+      this.appeared(entry, now)
+      return
+    }
+    server.entry = entry
+    if (entry.role !== before.role) {
+      if (entry.role === 'primary') this.#leads(entry.server, now, 'entry')
+      else this.refusedToLead(entry.server, now, 'entry')
+    }
+    this.changed.raise()
+  }
+
+  removed(id: BackendServerId): void {
+    this.#servers.get(id)?.close()
+    this.#servers.delete(id)
+    this.#leadership.forget(id)
+    this.changed.raise()
+  }
+
+  /** The server ran a statement, sent at `askedAt`, that only a primary runs. */
+  provedToLead(id: BackendServerId, askedAt: Milliseconds, position: LogPosition | null): void {
+    this.#leads(id, askedAt, 'answer')
+    if (position === null) return
+    this.bounds.note(askedAt, position)
+    this.changed.raise()
+  }
+
+  /** A change of primary ended with this server. */
+  toldToLead(id: BackendServerId, now: Milliseconds): void {
+    this.#leads(id, now, 'change')
+    this.changed.raise()
+  }
+
+  refusedToLead(id: BackendServerId, askedAt: Milliseconds, source: string): void {
+    if (!this.#leadership.refused(id, askedAt)) return
+    this.#logPrimary(source)
+    this.#servers.get(id)?.pool.withdrawWaiting('withdrawn')
+    this.changed.raise()
+  }
+
+  need(guarantee: ReadGuarantee, own: LogPosition | null, now: Milliseconds): ReadNeed {
+    return this.bounds.need(guarantee, own, now)
+  }
+
+  /** The best server for a read that any may serve whose log is far enough; null when none is left. */
+  chooseReader(
+    excluded: ReadonlySet<BackendServerId>,
+    now: Milliseconds,
+  ): BackendServerState | null {
+    const candidates: ReadCandidate[] = []
+    const { primary } = this
+    for (const server of this.#servers.values()) {
+      const { entry, pool } = server
+      if (excluded.has(entry.server)) continue
+      const known = this.#directory.get(entry.server)
+      if (known === undefined || !this.#directory.mayTakeWork(entry.server, now)) continue
+      candidates.push({
+        server: entry.server,
+        isPrimary: server === primary,
+        stays: known.leavingSince === null && known.goneSince === null && pool.refusals === 0,
+        silentMilliseconds: server.silentFor(now),
+        expectedMilliseconds: server.latency.at(now),
+        inFlight: pool.busy + pool.waiting,
+        slots: entry.slots,
+      })
+    }
+    const [best] = rankForRead(candidates)
+    return best === undefined ? null : (this.#servers.get(best) ?? null)
+  }
+
+  close(): void {
+    for (const server of this.#servers.values()) server.close()
+  }
+
+  #leads(id: BackendServerId, asOf: Milliseconds, source: string): void {
+    const before = this.#leadership.primary
+    if (!this.#leadership.leads(id, asOf)) return
+    this.#logPrimary(source)
+    if (before !== null) this.#servers.get(before)?.pool.withdrawWaiting('withdrawn')
+    this.changed.raise()
+  }
+
+  #logPrimary(source: string): void {
+    this.#context.log.write('primary_believed', {
+      service: this.name,
+      primary: this.#leadership.primary,
+      source,
+    })
+  }
+}
--- /dev/null
+++ b/packages/host/src/waiting.ts
@@ -0,0 +1,68 @@
+/**
+ * Waiting with a limit.
+ *
+ * @internal
+ */
+import { milliseconds, type Clock, type Milliseconds } from '@nutmegcourse/shared'
+
+/** A timer that can be given up. */
+export interface Pause {
+  readonly over: Promise<void>
+  cancel(): void
+}
+
+export function pause(span: number): Pause {
+  let timer: NodeJS.Timeout | null = null
+  const over = new Promise<void>(resolve => {
+    timer = setTimeout(resolve, Math.max(0, span))
+  })
+  return {
+    over,
+    cancel: () => {
+      if (timer !== null) clearTimeout(timer)
+    },
+  }
+}
+
+export const rest = (span: number): Promise<void> => pause(span).over
+
+export const OVERDUE = Symbol('overdue')
+
+/** The value, or `OVERDUE` when it has not come by `deadline`. */
+export async function within<Value>(
+  value: Promise<Value>,
+  deadline: Milliseconds,
+  clock: Clock,
+): Promise<Value | typeof OVERDUE> {
+  const limit = pause(deadline - clock.now())
+  const first = await Promise.race([value, limit.over.then((): typeof OVERDUE => OVERDUE)])
+  limit.cancel()
+  return first
+}
+
+/** Wakes whoever waits for news, with a limit for each. */
+export class Signal {
+  #waiting = new Set<() => void>()
+
+  raise(): void {
+    const waiting = this.#waiting
+    this.#waiting = new Set()
+    for (const wake of waiting) wake()
+  }
+
+  /** Resolves at the next `raise`, at the latest after `span` milliseconds. */
+  wait(span: number): Promise<void> {
+    return new Promise(resolve => {
+      const wake = () => {
+        clearTimeout(timer)
+        this.#waiting.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, Math.max(0, span))
+      this.#waiting.add(wake)
+    })
+  }
+}
+
+export const earlier = (left: number, right: number): Milliseconds =>
+  milliseconds(Math.min(left, right))
--- a/packages/observability/src/log.ts
+++ b/packages/observability/src/log.ts
@@ -4,7 +4,7 @@
 export type Log = Logger
 
 export interface LogIdentity {
-  readonly process: 'proxy' | 'agent' | 'ctl'
+  readonly process: 'proxy' | 'agent' | 'ctl' | 'host'
   readonly entryHost: string
   readonly zone: string
 }
--- /dev/null
+++ b/packages/protocol/src/host/hostSettings.ts
@@ -0,0 +1,31 @@
+/** What an entry host is told by its settings. */
+import type { AvailabilityZoneId, EntryHostId, RegionId } from '@nutmegcourse/shared'
+
+export interface HostAddress {
+  readonly host: string
+  readonly port: number
+}
+
+export interface HostSettings {
+  readonly entryHost: EntryHostId
+  readonly zone: AvailabilityZoneId
+  readonly region: RegionId
+  /** The region of each zone. */
+  readonly regions: ReadonlyMap<AvailabilityZoneId, RegionId>
+  readonly callers: HostAddress
+  readonly readiness: HostAddress
+  /** Where counters are served; null when the settings leave no port for it. */
+  readonly metrics: HostAddress | null
+  readonly store: HostAddress & {
+    readonly writesPerSecond: number
+    readonly readsPerSecond: number
+    readonly shortestLeaseMilliseconds: number
+  }
+  readonly promotion: HostAddress | null
+  /** Time between two words of a backend server to the store. */
+  readonly serverHeartbeatMilliseconds: number
+  /** New work must have ended this long after a server said that it leaves. */
+  readonly drainMilliseconds: number
+  /** From the signal to stop until the process is killed. */
+  readonly graceMilliseconds: number
+}
--- /dev/null
+++ b/packages/protocol/src/host/index.ts
@@ -0,0 +1,5 @@
+export * from './backendLink.js'
+export * from './directory.js'
+export * from './hostSettings.js'
+export * from './statements.js'
+export * from './storeLink.js'
--- a/packages/state/src/boundHistory.ts
+++ b/packages/state/src/boundHistory.ts
@@ -43,6 +43,12 @@
     return NEVER
   }
 
+  /** The least bound that holds every write acknowledged before `time`; null when none is known. */
+  boundSince(time: Milliseconds): LogPosition | null {
+    for (const { asOf, bound } of this.#entries) if (asOf >= time) return bound
+    return null
+  }
+
   /** Drops every second entry of the older half: old ages may be coarse, fresh ones may not. */
   #thinOut(): void {
     const half = ENTRIES_KEPT / 2
--- /dev/null
+++ b/packages/state/src/synchronous/waitingLine.ts
@@ -0,0 +1,54 @@
+/** Who waits for a connection, in the order in which they get one. */
+import TinyQueue from 'tinyqueue'
+import type { Milliseconds } from '@nutmegcourse/shared'
+
+export interface Waiter {
+  /** 0 goes first: operators rank their classes of work. */
+  readonly priority: number
+  /** Within one priority whoever has the least time left goes first, since waiting costs it most. */
+  readonly deadline: Milliseconds
+}
+
+interface Place<Kind extends Waiter> {
+  readonly waiter: Kind
+  readonly order: number
+}
+
+export class WaitingLine<Kind extends Waiter> {
+  readonly #places = new TinyQueue<Place<Kind>>([], byUrgency)
+  readonly #waiting = new Set<Kind>()
+  #order = 0
+
+  get size(): number {
+    return this.#waiting.size
+  }
+
+  join(waiter: Kind): void {
+    this.#order += 1
+    this.#waiting.add(waiter)
+    this.#places.push({ waiter, order: this.#order })
+  }
+
+  leave(waiter: Kind): void {
+    this.#waiting.delete(waiter)
+  }
+
+  next(): Kind | null {
+    for (;;) {
+      const place = this.#places.pop()
+      if (place === undefined) return null
+      if (this.#waiting.delete(place.waiter)) return place.waiter
+    }
+  }
+
+  takeAll(): Kind[] {
+    const all: Kind[] = []
+    for (let waiter = this.next(); waiter !== null; waiter = this.next()) all.push(waiter)
+    return all
+  }
+}
+
+const byUrgency = (left: Place<Waiter>, right: Place<Waiter>): number =>
+  left.waiter.priority - right.waiter.priority ||
+  left.waiter.deadline - right.waiter.deadline ||
+  left.order - right.order
