--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -29,6 +29,7 @@
   #touchStartedAt: Milliseconds | null = null
   #cancelTouch: (() => void) | null = null
   #touchedAt = Number.NEGATIVE_INFINITY
+  #probeSentAt: Milliseconds | null = null
 
   constructor(context: HostContext, entry: BackendServerEntry, connectionLimit: number) {
     this.#context = context
@@ -58,33 +59,51 @@
 
   /** How long it has owed a sign of life; 0 when it owes none. */
   silentFor(now: Milliseconds): number {
-    if (this.#touchStartedAt === null) return 0
-    return Math.max(0, now - Math.max(this.#touchStartedAt, this.heardAt))
+    const asked = Math.min(this.#touchStartedAt ?? now, this.#probeSentAt ?? now)
+    return Math.max(0, now - Math.max(asked, this.heardAt))
   }
 
-  /** Asks a server that has been quiet whether it lives. Its operating system answers, not its queue. */
-  watchLife(now: Milliseconds, isWatched: boolean): void {
-    const isQuiet = now - this.heardAt > TOUCH_AFTER_MILLISECONDS
+  /** A question that a server answers at once whatever its load was sent, or answered. */
+  probeSent(now: Milliseconds): void {
+    this.#probeSentAt ??= now
+  }
+
+  probeAnswered(): void {
+    this.#probeSentAt = null
+  }
+
+  /**
+   * Asks a server that owes an answer and has been quiet whether it lives: by a new connection,
+   * since open ones may have gone silent while the server is well. Its operating system answers,
+   * not its queue.
+   */
+  watchLife(now: Milliseconds): void {
     if (this.#touchStartedAt !== null) {
-      if (this.heardAt > this.#touchStartedAt) this.endTouch()
+      if (this.heardAt > this.#touchStartedAt) this.#endTouch()
       return
     }
-    if (!isQuiet || !(isWatched || this.pool.busy > 0 || this.pool.waiting > 0)) return
-    this.#touch(now)
+    const owes = this.#probeSentAt !== null || this.pool.busy > 0 || this.pool.waiting > 0
+    const quietSince = Math.max(this.heardAt, this.pool.lastAcquiredAt)
+    if (owes && now - quietSince > TOUCH_AFTER_MILLISECONDS) this.#touch(now)
   }
 
-  /** Forgets an open question: after a standstill of this host it says nothing of the server. */
-  endTouch(): void {
-    this.#cancelTouch?.()
-    this.#cancelTouch = null
-    this.#touchStartedAt = null
+  /** Forgets open questions: after a standstill of this host they say nothing of the server. */
+  forgetQuestions(): void {
+    this.#probeSentAt = null
+    this.#endTouch()
   }
 
   close(): void {
-    this.endTouch()
+    this.forgetQuestions()
     this.pool.close()
   }
 
+  #endTouch(): void {
+    this.#cancelTouch?.()
+    this.#cancelTouch = null
+    this.#touchStartedAt = null
+  }
+
   #touch(now: Milliseconds): void {
     const { answered, cancel } = this.#context.dialer.touch(this.address)
     this.#touchStartedAt = now
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -197,8 +197,8 @@
     for (const { desk, probe, keeper } of this.#services.values()) {
       for (const server of desk.servers) {
         // What was asked before a standstill was answered while nobody looked.
-        if (wasStandingStill) server.endTouch()
-        server.watchLife(now, server === desk.primary)
+        if (wasStandingStill) server.forgetQuestions()
+        server.watchLife(now)
         server.pool.tick(now, this.#directory.mayTakeWork(server.entry.server, now))
       }
       probe.tick(now)
--- a/packages/host/src/primaryProbe.ts
+++ b/packages/host/src/primaryProbe.ts
@@ -78,6 +78,7 @@
     const { link } = acquired
     const askedAt = clock.now()
     const deadline = addMilliseconds(askedAt, ANSWER_LIMIT_MILLISECONDS)
+    server.probeSent(askedAt)
     const [begun, ended] = await Promise.all([
       runOwn(this.#context, link, { kind: 'begin', readOnly: false, after: null }, deadline),
       runOwn(this.#context, link, { kind: 'rollback' }, deadline),
@@ -86,6 +87,7 @@
       server.pool.discard(link)
       return
     }
+    server.probeAnswered()
     server.pool.release(link)
     const { server: id } = server.entry
     if (begun.outcome.kind === 'done') this.#desk.provedToLead(id, askedAt, begun.position)
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -58,6 +58,7 @@
   #opening = 0
   #mayOpenAt = milliseconds(0)
   #isClosed = false
+  #lastAcquiredAt = Number.NEGATIVE_INFINITY
   /** Refused connections in a row. */
   refusals = 0
 
@@ -90,9 +91,15 @@
     return last
   }
 
+  /** When a connection last went to work. */
+  get lastAcquiredAt(): number {
+    return this.#lastAcquiredAt
+  }
+
   /** A connection whose values fit the session best, or a place in the line for one. */
   acquire(session: SessionValues, priority: number, deadline: Milliseconds): Promise<Acquired> {
     if (this.#isClosed) return Promise.resolve({ failure: 'withdrawn' })
+    this.#lastAcquiredAt = this.#context.clock.now()
     const idle = this.#takeIdle(session)
     if (idle !== null) return Promise.resolve({ link: idle })
     return new Promise(resolve => {
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -4,6 +4,7 @@
  *
  * @internal
  */
+import { readRecordName } from '@nutmegcourse/coordination'
 import type { DirectoryChange, StoreFailure, StoreLink } from '@nutmegcourse/protocol'
 import type { HostContext } from './hostContext.js'
 import { rest } from './waiting.js'
@@ -27,6 +28,12 @@
 const SHORTEST_PAUSE_MILLISECONDS = 100
 const LONGEST_PAUSE_MILLISECONDS = 800
 
+/**
+ * When many hosts start, each one's record would end every other's watch: as many calls as hosts
+ * times hosts. Nothing urgent follows from such a record, so that the next ones may gather.
+ */
+const HOSTS_PAUSE_MILLISECONDS = 1000
+
 export class StoreFollower {
   readonly #context: HostContext
   readonly #store: StoreLink
@@ -86,6 +93,8 @@
     if (events.value.revision < revision) return null
     this.#revision = events.value.revision
     for (const change of events.value.changes) this.#listener.changed(change)
+    const { changes } = events.value
+    if (changes.length > 0 && changes.every(isOnlyOfHosts)) await rest(HOSTS_PAUSE_MILLISECONDS)
     return null
   }
 
@@ -107,3 +116,6 @@
     this.#pause = Math.min(this.#pause * 2, LONGEST_PAUSE_MILLISECONDS)
   }
 }
+
+const isOnlyOfHosts = (change: DirectoryChange): boolean =>
+  change.kind === 'record' && readRecordName(change.key)?.kind === 'host'
