--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -39,11 +39,14 @@
 /** After a refusal for want of connections; others give theirs back within about this time. */
 const FULL_PAUSE_MILLISECONDS = 60
 
+/** For so long after such a refusal this host asks for no more than one at a time. */
+const FULL_CAUTION_MILLISECONDS = 1000
+
 /** After a refused connection. A server that starts again is found within this time. */
 const REFUSED_PAUSE_MILLISECONDS = 80
 
 /** A connection beyond this host's share goes back when nothing has needed it for so long. */
-const SURPLUS_IDLE_MILLISECONDS = 600
+const SURPLUS_IDLE_MILLISECONDS = 250
 
 /** Connections that are kept although nothing needs them, so that the first request needs no handshake. */
 const WARM_CONNECTIONS = 1
@@ -58,6 +61,7 @@
   #opening = 0
   #mayOpenAt = milliseconds(0)
   #isClosed = false
+  #fullAt = milliseconds(Number.NEGATIVE_INFINITY)
   #lastAcquiredAt = Number.NEGATIVE_INFINITY
   /** Refused connections in a row. */
   refusals = 0
@@ -170,6 +174,11 @@
     for (const pooled of [...this.#idle]) this.discard(pooled)
   }
 
+  /** A server that was full is asked for one connection at a time: many hosts want the few it has. */
+  #wasFull(): boolean {
+    return this.#context.clock.now() < addMilliseconds(this.#fullAt, FULL_CAUTION_MILLISECONDS)
+  }
+
   #limits(): PoolLimits {
     return poolLimits(this.#connectionLimit, this.#context.hostCount)
   }
@@ -195,7 +204,8 @@
       idle: this.#idle.length,
       waiting: this.#line.size,
     }
-    const missing = connectionsToOpen(state, this.#limits(), warm)
+    const limits = this.#wasFull() ? { share: 1, burst: this.#all.size + 1 } : this.#limits()
+    const missing = connectionsToOpen(state, limits, warm)
     for (let opened = 0; opened < missing; opened += 1) void this.#open()
   }
 
@@ -228,6 +238,7 @@
     const { log, clock, random } = this.#context
     const isFull = failure.kind === 'rejected' && failure.refusal === 'tooManyConnections'
     if (failure.kind === 'connectionRefused') this.refusals += 1
+    if (isFull) this.#fullAt = clock.now()
     const span = isFull ? FULL_PAUSE_MILLISECONDS : REFUSED_PAUSE_MILLISECONDS
     this.#mayOpenAt = addMilliseconds(clock.now(), span * (0.5 + random.next()))
     log.write('connection_not_opened', {
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -17,21 +17,24 @@
   readonly burst: number
 }
 
-/** Connections that no host's share covers: for hosts that start, and for changes of primary. */
-const RESERVED_SHARE = 0.15
+/**
+ * The part of a limit that hosts keep for good. The rest is for bursts, and for hosts that start
+ * again after a loss of power: the server counts the connections of their earlier lives for seconds
+ * more, and when all hosts lose power at once it has only this rest to serve them with.
+ */
+const KEPT_PART = 0.45
 
 /**
  * Callers are spread unevenly and open transactions hold connections through their pauses, so a host
  * may need more than its share while others need less. What it borrows beyond the share goes back
  * as soon as it rests; a host whose share is not free meanwhile is refused and tries again.
  */
-const BURST_SHARE = 0.4
+const BURST_PART = 0.4
 
 export function poolLimits(connectionLimit: number, hosts: number): PoolLimits {
   if (!Number.isFinite(connectionLimit)) return { share: 8, burst: 32 }
-  const usable = connectionLimit * (1 - RESERVED_SHARE)
-  const share = Math.max(1, Math.floor(usable / Math.max(hosts, 1)))
-  return { share, burst: Math.max(share, Math.floor(connectionLimit * BURST_SHARE)) }
+  const share = Math.max(1, Math.floor((connectionLimit * KEPT_PART) / Math.max(hosts, 1)))
+  return { share, burst: Math.max(share, Math.floor(connectionLimit * BURST_PART)) }
 }
 
 /** How many connections to open now. */
