fix(host): a claim stands on the record it was decided on; paused replicas receive again after a change

Two hosts had claimed: the second read the revision after its lease was granted, when it was the first's claim, and overwrote it; its pause was for term 3, the promotion gave term 2, so both replicas stayed paused for good.

--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -52,10 +52,10 @@
   const attempt = textOf(fields, 'attempt')
   const primary = textOf(fields, 'primary')
   if (holder === null) return null
-  if (fields['phase'] === 'claimed' && attempt !== null) {
+  if (fields.phase === 'claimed' && attempt !== null) {
     return { phase: 'claimed', holder, attempt: attemptId(attempt) }
   }
-  if (fields['phase'] === 'done' && primary !== null) {
+  if (fields.phase === 'done' && primary !== null) {
     return { phase: 'done', holder, primary: backendServerId(primary) }
   }
   return null
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -118,7 +118,7 @@
     for (let asked = 0; asked < questions; asked += 1) {
       if (asked > 0) await this.#orders.rest()
       const report = await this.#orders.report(candidate.server)
-      if (report === null || report.pausedFor !== 0) return null
+      if (report?.pausedFor !== 0) return null
       const holdsAll = paused.every(other => isAtOrPast(report.received, other.report.received))
       if (holdsAll) {
         return chosenOf({ ...candidate, report }, paused, 'candidateHoldsAll')
@@ -161,8 +161,11 @@
   }
 }
 
-const newestTerm = (replica: Replica): number =>
-  Math.max(replica.report.term, replica.report.pausedFor, replica.report.received.term)
+/**
+ * The term that a replica may already be paused for does not count: a pause for a later term than
+ * the next primary's would outlast the promotion, and the replica would never receive again.
+ */
+const newestTerm = ({ report }: Replica): number => Math.max(report.term, report.received.term)
 
 /**
  * Replicas whose logs differ by no more than this many records count as equally far: that much is
--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -68,7 +68,10 @@
   const { link, values } = pooled
   const prepared = commandFor(pooled, plan)
   if (prepared === null) {
-    return mishap({ kind: 'refused', refusal: 'unknownStatement' }, plan.isInTransaction ? 'open' : 'idle')
+    return mishap(
+      { kind: 'refused', refusal: 'unknownStatement' },
+      plan.isInTransaction ? 'open' : 'idle',
+    )
   }
   const own = [...values.adopt(plan.session, plan.isInTransaction), ...prepared.own]
   const ahead = own.map(command => link.run(command))
@@ -156,7 +159,8 @@
     return mishap({ kind: 'lost', failure: 'connectionLost' }, null)
   }
   const isIdle = ended.value.status === 'idle'
-  if (isOwnDone(begun)) return isIdle ? outcome : mishap({ kind: 'lost', failure: 'malformedAnswer' }, null)
+  if (isOwnDone(begun))
+    return isIdle ? outcome : mishap({ kind: 'lost', failure: 'malformedAnswer' }, null)
   return mishap({ kind: 'refused', refusal: 'notPrimary' }, isIdle ? 'idle' : null)
 }
 
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -5,7 +5,7 @@
  */
 import type { Milliseconds } from '@nutmegcourse/shared'
 import type { BackendAddress, BackendServerEntry } from '@nutmegcourse/protocol'
-import { LatencyEstimate } from '@nutmegcourse/state'
+import { BehindMemory, LatencyEstimate } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { ServerPool } from './serverPool.js'
 
@@ -23,6 +23,7 @@
 export class BackendServerState {
   readonly pool: ServerPool
   readonly latency: LatencyEstimate
+  readonly behind = new BehindMemory()
   readonly distance: Distance
   readonly #context: HostContext
   #entry: BackendServerEntry
@@ -105,10 +106,13 @@
   }
 
   #touch(now: Milliseconds): void {
-    const { answered, cancel } = this.#context.dialer.touch(this.address)
+    const touch = this.#context.dialer.touch(this.address)
+    const cancel = (): void => {
+      touch.cancel()
+    }
     this.#touchStartedAt = now
     this.#cancelTouch = cancel
-    void answered.then(result => {
+    void touch.answered.then(result => {
       if (this.#cancelTouch !== cancel) return
       this.#cancelTouch = null
       this.#touchStartedAt = null
@@ -132,4 +136,3 @@
   if (entry.zone === zone) return 0
   return regions.get(entry.zone) === region ? 1 : 2
 }
-
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -91,7 +91,7 @@
     return this.#isWorking || this.#queue.length > 0 || this.#transaction.kind !== 'none'
   }
 
-  started(database: string, _user: string): void {
+  started(database: string): void {
     if (this.#database !== null) {
       this.#refuseSession('malformed', 'the session has begun already')
       return
@@ -235,16 +235,13 @@
 
   /** Ending it rolls back; that is no commit, and the caller is told so. */
   #serveFailed(statement: CallerStatement): StatementResult {
-    switch (statement.body.kind) {
-      case 'rollback':
-        this.#transaction = { kind: 'none' }
-        return ACKNOWLEDGED
-      case 'commit':
-        this.#transaction = { kind: 'none' }
-        return refusal('aborted', 'the transaction was rolled back')
-      default:
-        return refusal('malformed', 'the transaction has failed and must be ended')
+    const { kind } = statement.body
+    if (kind !== 'rollback' && kind !== 'commit') {
+      return refusal('malformed', 'the transaction has failed and must be ended')
     }
+    this.#transaction = { kind: 'none' }
+    if (kind === 'rollback') return ACKNOWLEDGED
+    return refusal('aborted', 'the transaction was rolled back')
   }
 
   async #serveRemote(statement: RemoteStatement): Promise<StatementResult> {
@@ -317,10 +314,7 @@
     }
   }
 
-  #noteTransaction(
-    request: StatementRequest,
-    transaction: RunningTransaction | null,
-  ): void {
+  #noteTransaction(request: StatementRequest, transaction: RunningTransaction | null): void {
     if (transaction !== null) {
       this.#transaction = { kind: 'running', route: request.route, transaction }
       return
@@ -367,4 +361,3 @@
   const position: LogPosition | null = null
   return { answer, position }
 }
-
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -30,7 +30,8 @@
     {
       dialer: new LineBackendDialer(),
       store: new StoreCalls(settings.store),
-      promotion: settings.promotion === null ? NO_PROMOTION : new PromotionCalls(settings.promotion),
+      promotion:
+        settings.promotion === null ? NO_PROMOTION : new PromotionCalls(settings.promotion),
       callerLink: socket => new LineCallerLink(socket),
     },
     log,
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -195,7 +195,8 @@
   }
 
   async #change(reason: string): Promise<void> {
-    const claim = await this.#claim()
+    const revision = this.#known?.revision ?? 0
+    const claim = await this.#claim(revision)
     if (claim === null) return
     this.#context.log.write('change_claimed', {
       service: this.#desk.name,
@@ -278,6 +279,7 @@
       const report = await this.#control.report(server)
       if (report?.role === 'primary') {
         this.#desk.toldToLead(server, clock.now())
+        await this.#resumePaused(server)
         await this.#recordDone(claim, server)
         return 'done'
       }
@@ -286,7 +288,11 @@
     return 'again'
   }
 
-  async #claim(): Promise<Claim | null> {
+  /**
+   * `revision` is that of the record on which the decision to claim stands. One that was heard of
+   * meanwhile may be another host's claim, and must not be overwritten.
+   */
+  async #claim(revision: number): Promise<Claim | null> {
     const lifetime = Math.max(
       CLAIM_MILLISECONDS,
       this.#context.settings.store.shortestLeaseMilliseconds,
@@ -298,7 +304,6 @@
     const attempt = attemptId(`${entryHost}/${String(this.#attempts)}/${String(lease.value)}`)
     const key = changeKey(this.#desk.name)
     const value = writeRecord({ phase: 'claimed', holder: entryHost, attempt })
-    const revision = this.#known?.revision ?? 0
     const made = await this.#store.change(
       { expected: [{ key, revision }], puts: [{ key, value, lease: lease.value }], removes: [] },
       CALL_LIMIT_MILLISECONDS,
@@ -338,6 +343,27 @@
     return false
   }
 
+  /**
+   * A promotion lets paused replicas receive again. One whose pause came late, or was for a later
+   * term, would stay behind for good and push all its reads to the others.
+   */
+  async #resumePaused(primary: BackendServerId): Promise<void> {
+    const others = this.#members(primary)
+    await Promise.all(
+      others.map(async ({ server }) => {
+        const report = await this.#control.report(server)
+        if (report === null || report.pausedFor === 0) return
+        const resumed = await this.#control.resume(server)
+        this.#context.log.write('replica_resumed', {
+          service: this.#desk.name,
+          server,
+          pausedFor: report.pausedFor,
+          answered: resumed !== null,
+        })
+      }),
+    )
+  }
+
   async #recordDone(claim: Claim, primary: BackendServerId): Promise<void> {
     const key = changeKey(this.#desk.name)
     const { entryHost: holder } = this.#context.settings
@@ -366,4 +392,3 @@
     })
   }
 }
-
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -4,7 +4,11 @@
  * @internal
  */
 import type { BackendServerId, LogPosition, Milliseconds } from '@nutmegcourse/shared'
-import type { BackendServerEntry, ReadGuarantee, ServiceConfiguration } from '@nutmegcourse/protocol'
+import type {
+  BackendServerEntry,
+  ReadGuarantee,
+  ServiceConfiguration,
+} from '@nutmegcourse/protocol'
 import {
   FreshnessBounds,
   Leadership,
@@ -128,6 +132,7 @@
 
   /** The best server for a read that any may serve whose log is far enough; null when none is left. */
   chooseReader(
+    need: LogPosition | null,
     excluded: ReadonlySet<BackendServerId>,
     now: Milliseconds,
   ): BackendServerState | null {
@@ -142,6 +147,7 @@
         server: entry.server,
         isPrimary: server === primary,
         stays: known.leavingSince === null && known.goneSince === null && pool.refusals === 0,
+        isBehind: need !== null && server.behind.expectsBehind(need, now),
         silentMilliseconds: server.silentFor(now),
         expectedMilliseconds: server.latency.at(now),
         inFlight: pool.busy + pool.waiting,
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -81,7 +81,7 @@
 /** What a caller is advised to wait before it comes back. */
 const RETRY_AFTER_MILLISECONDS = 250
 
-type ServerMishap = {
+interface ServerMishap {
   readonly outcome: Extract<AttemptOutcome, { kind: 'mishap' }>
   readonly server: BackendServerState
 }
@@ -228,7 +228,7 @@
     delay.cancel()
     if (early !== undefined) return early
     const others = new Set([...excluded, server.entry.server])
-    const second = request.desk.chooseReader(others, this.#context.clock.now())
+    const second = request.desk.chooseReader(null, others, this.#context.clock.now())
     if (second === null) return first
     this.#context.log.write('read_hedged', {
       request: request.statement.id,
@@ -254,11 +254,20 @@
     }
     const after = need.kind === 'position' ? need.position : null
     const outcome = await this.#attemptSingle(request, server, link, after, after === null)
+    this.#noteReach(server, after, outcome)
     if (outcome.kind === 'answered') return { kind: 'answered', result: answered(outcome) }
     this.#learn(request, server, outcome.mishap, sentAt)
     return { kind: 'mishap', outcome, server }
   }
 
+  #noteReach(server: BackendServerState, after: LogPosition | null, outcome: AttemptOutcome): void {
+    if (after === null) return
+    if (outcome.kind === 'answered') server.behind.noteServed()
+    else if (outcome.mishap.kind === 'refused' && outcome.mishap.refusal === 'behind') {
+      server.behind.noteBehind(after, this.#context.clock.now())
+    }
+  }
+
   async #attemptSingle(
     request: StatementRequest,
     server: BackendServerState,
@@ -287,7 +296,9 @@
     request: StatementRequest,
     readOnly: boolean,
     excluded: ReadonlySet<BackendServerId>,
-  ): Promise<({ readonly kind: 'begun' } & BegunTransaction) | ({ kind: 'mishap' } & ServerMishap) | null> {
+  ): Promise<
+    ({ readonly kind: 'begun' } & BegunTransaction) | ({ kind: 'mishap' } & ServerMishap) | null
+  > {
     const { clock } = this.#context
     const { desk, route, session } = request
     const needsPrimary = !readOnly || route.guarantee.kind === 'latest'
@@ -326,6 +337,7 @@
     if (begun.outcome.kind === 'refused') {
       this.endTransaction(transaction, begun.status)
       const { refusal } = begun.outcome
+      if (refusal === 'behind' && after !== null) server.behind.noteBehind(after, clock.now())
       this.#learn(request, server, { kind: 'refused', refusal }, sentAt)
       const outcome = {
         kind: 'mishap',
@@ -341,7 +353,9 @@
   async #firstStatement(
     request: StatementRequest,
     transaction: RunningTransaction,
-  ): Promise<({ readonly kind: 'begun' } & BegunTransaction) | ({ kind: 'mishap' } & ServerMishap)> {
+  ): Promise<
+    ({ readonly kind: 'begun' } & BegunTransaction) | ({ kind: 'mishap' } & ServerMishap)
+  > {
     const isCommit = request.statement.body.kind === 'commit'
     if (isCommit) return { kind: 'begun', ...(await this.continue(request, transaction)) }
     const sentAt = this.#context.clock.now()
@@ -391,7 +405,7 @@
     const now = this.#context.clock.now()
     const need = desk.need(route.guarantee, session.ownPosition, now)
     if (need.kind === 'primary') return this.#awaitPrimary(request)
-    const reader = need.kind === 'unknown' ? null : desk.chooseReader(excluded, now)
+    const reader = need.kind === 'unknown' ? null : desk.chooseReader(need.position, excluded, now)
     if (reader !== null) return reader
     await this.#awaitNews(request)
     return null
@@ -422,7 +436,7 @@
     excluded: Set<BackendServerId>,
   ): Promise<void> {
     excluded.add(failed.server.entry.server)
-    const isLeft = request.desk.chooseReader(excluded, this.#context.clock.now()) !== null
+    const isLeft = request.desk.chooseReader(null, excluded, this.#context.clock.now()) !== null
     if (isLeft) return
     excluded.clear()
     await this.#pauseAfter({ kind: 'refused', refusal: 'busy' })
@@ -502,13 +516,10 @@
   return { answer: { kind: 'rows', rows, signature }, position }
 }
 
-function refused(
-  request: StatementRequest,
-  refusal: CallerRefusal,
-  last: Mishap,
-): StatementResult {
+function refused(request: StatementRequest, refusal: CallerRefusal, last: Mishap): StatementResult {
   const why = last.kind === 'refused' ? last.refusal : last.kind
-  const retryAfter = refusal === 'notRun' ? ` retry_after_ms=${String(RETRY_AFTER_MILLISECONDS)}` : ''
+  const retryAfter =
+    refusal === 'notRun' ? ` retry_after_ms=${String(RETRY_AFTER_MILLISECONDS)}` : ''
   const detail = `${request.route.name}: ${why}${retryAfter}`
   return { answer: { kind: 'refused', refusal, detail }, position: null }
 }
@@ -523,4 +534,3 @@
   const both = await Promise.all([first, second])
   return both.find(outcome => outcome?.kind === 'answered') ?? both[0] ?? both[1]
 }
-
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -56,8 +56,8 @@
 
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      const failure = this.#revision === null ? await this.#list() : await this.#watch(this.#revision)
-      if (this.#isStopped) return
+      const failure =
+        this.#revision === null ? await this.#list() : await this.#watch(this.#revision)
       if (failure === null) this.#reached()
       else await this.#failed(failure)
     }
--- a/packages/state/src/synchronous/freshnessBounds.ts
+++ b/packages/state/src/synchronous/freshnessBounds.ts
@@ -5,7 +5,12 @@
  * clock. The only source is an answer that the primary gave as primary, to a question sent at that
  * time: having seen no commit oneself says nothing of what other hosts acknowledged.
  */
-import { laterPosition, milliseconds, type LogPosition, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  laterPosition,
+  milliseconds,
+  type LogPosition,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { ReadGuarantee } from '@nutmegcourse/protocol'
 import { BoundHistory } from '../boundHistory.js'
 
--- a/packages/state/src/synchronous/serverChoice.ts
+++ b/packages/state/src/synchronous/serverChoice.ts
@@ -6,6 +6,8 @@
   readonly isPrimary: boolean
   /** It stays; leaving or unlisted servers come last. */
   readonly stays: boolean
+  /** It lately lacked what the read needs. */
+  readonly isBehind: boolean
   /** Open questions have gone without any sign of life for so long; 0 when it answers. */
   readonly silentMilliseconds: number
   /** What a statement takes there, in milliseconds, way included. */
@@ -45,5 +47,6 @@
   let total = expectedMilliseconds * queued * handicap
   if (candidate.silentMilliseconds > SILENCE_LIMIT_MILLISECONDS) total += LAST_RESORT
   if (!candidate.stays) total += LAST_RESORT / 2
+  if (candidate.isBehind) total += LAST_RESORT / 4
   return total
 }
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -66,7 +66,7 @@
   /** The store no longer lists the server. */
   unlist(server: BackendServerId, now: Milliseconds): DirectoryNews | null {
     const known = this.#servers.get(server)
-    if (known === undefined || known.goneSince !== null) return null
+    if (known?.goneSince !== null) return null
     this.#servers.set(server, { ...known, goneSince: now })
     return { kind: 'unlisted', entry: known.entry }
   }
--- a/packages/state/src/synchronous/sessionValues.ts
+++ b/packages/state/src/synchronous/sessionValues.ts
@@ -60,7 +60,10 @@
   }
 
   /** The connection's own name of a prepared statement, and what must be sent to have it. */
-  prepare(statement: PreparedStatement): { readonly name: string; readonly commands: OwnCommand[] } {
+  prepare(statement: PreparedStatement): {
+    readonly name: string
+    readonly commands: OwnCommand[]
+  } {
     const { effect, shape } = statement
     const key = `${effect} ${shape}`
     const known = this.#prepared.get(key)
