--- /dev/null
+++ b/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
@@ -0,0 +1,235 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import {
+  backendServerId,
+  comparePositions,
+  logPosition,
+  term,
+  type BackendServerId,
+  type LogPosition,
+  type Term,
+} from '@nutmegcourse/shared'
+import type { ServerReport } from '@nutmegcourse/protocol'
+import {
+  PrimaryChoice,
+  type ChoiceFailure,
+  type GroupMember,
+  type GroupOrders,
+} from '../../src/index.js'
+
+const P = backendServerId('p')
+const A = backendServerId('a')
+const B = backendServerId('b')
+
+/** A group with one synchronous replica, where tests decide who answers and who receives. */
+class FakeGroup implements GroupOrders {
+  readonly received = new Map<BackendServerId, number>()
+  readonly pausedFor = new Map<BackendServerId, Term>()
+  readonly unreachable = new Set<BackendServerId>()
+  readonly deaf = new Set<BackendServerId>()
+  acknowledged = 0
+  primaryWrites = true
+  steppedDown = false
+  readonly #end = new Map<BackendServerId, number>()
+
+  constructor(positions: Readonly<Record<string, number>>) {
+    for (const [name, at] of Object.entries(positions)) {
+      this.received.set(backendServerId(name), at)
+      this.#end.set(backendServerId(name), at)
+    }
+    this.acknowledged = Math.min(
+      this.received.get(P) ?? 0,
+      Math.max(...[A, B].map(server => this.received.get(server) ?? 0)),
+    )
+  }
+
+  /** The old primary takes one more write and sends it to whoever receives. */
+  write(): void {
+    if (!this.primaryWrites || this.steppedDown) return
+    const next = (this.received.get(P) ?? 0) + 1
+    this.received.set(P, next)
+    for (const server of [A, B]) {
+      if (this.pausedFor.has(server) || this.deaf.has(server)) continue
+      this.received.set(server, next)
+      this.acknowledged = next
+    }
+  }
+
+  report(server: BackendServerId): Promise<ServerReport | null> {
+    this.write()
+    return Promise.resolve(this.#describe(server))
+  }
+
+  pause(server: BackendServerId, next: Term): Promise<ServerReport | null> {
+    this.write()
+    if (!this.unreachable.has(server)) this.pausedFor.set(server, next)
+    return Promise.resolve(this.#describe(server))
+  }
+
+  stepDown(server: BackendServerId): Promise<ServerReport | null> {
+    if (!this.unreachable.has(server)) this.steppedDown = true
+    for (const each of [A, B]) {
+      if (this.pausedFor.has(each) || this.deaf.has(each) || this.unreachable.has(each)) continue
+      this.received.set(each, this.received.get(P) ?? 0)
+    }
+    return Promise.resolve(this.#describe(server))
+  }
+
+  rest(): Promise<void> {
+    this.write()
+    return Promise.resolve()
+  }
+
+  #describe(server: BackendServerId): ServerReport | null {
+    if (this.unreachable.has(server)) return null
+    return {
+      role: server === P && !this.steppedDown ? 'primary' : 'replica',
+      term: term(1),
+      received: this.at(server),
+      pausedFor: this.pausedFor.get(server) ?? term(0),
+    }
+  }
+
+  at(server: BackendServerId): LogPosition {
+    return logPosition(1, this.received.get(server) ?? 0)
+  }
+}
+
+const member = (server: BackendServerId, given: Partial<GroupMember> = {}): GroupMember => ({
+  server,
+  isLeaving: false,
+  distance: 0,
+  ...given,
+})
+
+interface Case {
+  readonly name: string
+  readonly positions: Readonly<Record<string, number>>
+  readonly members?: readonly GroupMember[]
+  readonly arrange?: (group: FakeGroup) => void
+  readonly chosen: BackendServerId | ChoiceFailure['kind']
+}
+
+/**
+ * Story of each: the primary is dead, cut off or leaving; one host replaces it, while the old one may
+ * go on taking writes. A caller whose write was acknowledged must find it at the new primary,
+ * whoever that is; where nobody is known to hold it, nobody may be promoted.
+ */
+const CASES: readonly Case[] = [
+  {
+    name: 'a primary that lives keeps acknowledging through the candidate',
+    positions: { p: 100, a: 100, b: 100 },
+    members: [member(A), member(B, { distance: 1 })],
+    chosen: A,
+  },
+  {
+    name: 'a dead primary: the replica with more wins when the other is far behind',
+    positions: { p: 100, a: 40, b: 100 },
+    arrange: group => (group.primaryWrites = false),
+    chosen: B,
+  },
+  {
+    name: 'a dead primary: a few records decide as well',
+    positions: { p: 100, a: 99, b: 100 },
+    arrange: group => (group.primaryWrites = false),
+    chosen: B,
+  },
+  {
+    name: 'the nearer replica wins between equals',
+    positions: { p: 100, a: 100, b: 100 },
+    members: [member(A, { distance: 2 }), member(B, { distance: 1 })],
+    chosen: B,
+  },
+  {
+    name: 'a replica that leaves is not chosen while one that stays is as far',
+    positions: { p: 100, a: 100, b: 100 },
+    members: [member(A, { isLeaving: true }), member(B)],
+    chosen: B,
+  },
+  {
+    name: 'a leaving replica that alone holds the last writes is chosen after all',
+    positions: { p: 100, a: 100, b: 90 },
+    members: [member(A, { isLeaving: true }), member(B)],
+    arrange: group => {
+      group.primaryWrites = false
+      group.deaf.add(B)
+    },
+    chosen: A,
+  },
+  {
+    name: 'a deaf candidate is found out, and the other one is chosen',
+    positions: { p: 100, a: 95, b: 100 },
+    arrange: group => group.deaf.add(A),
+    chosen: B,
+  },
+  {
+    name: 'one replica out of reach and the primary dead: nobody',
+    positions: { p: 100, a: 100, b: 100 },
+    arrange: group => {
+      group.unreachable.add(P).add(B)
+    },
+    chosen: 'unknownReplica',
+  },
+  {
+    name: 'one replica out of reach: the old primary steps down and tells where it ended',
+    positions: { p: 100, a: 90, b: 100 },
+    arrange: group => group.unreachable.add(B),
+    chosen: A,
+  },
+  {
+    name: 'one replica out of reach, the other deaf: it never reaches the old primary',
+    positions: { p: 100, a: 90, b: 100 },
+    arrange: group => {
+      group.unreachable.add(B)
+      group.deaf.add(A)
+    },
+    chosen: 'notCaughtUp',
+  },
+  {
+    name: 'no replica answers',
+    positions: { p: 100, a: 100, b: 100 },
+    arrange: group => {
+      group.unreachable.add(A).add(B)
+    },
+    chosen: 'noReplica',
+  },
+  {
+    name: 'a coordinator died after it had paused both',
+    positions: { p: 100, a: 100, b: 98 },
+    arrange: group => {
+      group.pausedFor.set(A, term(2)).set(B, term(2))
+    },
+    chosen: A,
+  },
+]
+
+describe('PrimaryChoice', () => {
+  for (const { name, positions, members, arrange, chosen } of CASES) {
+    it(name, async () => {
+      const group = new FakeGroup(positions)
+      arrange?.(group)
+      const plan = {
+        oldPrimary: P,
+        replicas: members ?? [member(A), member(B)],
+        synchronousReplicas: 1,
+      }
+      const result = await new PrimaryChoice(plan, group).choose()
+      expect(result.isOk() ? result.value.server : result.error.kind).toEqual(chosen)
+      if (result.isErr()) return
+      group.write()
+      const holds = group.at(result.value.server)
+      expect(comparePositions(holds, logPosition(1, group.acknowledged)) >= 0).toEqual(true)
+    })
+  }
+
+  // A caller sees reads of one database slow for hours: after a change both other replicas stay
+  // behind. Two hosts had changed the primary one after the other; the second paused the replicas
+  // for the term after the first's pause, which the promotion to the next term did not end.
+  it('pauses for the next term also where a replica is paused already', async () => {
+    const group = new FakeGroup({ p: 100, a: 100, b: 100 })
+    group.pausedFor.set(B, term(2))
+    const plan = { oldPrimary: P, replicas: [member(A), member(B)], synchronousReplicas: 1 }
+    await new PrimaryChoice(plan, group).choose()
+    expect(group.pausedFor.get(B)).toEqual(term(2))
+  })
+})
--- /dev/null
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -0,0 +1,166 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import {
+  availabilityZoneId,
+  backendServerId,
+  logPosition,
+  milliseconds,
+} from '@nutmegcourse/shared'
+import type { BackendServerEntry } from '@nutmegcourse/protocol'
+import {
+  BehindMemory,
+  FreshnessBounds,
+  Leadership,
+  ServerDirectory,
+  type DirectoryNews,
+} from '../../src/index.js'
+
+const A = backendServerId('a')
+const B = backendServerId('b')
+const DRAIN = 7000
+
+const entry = (given: Partial<BackendServerEntry> = {}): BackendServerEntry => ({
+  server: A,
+  service: 's',
+  host: '10.0.0.1',
+  port: 1,
+  zone: availabilityZoneId('z'),
+  slots: 3,
+  isLeaving: false,
+  role: 'replica',
+  startedAtUnixMilliseconds: 1,
+  ...given,
+})
+
+const at = milliseconds
+
+describe('ServerDirectory', () => {
+  const news: readonly (readonly [
+    string,
+    Partial<BackendServerEntry>,
+    DirectoryNews['kind'] | null,
+  ])[] = [
+    ['the same entry', {}, null],
+    ['a new role', { role: 'primary' }, 'changed'],
+    ['it leaves', { isLeaving: true }, 'changed'],
+    ['another life under the id', { startedAtUnixMilliseconds: 2 }, 'appeared'],
+    ['another address', { port: 2 }, 'appeared'],
+    ['another service', { service: 't' }, 'appeared'],
+  ]
+  for (const [name, given, kind] of news) {
+    it(name, () => {
+      const directory = new ServerDirectory(DRAIN)
+      directory.list(entry(), at(0))
+      expect(directory.list(entry(given), at(1))?.kind ?? null).toEqual(kind)
+    })
+  }
+
+  // A server says that it leaves; its time is over some seconds later, and requests that reach it
+  // afterwards are cut off. The first word counts, however often the entry changes then.
+  it('gives a leaving server no work in its last seconds', () => {
+    const directory = new ServerDirectory(DRAIN)
+    directory.list(entry(), at(0))
+    directory.list(entry({ isLeaving: true }), at(1000))
+    directory.list(entry({ isLeaving: true, role: 'primary' }), at(4000))
+    expect(directory.mayTakeWork(A, at(6400))).toEqual(true)
+    expect(directory.mayTakeWork(A, at(6600))).toEqual(false)
+  })
+
+  // The store was away and let entries lapse; their servers live. Callers must not lose half of the
+  // servers for the two seconds until the entries are back, and a server that is gone must be left.
+  it('keeps a server whose entry lapsed until it is clear that it is gone', () => {
+    const directory = new ServerDirectory(DRAIN)
+    directory.list(entry(), at(0))
+    expect(directory.keepOnly(new Set([B]), at(1000)).map(({ kind }) => kind)).toEqual(['unlisted'])
+    expect(directory.mayTakeWork(A, at(3000))).toEqual(true)
+    expect(directory.list(entry(), at(3000))?.kind).toEqual('changed')
+    expect(directory.expire(at(9000))).toEqual([])
+    directory.unlist(A, at(10_000))
+    expect(directory.expire(at(13_999)).length).toEqual(0)
+    expect(directory.expire(at(14_000)).map(({ kind }) => kind)).toEqual(['removed'])
+    expect(directory.mayTakeWork(A, at(14_001))).toEqual(false)
+  })
+})
+
+describe('Leadership', () => {
+  // The old primary's answer was long on its way and arrives after the news of the new one. Writes
+  // must not go back to the old one.
+  it('goes by when a question was asked, not when its answer came', () => {
+    const leadership = new Leadership()
+    leadership.leads(A, at(100))
+    leadership.leads(B, at(300))
+    leadership.leads(A, at(200))
+    expect(leadership.primary).toEqual(B)
+  })
+
+  it('drops a server that refuses, until something newer says that it leads', () => {
+    const leadership = new Leadership()
+    leadership.leads(A, at(100))
+    leadership.refused(A, at(150))
+    expect(leadership.primary).toEqual(null)
+    leadership.leads(A, at(120))
+    expect(leadership.primary).toEqual(null)
+    leadership.leads(A, at(200))
+    expect(leadership.primary).toEqual(A)
+  })
+})
+
+describe('FreshnessBounds', () => {
+  const bounded = { kind: 'bounded', maximumAgeMilliseconds: 1000 } as const
+  const own = { kind: 'ownWrites', maximumAgeMilliseconds: 1000 } as const
+
+  it('knows nothing before the primary has answered, and nothing from an answer too old', () => {
+    const bounds = new FreshnessBounds()
+    expect(bounds.need(bounded, null, at(0)).kind).toEqual('unknown')
+    bounds.note(at(0), logPosition(1, 5))
+    expect(bounds.need(bounded, null, at(1000)).kind).toEqual('position')
+    expect(bounds.need(bounded, null, at(1001)).kind).toEqual('unknown')
+  })
+
+  it('asks no more of a replica than the oldest bound that is young enough', () => {
+    const bounds = new FreshnessBounds()
+    bounds.note(at(0), logPosition(1, 5))
+    bounds.note(at(500), logPosition(1, 9))
+    bounds.note(at(900), logPosition(1, 20))
+    expect(bounds.need(bounded, null, at(1200))).toEqual({
+      kind: 'position',
+      position: logPosition(1, 9),
+    })
+  })
+
+  it('adds what the session wrote itself', () => {
+    const bounds = new FreshnessBounds()
+    bounds.note(at(0), logPosition(1, 5))
+    const need = bounds.need(own, logPosition(1, 30), at(10))
+    expect(need).toEqual({ kind: 'position', position: logPosition(1, 30) })
+    expect(bounds.need({ kind: 'latest' }, null, at(10))).toEqual({ kind: 'primary' })
+  })
+
+  // The old primary's log ended past what the new one took over: nothing there was acknowledged. A
+  // read that waited for that position would wait until the new primary has written as much.
+  it('falls back with the log after a change of primary', () => {
+    const bounds = new FreshnessBounds()
+    bounds.note(at(0), logPosition(1, 50))
+    bounds.note(at(800), logPosition(1, 48))
+    expect(bounds.need(bounded, null, at(900))).toEqual({
+      kind: 'position',
+      position: logPosition(1, 48),
+    })
+  })
+})
+
+describe('BehindMemory', () => {
+  // A replica falls behind for seconds. Each read that still tries it pays a round trip for a refusal.
+  it('leaves a server out that stays behind, and tries it again and again', () => {
+    const memory = new BehindMemory()
+    memory.noteBehind(logPosition(1, 10), at(0))
+    expect(memory.expectsBehind(logPosition(1, 10), at(14))).toEqual(true)
+    expect(memory.expectsBehind(logPosition(1, 9), at(14))).toEqual(false)
+    expect(memory.expectsBehind(logPosition(1, 10), at(15))).toEqual(false)
+    for (let tries = 0; tries < 10; tries += 1) memory.noteBehind(logPosition(1, 10), at(100))
+    expect(memory.expectsBehind(logPosition(1, 11), at(499))).toEqual(true)
+    expect(memory.expectsBehind(logPosition(1, 11), at(500))).toEqual(false)
+    memory.noteServed()
+    expect(memory.expectsBehind(logPosition(1, 11), at(110))).toEqual(false)
+  })
+})
--- /dev/null
+++ b/packages/state/__tests__/synchronous/sessionValues.spec.ts
@@ -0,0 +1,97 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { ConnectionValues, SessionValues } from '../../src/index.js'
+
+function session(values: Readonly<Record<string, string>>): SessionValues {
+  const made = new SessionValues()
+  for (const [name, value] of Object.entries(values)) made.values.set(name, value)
+  return made
+}
+
+interface Case {
+  readonly name: string
+  readonly before: Readonly<Record<string, string>>
+  readonly then: Readonly<Record<string, string>>
+  readonly sent: readonly string[]
+  readonly distance: number
+}
+
+/**
+ * Story: a caller finds another caller's setting in force, or its own forgotten, since both used one
+ * connection one after the other.
+ */
+const CASES: readonly Case[] = [
+  { name: 'the same session again', before: { a: '1' }, then: { a: '1' }, sent: [], distance: 0 },
+  {
+    name: 'one more value',
+    before: { a: '1' },
+    then: { a: '1', b: '2' },
+    sent: ['set b 2'],
+    distance: 1,
+  },
+  { name: 'another value', before: { a: '1' }, then: { a: '2' }, sent: ['set a 2'], distance: 1 },
+  {
+    name: 'a value that the next session does not have',
+    before: { a: '1', b: '2' },
+    then: { a: '1' },
+    sent: ['reset', 'set a 1'],
+    distance: 1,
+  },
+  { name: 'none after some', before: { a: '1' }, then: {}, sent: ['reset'], distance: 1 },
+]
+
+const write = (values: ConnectionValues, of: SessionValues, isInTransaction = false): string[] =>
+  values
+    .adopt(of, isInTransaction)
+    .map(command =>
+      command.kind === 'set' ? `set ${command.name} ${command.value}` : command.kind,
+    )
+
+describe('ConnectionValues', () => {
+  for (const { name, before, then, sent, distance } of CASES) {
+    it(name, () => {
+      const values = new ConnectionValues()
+      values.adopt(session(before), false)
+      expect(values.distance(session(then))).toEqual(distance)
+      expect(write(values, session(then))).toEqual([...sent])
+      expect(write(values, session(then))).toEqual([])
+    })
+  }
+
+  // A caller sets a value inside a transaction and rolls back; the server may have undone it. The
+  // next user of the connection must not rely on either.
+  it('starts from nothing after values were set inside a transaction', () => {
+    const values = new ConnectionValues()
+    expect(write(values, session({ a: '1' }), true)).toEqual(['set a 1'])
+    expect(write(values, session({ a: '1' }))).toEqual(['reset', 'set a 1'])
+  })
+
+  it('shares prepared statements of one shape and keeps those of others apart', () => {
+    const values = new ConnectionValues()
+    const read = values.prepare({ effect: 'read', shape: 'q' })
+    const write = values.prepare({ effect: 'write', shape: 'q' })
+    expect(read.commands.length).toEqual(1)
+    expect(write.name === read.name).toEqual(false)
+    expect(values.prepare({ effect: 'read', shape: 'q' })).toEqual({
+      name: read.name,
+      commands: [],
+    })
+  })
+
+  it('prepares anew after a reset', () => {
+    const values = new ConnectionValues()
+    values.adopt(session({ a: '1' }), false)
+    values.prepare({ effect: 'read', shape: 'q' })
+    values.adopt(session({}), false)
+    expect(values.prepare({ effect: 'read', shape: 'q' }).commands.length).toEqual(1)
+  })
+
+  it('keeps a bounded number of prepared statements', () => {
+    const values = new ConnectionValues()
+    for (let index = 0; index < 64; index += 1) {
+      values.prepare({ effect: 'read', shape: `q${String(index)}` })
+    }
+    const { commands } = values.prepare({ effect: 'read', shape: 'one more' })
+    expect(commands.map(({ kind }) => kind)).toEqual(['close', 'prepare'])
+  })
+})
--- a/packages/state/src/synchronous/statementFate.ts
+++ b/packages/state/src/synchronous/statementFate.ts
@@ -116,7 +116,7 @@
   switch (place) {
     case 'singleWrite':
     case 'commit':
-      return answer('outcomeUnknown')
+      return answer('failed')
     case 'firstOfTransaction':
     case 'withinTransaction':
       return answer('aborted')
