fix(host): a read leaves out a server that gives no connection; stand-ins of the platform, stories of statements

Cause: with both replicas full, a read asked the same one again and again until its time was over, though the primary had room. Ruled out: the hedge (it chose another one, but only once).

--- /dev/null
+++ b/packages/host/__tests__/support/scene.ts
@@ -0,0 +1,308 @@
+/** Entry hosts in one process, between callers and a platform of stand-ins. */
+import {
+  SeededRandom,
+  SystemClock,
+  availabilityZoneId,
+  backendServerId,
+  entryHostId,
+  regionId,
+  type BackendServerId,
+  type LogPosition,
+} from '@nutmegcourse/shared'
+import {
+  statementId,
+  type CallerAnswer,
+  type CallerEvents,
+  type CallerLink,
+  type FleetConfiguration,
+  type HostSettings,
+  type PromotionPort,
+  type Route,
+  type SessionStatus,
+  type StatementBody,
+} from '@nutmegcourse/protocol'
+import { MemoryDialer, MemoryGroup, MemoryStore, StoreConnection } from '@nutmegcourse/stand-ins'
+import { DecisionLog, type LogFields } from '../../src/decisionLog.js'
+import { EntryHost } from '../../src/index.js'
+
+export const SERVICE = 'db-1'
+export const P = backendServerId('i-p')
+export const A = backendServerId('i-a')
+export const B = backendServerId('i-b')
+
+const route = (database: string, guarantee: Route['guarantee']): Route => ({
+  name: `r-${database}`,
+  database,
+  service: SERVICE,
+  guarantee,
+  statementTimeoutMilliseconds: 800,
+  latencyTargetMilliseconds: 600,
+  priority: 1,
+})
+
+export const CONFIGURATION: FleetConfiguration = {
+  version: 1,
+  routes: [
+    route('latest', { kind: 'latest' }),
+    route('bounded', { kind: 'bounded', maximumAgeMilliseconds: 1500 }),
+    route('own', { kind: 'ownWrites', maximumAgeMilliseconds: 2500 }),
+  ],
+  services: [{ name: SERVICE, connectionLimit: 25, synchronousReplicas: 1 }],
+  idleTransactionMilliseconds: 3000,
+}
+
+function settingsOf(host: string, grace: number): HostSettings {
+  const zone = availabilityZoneId('zone-1')
+  const region = regionId('region-1')
+  const nowhere = { host: '127.0.0.1', port: 0 }
+  return {
+    entryHost: entryHostId(host),
+    zone,
+    region,
+    regions: new Map([[zone, region]]),
+    callers: nowhere,
+    readiness: nowhere,
+    metrics: null,
+    store: {
+      ...nowhere,
+      writesPerSecond: 400,
+      readsPerSecond: 2000,
+      shortestLeaseMilliseconds: 1000,
+    },
+    promotion: nowhere,
+    serverHeartbeatMilliseconds: 1000,
+    drainMilliseconds: 7000,
+    graceMilliseconds: grace,
+  }
+}
+
+export interface Answered {
+  readonly answer: CallerAnswer
+  readonly status: SessionStatus
+  readonly position: LogPosition | null
+}
+
+/** One caller. Statements are written as `begin`, `read x`, `write x`, `commit` and so on. */
+export class Caller implements CallerLink {
+  readonly #host: EntryHost
+  #events: CallerEvents | null = null
+  #waiting: ((answered: Answered) => void) | null = null
+  #welcomed: ((how: string) => void) | null = null
+  #lastId = 0
+  isClosed = false
+
+  constructor(host: EntryHost) {
+    this.#host = host
+  }
+
+  connect(database: string): Promise<string> {
+    this.#host.admit(this)
+    return new Promise(resolve => {
+      this.#welcomed = resolve
+      this.#events?.started(database, 'test')
+    })
+  }
+
+  ask(text: string, id = this.#nextId()): Promise<Answered> {
+    return new Promise(resolve => {
+      this.#waiting = resolve
+      this.#events?.statement({ id: statementId(id), text: textOf(text), body: bodyOf(text) })
+    })
+  }
+
+  /** Asks, and tells in one word how it ended: `done`, or the refusal. */
+  async tell(text: string, id?: string): Promise<string> {
+    const { answer } = await this.ask(text, id)
+    return answer.kind === 'refused' ? answer.refusal : 'done'
+  }
+
+  leave(): void {
+    this.isClosed = true
+    this.#events?.ended()
+  }
+
+  listen(events: CallerEvents): void {
+    this.#events = events
+  }
+
+  answer(answer: CallerAnswer, status: SessionStatus, position: LogPosition | null): void {
+    const settle = this.#waiting
+    this.#waiting = null
+    settle?.({ answer, status, position })
+  }
+
+  welcome(): void {
+    this.#welcomed?.('welcome')
+  }
+
+  reject(refusal: string): void {
+    this.#welcomed?.(refusal)
+    this.isClosed = true
+  }
+
+  close(): void {
+    this.isClosed = true
+  }
+
+  #nextId(): string {
+    this.#lastId += 1
+    callers += 1
+    return `s${String(callers)}-${String(this.#lastId)}`
+  }
+}
+
+let callers = 0
+
+const textOf = (text: string): string => text.toUpperCase()
+
+function bodyOf(text: string): StatementBody {
+  const [word = '', name = '', value = ''] = text.split(' ')
+  switch (word) {
+    case 'begin':
+      return { kind: 'begin', readOnly: name === 'read' }
+    case 'commit':
+    case 'rollback':
+    case 'read':
+    case 'write':
+      return { kind: word }
+    case 'set':
+      return { kind: 'set', name, value }
+    case 'prepare':
+      return { kind: 'prepare', name, effect: value === 'write' ? 'write' : 'read', shape: 'q' }
+    case 'execute':
+      return { kind: 'execute', name, argument: value }
+    default:
+      return { kind: 'malformed', detail: text }
+  }
+}
+
+export interface SceneHost {
+  readonly host: EntryHost
+  readonly store: StoreConnection
+  readonly lines: { readonly event: string; readonly fields: LogFields }[]
+}
+
+/** What stands between a host and the promotions that it orders. */
+export type PromotionFault = (host: string) => 'none' | 'noAnswer' | 'late'
+
+const LATE_MILLISECONDS = 400
+
+export class Scene {
+  readonly store = new MemoryStore()
+  readonly group: MemoryGroup
+  readonly dialer: MemoryDialer
+  readonly hosts: SceneHost[] = []
+  promotionFault: PromotionFault = () => 'none'
+
+  constructor(promotionMilliseconds = 50) {
+    this.group = new MemoryGroup({ service: SERVICE, servers: [P, A, B], promotionMilliseconds })
+    this.dialer = new MemoryDialer([this.group])
+    this.store.configure(CONFIGURATION)
+    for (const server of [P, A, B]) this.list(server)
+  }
+
+  list(server: BackendServerId, given: { isLeaving?: boolean; bornAt?: number } = {}): void {
+    this.store.listServer({
+      server,
+      service: SERVICE,
+      host: '127.0.0.1',
+      port: 1,
+      zone: availabilityZoneId('zone-1'),
+      slots: 3,
+      isLeaving: given.isLeaving ?? false,
+      role: this.group.server(server).role,
+      startedAtUnixMilliseconds: given.bornAt ?? 1,
+    })
+  }
+
+  add(name: string, grace = 1000, store = new StoreConnection(this.store)): SceneHost {
+    const lines: SceneHost['lines'] = []
+    const log = new DecisionLog({
+      info: (event, fields) => {
+        lines.push({ event, fields })
+      },
+    })
+    const host = new EntryHost(
+      settingsOf(name, grace),
+      {
+        dialer: this.dialer,
+        store,
+        promotion: this.#promotionFor(name),
+        callerLink: () => {
+          throw new Error('callers come by admit')
+        },
+      },
+      log,
+      new SystemClock(),
+      new SeededRandom(name.length + this.hosts.length),
+    )
+    const made = { host, store, lines }
+    this.hosts.push(made)
+    host.start()
+    return made
+  }
+
+  /** A server's process is gone. */
+  crash(server: BackendServerId): void {
+    this.group.server(server).isDown = true
+    this.dialer.cut(server)
+  }
+
+  async caller(host: SceneHost, database: string): Promise<Caller> {
+    const caller = new Caller(host.host)
+    const how = await caller.connect(database)
+    if (how !== 'welcome') throw new Error(`the session was refused: ${how}`)
+    return caller
+  }
+
+  async ready(): Promise<void> {
+    await this.until(() => this.hosts.every(({ host }) => host.isReady), 'hosts are ready')
+  }
+
+  async until(condition: () => boolean, what: string, span = 5000): Promise<void> {
+    const limit = performance.now() + span
+    while (!condition()) {
+      if (performance.now() > limit) throw new Error(`never came true: ${what}`)
+      await new Promise(resolve => setTimeout(resolve, 5))
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const caller of [...this.hosts]) await caller.host.stop()
+  }
+
+  #promotionFor(name: string): PromotionPort {
+    return {
+      promote: async (order, limit) => {
+        const fault = this.promotionFault(name)
+        if (fault === 'none') {
+          const isAccepted = this.group.promote(order.server, order.fencingToken)
+          return { kind: isAccepted ? 'accepted' : 'rejected' }
+        }
+        if (fault === 'late') {
+          setTimeout(() => {
+            this.group.promote(order.server, order.fencingToken)
+          }, LATE_MILLISECONDS)
+        }
+        await new Promise(resolve => setTimeout(resolve, Math.min(limit, 50)))
+        return { kind: 'noAnswer', detail: 'the stand-in does not answer' }
+      },
+    }
+  }
+}
+
+/** Runs a story in a scene of its own, and checks at its end that no acknowledged write was lost. */
+export async function inScene(
+  hosts: number,
+  story: (scene: Scene, hosts: readonly SceneHost[]) => Promise<void>,
+): Promise<void> {
+  const scene = new Scene()
+  try {
+    for (let index = 1; index <= hosts; index += 1) scene.add(`host-${String(index)}`)
+    await scene.ready()
+    await story(scene, scene.hosts)
+    if (scene.group.violations.length > 0) throw new Error(scene.group.violations.join('; '))
+  } finally {
+    await scene.close()
+  }
+}
--- a/packages/host/src/decisionLog.ts
+++ b/packages/host/src/decisionLog.ts
@@ -2,13 +2,16 @@
  * One structured line for each decision, within a budget: a flood of one event costs at most so many
  * lines a second, and a line says how many were left out.
  */
-import type { Log } from '@nutmegcourse/observability'
-
 /** Lines of one event a second. At 15 microseconds a line, all events together stay below 1% of a core. */
 const LINES_A_SECOND = 15
 
 const SECOND = 1000
 
+/** Where lines go. */
+export interface LineSink {
+  info(event: string, fields: LogFields): void
+}
+
 export type LogFields = Readonly<Record<string, unknown>>
 
 interface Budget {
@@ -18,10 +21,10 @@
 }
 
 export class DecisionLog {
-  readonly #log: Pick<Log, 'info'>
+  readonly #log: LineSink
   readonly #budgets = new Map<string, Budget>()
 
-  constructor(log: Pick<Log, 'info'>) {
+  constructor(log: LineSink) {
     this.#log = log
   }
 
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -118,12 +118,8 @@
     return route === null || parts === undefined ? null : { route, desk: parts.desk }
   }
 
+  /** Follows the store and its backend servers; callers come with `listen` or `admit`. */
   start(): void {
-    const { host, port } = this.#context.settings.callers
-    this.#server = createServer({ allowHalfOpen: true }, socket => {
-      this.#accept(socket)
-    })
-    this.#server.listen({ host, port, backlog: BACKLOG })
     this.#timer = setInterval(() => {
       this.#tick()
     }, TICK_MILLISECONDS)
@@ -131,6 +127,22 @@
     void this.#registration.run()
   }
 
+  listen(): void {
+    const { host, port } = this.#context.settings.callers
+    this.#server = createServer({ allowHalfOpen: true }, socket => {
+      this.admit(this.#ports.callerLink(socket))
+    })
+    this.#server.listen({ host, port, backlog: BACKLOG })
+  }
+
+  /** Takes one caller. */
+  admit(link: CallerLink): void {
+    const session = new CallerSession(this.#context, link, this, this.#runner, ended => {
+      this.#sessions.delete(ended)
+    })
+    this.#sessions.add(session)
+  }
+
   /** Takes no new work, lets what runs end, and resolves when the process may exit. */
   async stop(): Promise<void> {
     if (this.#isStopping) return
@@ -181,14 +193,6 @@
     for (const { desk } of this.#services.values()) desk.close()
   }
 
-  #accept(socket: Socket): void {
-    const link = this.#ports.callerLink(socket)
-    const session = new CallerSession(this.#context, link, this, this.#runner, ended => {
-      this.#sessions.delete(ended)
-    })
-    this.#sessions.add(session)
-  }
-
   #tick(): void {
     const now = this.#context.clock.now()
     const wasStandingStill = now - this.#lastTick > STANDSTILL_MILLISECONDS
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -39,6 +39,7 @@
     new SystemRandom(),
   )
   host.start()
+  host.listen()
   serveReadiness(settings.readiness, () => host.isReady)
   log.write('started', { settings: path })
   process.on('SIGHUP', () => {
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -87,6 +87,8 @@
 }
 
 type ReadOutcome =
+  /** The server gave no connection, or nothing tells yet how fresh the read must be. */
+  | { readonly kind: 'notTried'; readonly server: BackendServerState }
   | { readonly kind: 'answered'; readonly result: StatementResult }
   | ({ readonly kind: 'mishap' } & ServerMishap)
 
@@ -118,7 +120,7 @@
       if (fate.kind === 'answer') {
         return { result: refused(request, fate.refusal, last), transaction: null }
       }
-      await this.#afterMishap(request, begun, excluded)
+      await this.#leaveOut(request, begun.server, excluded)
     }
   }
 
@@ -206,10 +208,14 @@
       const outcome = await this.#hedgedRead(request, excluded)
       if (outcome === null) continue
       if (outcome.kind === 'answered') return outcome.result
+      if (outcome.kind === 'notTried') {
+        await this.#leaveOut(request, outcome.server, excluded)
+        continue
+      }
       last = outcome.outcome.mishap
       const fate = fateOf('singleRead', last, false)
       if (fate.kind === 'answer') return refused(request, fate.refusal, last)
-      await this.#afterMishap(request, outcome, excluded)
+      await this.#leaveOut(request, outcome.server, excluded)
     }
     return this.#refusal(request, 'singleRead', last)
   }
@@ -238,19 +244,16 @@
     return firstAnswered(first, this.#tryRead(request, second))
   }
 
-  async #tryRead(
-    request: StatementRequest,
-    server: BackendServerState,
-  ): Promise<ReadOutcome | null> {
+  async #tryRead(request: StatementRequest, server: BackendServerState): Promise<ReadOutcome> {
     const { clock } = this.#context
     const limit = earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
     const link = await this.#acquire(request, server, limit)
-    if (link === null) return null
+    if (link === null) return { kind: 'notTried', server }
     const sentAt = clock.now()
     const need = request.desk.need(request.route.guarantee, request.session.ownPosition, sentAt)
     if (need.kind === 'unknown') {
       server.pool.release(link)
-      return null
+      return { kind: 'notTried', server }
     }
     const after = need.kind === 'position' ? need.position : null
     const outcome = await this.#attemptSingle(request, server, link, after, after === null)
@@ -295,7 +298,7 @@
   async #tryBegin(
     request: StatementRequest,
     readOnly: boolean,
-    excluded: ReadonlySet<BackendServerId>,
+    excluded: Set<BackendServerId>,
   ): Promise<
     ({ readonly kind: 'begun' } & BegunTransaction) | ({ kind: 'mishap' } & ServerMishap) | null
   > {
@@ -310,7 +313,10 @@
       ? request.deadline
       : earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
     const link = await this.#acquire(request, server, limit)
-    if (link === null) return null
+    if (link === null) {
+      if (!needsPrimary) await this.#leaveOut(request, server, excluded)
+      return null
+    }
     const sentAt = clock.now()
     const need = needsPrimary ? null : desk.need(route.guarantee, session.ownPosition, sentAt)
     if (need?.kind === 'unknown') {
@@ -430,12 +436,12 @@
   }
 
   /** Leaves the server out of this read's further tries; when none is left, all are tried again. */
-  async #afterMishap(
+  async #leaveOut(
     request: StatementRequest,
-    failed: ServerMishap,
+    server: BackendServerState,
     excluded: Set<BackendServerId>,
   ): Promise<void> {
-    excluded.add(failed.server.entry.server)
+    excluded.add(server.entry.server)
     const isLeft = request.desk.chooseReader(null, excluded, this.#context.clock.now()) !== null
     if (isLeft) return
     excluded.clear()
@@ -524,13 +530,13 @@
   return { answer: { kind: 'refused', refusal, detail }, position: null }
 }
 
-/** The first answer of two tries; when both fail, the last failure. */
+/** The first answer of two tries; when both fail, the first's failure. */
 async function firstAnswered(
-  first: Promise<ReadOutcome | null>,
-  second: Promise<ReadOutcome | null>,
-): Promise<ReadOutcome | null> {
+  first: Promise<ReadOutcome>,
+  second: Promise<ReadOutcome>,
+): Promise<ReadOutcome> {
   const early = await Promise.race([first, second])
-  if (early?.kind === 'answered') return early
+  if (early.kind === 'answered') return early
   const both = await Promise.all([first, second])
-  return both.find(outcome => outcome?.kind === 'answered') ?? both[0] ?? both[1]
+  return both.find(({ kind }) => kind === 'answered') ?? both[0]
 }
--- /dev/null
+++ b/packages/stand-ins/src/hostPlatform/index.ts
@@ -0,0 +1,3 @@
+export * from './memoryGroup.js'
+export * from './memoryLink.js'
+export * from './memoryStore.js'
--- /dev/null
+++ b/packages/stand-ins/src/hostPlatform/memoryLink.ts
@@ -0,0 +1,284 @@
+/** Connections to the servers of a `MemoryGroup`, behind the product's port. */
+import { err, ok, type Result } from 'neverthrow'
+import type {
+  BackendAddress,
+  BackendCommand,
+  BackendDialer,
+  BackendLink,
+  BackendRefusal,
+  BackendReply,
+  LinkFailure,
+  ServerReport,
+  SessionStatus,
+} from '@nutmegcourse/protocol'
+import { term, type BackendServerId } from '@nutmegcourse/shared'
+import type { MemoryGroup, MemoryServer } from './memoryGroup.js'
+
+type Reply = Result<BackendReply, LinkFailure>
+
+/** Longer than any test: the answer of a silent server. */
+const never = <Value>(): Promise<Value> => new Promise(() => undefined)
+
+interface OpenTransaction {
+  readonly isReadOnly: boolean
+  readonly writes: string[]
+}
+
+export class MemoryLink implements BackendLink {
+  isOpen = true
+  lastHeardAt = performance.now()
+  readonly values = new Map<string, string>()
+  readonly #prepared = new Map<string, 'read' | 'write'>()
+  readonly #group: MemoryGroup
+  readonly #server: MemoryServer
+  readonly #hooks: MemoryDialerHooks
+  #transaction: OpenTransaction | null = null
+  #hasFailed = false
+  #closed: (() => void) | null = null
+  readonly #open = new Set<(reply: Reply) => void>()
+
+  constructor(group: MemoryGroup, server: MemoryServer, hooks: MemoryDialerHooks) {
+    this.#group = group
+    this.#server = server
+    this.#hooks = hooks
+    server.connections += 1
+  }
+
+  get server(): BackendServerId {
+    return this.#server.id
+  }
+
+  run(command: BackendCommand): Promise<Reply> {
+    if (!this.isOpen) return Promise.resolve(err({ kind: 'connectionLost' }))
+    return new Promise(resolve => {
+      this.#open.add(resolve)
+      void this.#answer(command).then(reply => {
+        if (this.#open.delete(resolve)) resolve(reply)
+      })
+    })
+  }
+
+  close(): void {
+    if (!this.isOpen) return
+    this.isOpen = false
+    this.#server.connections -= 1
+    for (const resolve of this.#open) resolve(err({ kind: 'connectionLost' }))
+    this.#open.clear()
+    this.#closed?.()
+  }
+
+  onClosed(listener: () => void): void {
+    this.#closed = listener
+  }
+
+  async #answer(command: BackendCommand): Promise<Reply> {
+    await Promise.resolve()
+    if (this.#server.isSilent) return never()
+    if (this.#server.isDown) {
+      this.close()
+      return err({ kind: 'connectionLost' })
+    }
+    const fault = this.#hooks.onCommand?.(this.#server.id, command) ?? 'none'
+    if (fault === 'lostBefore') return never()
+    const reply = this.#run(command)
+    if (fault === 'lostAfter') return never()
+    if (fault === 'cutAfter') {
+      this.close()
+      return err({ kind: 'connectionLost' })
+    }
+    this.lastHeardAt = performance.now()
+    return ok(reply)
+  }
+
+  #run(command: BackendCommand): BackendReply {
+    switch (command.kind) {
+      case 'begin':
+        return this.#begin(command)
+      case 'rollback':
+        this.#transaction = null
+        this.#hasFailed = false
+        return this.#done(null)
+      case 'set':
+        this.values.set(command.name, command.value)
+        return this.#done(null)
+      case 'prepare':
+        this.#prepared.set(command.name, command.effect)
+        return this.#done(null)
+      case 'close':
+        this.#prepared.delete(command.name)
+        return this.#done(null)
+      case 'reset':
+        this.values.clear()
+        this.#prepared.clear()
+        return this.#done(null)
+      case 'report':
+        return this.#report()
+      case 'pause':
+        this.#group.pause(this.#server, command.term)
+        return this.#report()
+      case 'resume':
+        this.#server.pausedFor = 0
+        return this.#report()
+      case 'stepDown':
+        this.#group.stepDown(this.#server, command.term)
+        return this.#report()
+      case 'forward':
+      case 'execute':
+        return this.#runForwarded(command)
+    }
+  }
+
+  #begin(command: Extract<BackendCommand, { kind: 'begin' }>): BackendReply {
+    if (command.after !== null && !this.#group.holds(this.#server, command.after)) {
+      return this.#refused('behind')
+    }
+    if (!command.readOnly && this.#server.role !== 'primary') return this.#refused('notPrimary')
+    this.#transaction = { isReadOnly: command.readOnly, writes: [] }
+    return this.#done(null)
+  }
+
+  #runForwarded(command: Extract<BackendCommand, { kind: 'forward' | 'execute' }>): BackendReply {
+    if (command.after !== null && !this.#group.holds(this.#server, command.after)) {
+      return this.#refused('behind')
+    }
+    const effect = this.#effectOf(command)
+    if (effect === null) return this.#refused('unknownStatement')
+    const transaction = this.#transaction
+    const hasLostLead =
+      transaction !== null && !transaction.isReadOnly && this.#server.role !== 'primary'
+    if (hasLostLead) {
+      this.#hasFailed = true
+      return this.#refused('notPrimary')
+    }
+    if (effect === 'commit') return this.#commit()
+    if (effect === 'write' && this.#server.role !== 'primary') return this.#refused('notPrimary')
+    this.#group.ran.push(`${this.#server.id}:${command.id}`)
+    if (effect === 'read') return this.#done(`read-${command.id}`, [this.#rowOf()])
+    if (transaction !== null) {
+      transaction.writes.push(command.id)
+      return this.#done(`write-${command.id}`)
+    }
+    return this.#acknowledge([command.id])
+  }
+
+  /** What a read returns: the last write of the server's log, so that tests see how fresh it was. */
+  #rowOf(): string {
+    return this.#server.log.at(-1)?.id ?? 'nothing'
+  }
+
+  #commit(): BackendReply {
+    const writes = this.#transaction?.writes ?? []
+    this.#transaction = null
+    return writes.length === 0 ? this.#done('commit') : this.#acknowledge(writes)
+  }
+
+  #acknowledge(ids: readonly string[]): BackendReply {
+    if (this.#group.commit(this.#server, ids)) return this.#done(`commit-${ids.join('+')}`)
+    return this.#refused('timeout')
+  }
+
+  #effectOf(
+    command: Extract<BackendCommand, { kind: 'forward' | 'execute' }>,
+  ): 'read' | 'write' | 'commit' | null {
+    if (command.kind === 'execute') return this.#prepared.get(command.name) ?? null
+    if (command.text.startsWith('COMMIT')) return 'commit'
+    return command.text.startsWith('WRITE') ? 'write' : 'read'
+  }
+
+  #report(): BackendReply {
+    const { role, pausedFor } = this.#server
+    const end = this.#group.endOf(this.#server)
+    const row = `${role} ${String(this.#server.term)} ${String(end.term)}.${String(end.offset)} ${String(pausedFor)}`
+    return this.#done(null, [row])
+  }
+
+  #done(signature: string | null, rows: readonly string[] = []): BackendReply {
+    return { rows, outcome: { kind: 'done', signature }, ...this.#state() }
+  }
+
+  #refused(refusal: BackendRefusal): BackendReply {
+    return { rows: [], outcome: { kind: 'refused', refusal, detail: refusal }, ...this.#state() }
+  }
+
+  #state(): Pick<BackendReply, 'status' | 'position'> {
+    const status: SessionStatus = this.#hasFailed
+      ? 'failed'
+      : this.#transaction === null
+        ? 'idle'
+        : 'open'
+    return { status, position: this.#group.endOf(this.#server) }
+  }
+}
+
+/** What becomes of one command: it runs and is answered, or not. */
+export type CommandFault = 'none' | 'lostBefore' | 'lostAfter' | 'cutAfter'
+
+export interface MemoryDialerHooks {
+  onCommand?: (server: BackendServerId, command: BackendCommand) => CommandFault
+}
+
+export class MemoryDialer implements BackendDialer {
+  readonly hooks: MemoryDialerHooks = {}
+  readonly links = new Set<MemoryLink>()
+  readonly #groups: readonly MemoryGroup[]
+
+  constructor(groups: readonly MemoryGroup[]) {
+    this.#groups = groups
+  }
+
+  open(address: BackendAddress): {
+    link: BackendLink
+    opened: Promise<Result<void, LinkFailure>>
+  } {
+    const group = this.#groups.find(each => each.service === address.service)
+    const server = group?.servers.get(address.server)
+    if (group === undefined || server === undefined || server.isDown) {
+      return { link: CLOSED_LINK, opened: Promise.resolve(err({ kind: 'connectionRefused' })) }
+    }
+    if (server.isSilent) return { link: CLOSED_LINK, opened: never() }
+    if (server.connections >= group.connectionLimit) {
+      const failure: LinkFailure = {
+        kind: 'rejected',
+        refusal: 'tooManyConnections',
+        detail: 'full',
+      }
+      return { link: CLOSED_LINK, opened: Promise.resolve(err(failure)) }
+    }
+    const link = new MemoryLink(group, server, this.hooks)
+    this.links.add(link)
+    return { link, opened: Promise.resolve(ok(undefined)) }
+  }
+
+  touch(address: BackendAddress): { answered: Promise<Result<void, LinkFailure>>; cancel(): void } {
+    const cancel = () => undefined
+    const server = this.#groups
+      .find(each => each.service === address.service)
+      ?.servers.get(address.server)
+    if (server?.isSilent === true) return { answered: never(), cancel }
+    if (server === undefined || server.isDown) {
+      return { answered: Promise.resolve(err({ kind: 'connectionRefused' })), cancel }
+    }
+    return { answered: Promise.resolve(ok(undefined)), cancel }
+  }
+
+  readReport(reply: BackendReply): ServerReport | null {
+    const [role, termText, position, paused] = reply.rows[0]?.split(' ') ?? []
+    const received = reply.position
+    if (role !== 'primary' && role !== 'replica') return null
+    if (received === null || position === undefined) return null
+    return { role, term: term(Number(termText)), received, pausedFor: term(Number(paused)) }
+  }
+
+  /** Breaks every connection to a server, as its crash does. */
+  cut(server: BackendServerId): void {
+    for (const link of this.links) if (link.server === server) link.close()
+  }
+}
+
+const CLOSED_LINK: BackendLink = {
+  isOpen: false,
+  lastHeardAt: 0,
+  run: () => Promise.resolve(err({ kind: 'connectionLost' })),
+  close: () => undefined,
+  onClosed: () => undefined,
+}
