--- /dev/null
+++ b/packages/host/__tests__/hostLife.spec.ts
@@ -0,0 +1,138 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { StoreConnection } from '@nutmegcourse/stand-ins'
+import { CONFIGURATION, Caller, P, inScene } from './support/scene.js'
+
+const wait = (span: number): Promise<void> => new Promise(resolve => setTimeout(resolve, span))
+
+describe('life of an entry host', () => {
+  // The host starts while the store is away. It must not say that it is ready, and a caller hears
+  // within its patience that it has to come back; once the store answers, all is well.
+  it('starts without the store', async () => {
+    await inScene(0, async scene => {
+      const store = new StoreConnection(scene.store)
+      store.mood = 'refusing'
+      const made = scene.add('host-1', 1000, store)
+      const caller = new Caller(made.host)
+      expect(made.host.isReady).toEqual(false)
+      expect(await caller.connect('own')).toEqual('tooManyCallers')
+      store.mood = 'well'
+      await scene.ready()
+      expect(await (await scene.caller(made, 'own')).tell('write 1')).toEqual('done')
+    })
+  })
+
+  // The store goes away for longer than any lease. Callers notice nothing.
+  it('serves on what it knew while the store is away', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      const caller = await scene.caller(host, 'own')
+      host.store.mood = 'silent'
+      await wait(300)
+      expect([await caller.tell('write 1'), await caller.tell('read 1')]).toEqual(['done', 'done'])
+      expect(host.host.isReady).toEqual(true)
+    })
+  })
+
+  // The history behind a host's revision is dropped while it heard nothing. What was changed
+  // meanwhile must be in force afterwards, what was removed must be gone, and nothing goes back.
+  it('lists again when the history is gone', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      host.store.mood = 'refusing'
+      await wait(50)
+      const routes = CONFIGURATION.routes.filter(({ database }) => database !== 'bounded')
+      scene.store.configure({ ...CONFIGURATION, version: 9, routes })
+      scene.store.compact()
+      host.store.mood = 'well'
+      await scene.until(
+        () => host.host.find('bounded') === null,
+        'the new configuration is in force',
+      )
+      scene.store.configure({ ...CONFIGURATION, version: 5 })
+      await wait(50)
+      expect(host.host.find('bounded')).toEqual(null)
+      const caller = new Caller(host.host)
+      expect(await caller.connect('bounded')).toEqual('unknownDatabase')
+    })
+  })
+
+  // A route is dropped while a session is open. Its next statement is refused, in the middle of
+  // nothing else; a transaction that runs already may end.
+  it('drops a route at the next transaction', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      const caller = await scene.caller(host, 'own')
+      await caller.tell('begin')
+      await caller.tell('write 1')
+      scene.store.configure({ ...CONFIGURATION, version: 2, routes: [] })
+      await scene.until(() => host.host.find('own') === null, 'the route is gone')
+      expect(await caller.tell('commit')).toEqual('done')
+      expect(await caller.tell('read 1')).toEqual('unknownDatabase')
+    })
+  })
+
+  // The host is told to stop. Idle sessions are closed, a statement that runs ends, an open
+  // transaction gets half of the grace and is then rolled back.
+  it('stops gracefully', async () => {
+    await inScene(0, async scene => {
+      const made = scene.add('host-1', 2000)
+      await scene.ready()
+      const idle = await scene.caller(made, 'own')
+      const brief = await scene.caller(made, 'own')
+      const endless = await scene.caller(made, 'own')
+      for (const caller of [brief, endless]) {
+        await caller.tell('begin')
+        await caller.tell('write 1')
+      }
+      const stopped = made.host.stop()
+      expect(made.host.isReady).toEqual(false)
+      await wait(200)
+      expect(await brief.tell('commit')).toEqual('done')
+      await stopped
+      expect([idle.isClosed, brief.isClosed]).toEqual([true, true])
+      expect(scene.group.acknowledged.length).toEqual(1)
+    })
+  })
+
+  // A caller rests inside a transaction and holds a scarce connection. After the configured time the
+  // transaction is rolled back; the caller learns of it with its next statement and can go on.
+  it('ends a transaction that rests too long', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      scene.store.configure({ ...CONFIGURATION, version: 2, idleTransactionMilliseconds: 100 })
+      await scene.until(() => host.host.idleTransactionMilliseconds === 100, 'it is in force')
+      const caller = await scene.caller(host, 'own')
+      await caller.tell('begin')
+      await caller.tell('write 1')
+      await wait(200)
+      const told = [await caller.tell('commit'), await caller.tell('write 1')]
+      expect(told).toEqual(['aborted', 'done'])
+    })
+  })
+
+  // Entries of servers lapse while the store is away, and are back a moment later. Nobody may be
+  // refused meanwhile; one that stays away is left alone.
+  it('keeps servers whose entries lapse for a moment', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      const caller = await scene.caller(host, 'latest')
+      scene.store.unlistServer(P)
+      await wait(100)
+      expect(await caller.tell('write 1')).toEqual('done')
+      scene.list(P)
+      await wait(100)
+      expect(await caller.tell('write 1')).toEqual('done')
+    })
+  })
+
+  // Hosts make few calls to a store whose rates do not grow with the fleet: at rest, one watch each.
+  it('makes few calls to the store at rest', async () => {
+    await inScene(3, async scene => {
+      await wait(300)
+      const before = [...scene.store.calls].filter(([name]) => name !== 'watch')
+      await wait(700)
+      expect([...scene.store.calls].filter(([name]) => name !== 'watch')).toEqual(before)
+    })
+  })
+})
--- a/packages/host/src/hostRegistration.ts
+++ b/packages/host/src/hostRegistration.ts
@@ -7,7 +7,7 @@
 import { hostKey, writeRecord } from '@nutmegcourse/coordination'
 import type { StoreLink } from '@nutmegcourse/protocol'
 import type { HostContext } from './hostContext.js'
-import { rest } from './waiting.js'
+import { Signal } from './waiting.js'
 
 /**
  * The record is for shares that need no precision, so it is renewed rarely: a call each few minutes
@@ -25,6 +25,7 @@
   readonly #store: StoreLink
   #lease: number | null = null
   #isStopped = false
+  readonly #stopped = new Signal()
 
   constructor(context: HostContext, store: StoreLink) {
     this.#context = context
@@ -35,13 +36,14 @@
     while (!this.#isStopped) {
       const isKept = this.#lease === null ? await this.#register() : await this.#renew(this.#lease)
       const span = isKept ? RENEW_AFTER_MILLISECONDS : RETRY_MILLISECONDS
-      await rest(span * (0.75 + this.#context.random.next() / 2))
+      await this.#stopped.wait(span * (0.75 + this.#context.random.next() / 2))
     }
   }
 
   /** The host stops: the others may have its share. */
   async withdraw(): Promise<void> {
     this.#isStopped = true
+    this.#stopped.raise()
     if (this.#lease === null) return
     await this.#store.endLease(this.#lease, CALL_LIMIT_MILLISECONDS)
   }
