--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -24,8 +24,8 @@
 }
 
 const wanted = process.argv.slice(2)
-const files = readdirSync('packages')
-  .map(name => join('packages', name, 'dist', '__tests__'))
+const files = [...readdirSync('packages').map(name => join('packages', name)), 'platform']
+  .map(path => join(path, 'dist', '__tests__'))
   .filter(existsSync)
   .flatMap(findTests)
   .filter(path => existsSync(path.replace('/dist/', '/').replace(/\.js$/, '.ts')))
