--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -20,6 +20,10 @@
 export interface HostRecord {
   readonly zone: string
   readonly region: string
+  /** Where it runs statements for other hosts; null when it does not. */
+  readonly relay: string | null
+  /** Its part of a processor, against which it is given work. */
+  readonly weight: number
 }
 
 const CHANGE_PREFIX = 'change/'
@@ -70,7 +74,10 @@
   const fields = parse(text)
   const zone = textOf(fields, 'zone')
   const region = textOf(fields, 'region')
-  return zone === null || region === null ? null : { zone, region }
+  if (zone === null || region === null) return null
+  const { weight } = fields
+  const isWeight = typeof weight === 'number' && weight > 0
+  return { zone, region, relay: textOf(fields, 'relay'), weight: isWeight ? weight : 1 }
 }
 
 export const writeRecord = (record: ChangeRecord | SuspicionRecord | HostRecord): string =>
--- /dev/null
+++ b/packages/coordination/src/synchronous/serviceOwners.ts
@@ -0,0 +1,73 @@
+/**
+ * Which entry hosts hold connections to the backend servers of a service, where there are more hosts
+ * than connections. The others hand their statements to one of them. Every host works out the same
+ * owners from the same list, and a host that comes or goes moves few of them (rendezvous hashing).
+ */
+import { mixHashes, stableHash } from '../stableHash.js'
+import type { HostRecord } from './changeRecord.js'
+
+export interface OwnerPlan {
+  /** In the order of the draw. */
+  readonly owners: readonly string[]
+  readonly hosts: ReadonlyMap<string, HostRecord>
+  readonly service: string
+}
+
+const HASH_RANGE = 2 ** 32
+
+/**
+ * A host with twice the processor is drawn twice as often: owners work for others, and the weakest
+ * hosts have less than a quarter of the strongest ones' processor.
+ */
+function drawOf(host: string, service: string, weight: number): number {
+  const hash = mixHashes(stableHash(host), stableHash(service))
+  return -weight / Math.log((hash + 1) / (HASH_RANGE + 1))
+}
+
+/** Draws `count` owners, zone by zone in turn, so that most callers find one near them. */
+export function planOwners(
+  service: string,
+  hosts: ReadonlyMap<string, HostRecord>,
+  count: number,
+): OwnerPlan {
+  const zones = new Map<string, string[]>()
+  for (const host of ranked(service, hosts)) {
+    const zone = hosts.get(host)?.zone ?? ''
+    zones.set(zone, [...(zones.get(zone) ?? []), host])
+  }
+  const order = [...zones.keys()].sort(
+    (left, right) => drawOf(right, service, 1) - drawOf(left, service, 1),
+  )
+  const owners: string[] = []
+  for (let round = 0; owners.length < Math.min(count, hosts.size); round += 1) {
+    for (const zone of order) {
+      const host = zones.get(zone)?.[round]
+      if (host !== undefined && owners.length < count) owners.push(host)
+    }
+  }
+  return { owners, hosts, service }
+}
+
+/**
+ * Whom a host asks, in order: owners in its zone, in its region, past the link; then any host of its
+ * zone, which serves in an owner's place when none can be reached.
+ */
+export function ownersFrom(plan: OwnerPlan, self: string, place: HostRecord): string[] {
+  const { owners, hosts, service } = plan
+  const distance = (host: string): number => {
+    const record = hosts.get(host)
+    if (record?.zone === place.zone) return 0
+    return record?.region === place.region ? 1 : 2
+  }
+  const near = [...owners].sort((left, right) => distance(left) - distance(right))
+  const substitutes = ranked(service, hosts).filter(
+    host => !owners.includes(host) && distance(host) === 0,
+  )
+  return [...near, ...substitutes].filter(host => host !== self)
+}
+
+function ranked(service: string, hosts: ReadonlyMap<string, HostRecord>): string[] {
+  const draws = new Map<string, number>()
+  for (const [host, { weight }] of hosts) draws.set(host, drawOf(host, service, weight))
+  return [...hosts.keys()].sort((left, right) => (draws.get(right) ?? 0) - (draws.get(left) ?? 0))
+}
--- /dev/null
+++ b/packages/host/__tests__/relay.spec.ts
@@ -0,0 +1,119 @@
+import { createServer } from 'node:net'
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { inScene, type Scene, type SceneHost } from './support/scene.js'
+
+/** Too few connections for three hosts, so that one of them holds them all. */
+const FEW_CONNECTIONS = 5
+
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  const ports: number[] = []
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const address = server.address()
+    if (typeof address === 'object' && address !== null) ports.push(address.port)
+  }
+  for (const server of servers) await new Promise(resolve => server.close(resolve))
+  return ports
+}
+
+async function inCrowd(
+  story: (scene: Scene, owner: SceneHost, other: SceneHost) => Promise<void>,
+): Promise<void> {
+  const options = { connectionLimit: FEW_CONNECTIONS, relayPorts: await freePorts(3) }
+  await inScene(
+    3,
+    async (scene, hosts) => {
+      const owners = () => hosts.filter(({ host }) => host.find('own')?.desk.isOwned === true)
+      await scene.until(() => owners().length === 1, 'one host owns the service')
+      const [owner] = owners()
+      const other = hosts.find(each => each !== owner)
+      if (owner === undefined || other === undefined) throw new Error('no owner')
+      await story(scene, owner, other)
+    },
+    options,
+  )
+}
+
+describe('a service with fewer connections than hosts', () => {
+  it('is served at every host through the one that holds the connections', async () => {
+    await inCrowd(async (scene, _owner, other) => {
+      const caller = await scene.caller(other, 'own')
+      const told: string[] = []
+      const said = [
+        'set colour red',
+        'prepare s write',
+        'execute s 1',
+        'read 1',
+        'begin',
+        'write 1',
+      ]
+      for (const text of [...said, 'read 2', 'commit', 'begin', 'rollback', 'read 1']) {
+        told.push(await caller.tell(text))
+      }
+      expect(told.filter(how => how !== 'done')).toEqual([])
+      expect(scene.group.acknowledged.length).toEqual(2)
+      const held = [...scene.dialer.links].filter(link => link.isOpen && link.values.size > 0)
+      expect(held.every(link => link.values.get('colour') === 'red')).toEqual(true)
+    })
+  })
+
+  // A session writes through the owner and reads through it again. The position of its own write
+  // lives with the session's host, whichever owner serves the next statement.
+  it('keeps the session position across the hop', async () => {
+    await inCrowd(async (scene, _owner, other) => {
+      const caller = await scene.caller(other, 'own')
+      for (const server of scene.group.servers.values()) {
+        if (server.role === 'replica' && server.id !== 'i-b') server.isDeaf = true
+      }
+      await caller.tell('write 1', 'mine')
+      for (let reads = 0; reads < 4; reads += 1) {
+        const { answer } = await caller.ask('read 1')
+        expect(answer.kind === 'rows' && answer.rows[0]).toEqual('mine')
+      }
+    })
+  })
+
+  /**
+   * Story of each: the host that holds the connections dies. A transaction that it ran is gone and
+   * nothing of it kept; of a write or commit on its way nobody knows; and the next statement is
+   * served by whoever takes its place.
+   */
+  const deaths: readonly (readonly [string, readonly string[], string, string])[] = [
+    ['inside a transaction', ['begin', 'write 1'], 'write 2', 'aborted'],
+    ['under a commit', ['begin', 'write 1'], 'commit', 'outcomeUnknown'],
+    ['under a write', [], 'write 1', 'outcomeUnknown'],
+    ['under a read', [], 'read 1', 'done'],
+  ]
+  for (const [name, before, text, expected] of deaths) {
+    it(`loses its owner ${name}`, async () => {
+      await inCrowd(async (scene, owner, other) => {
+        const caller = await scene.caller(other, 'own')
+        for (const each of before) expect(await caller.tell(each)).toEqual('done')
+        scene.dialer.hooks.onCommand = (_server, command) => {
+          if (command.kind !== 'forward' || command.id !== 'x') return 'none'
+          delete scene.dialer.hooks.onCommand
+          owner.host.close()
+          return 'lostBefore'
+        }
+        expect(await caller.tell(text, 'x')).toEqual(expected)
+        if (expected === 'aborted') await caller.tell('rollback')
+        expect(await caller.tell('read 1')).toEqual('done')
+      })
+    })
+  }
+
+  // The owner stops in the ordinary way. Whoever uses it finds another place without a refusal.
+  it('goes on when its owner stops', async () => {
+    await inCrowd(async (scene, owner, other) => {
+      const caller = await scene.caller(other, 'own')
+      const stopped = owner.host.stop()
+      for (let reads = 0; reads < 20; reads += 1) {
+        expect(await caller.tell('read 1')).toEqual('done')
+        await new Promise(resolve => setTimeout(resolve, 20))
+      }
+      await stopped
+    })
+  })
+})
--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -51,7 +51,7 @@
   idleTransactionMilliseconds: 3000,
 }
 
-function settingsOf(host: string, grace: number): HostSettings {
+function settingsOf(host: string, grace: number, relayPort: number | null): HostSettings {
   const zone = availabilityZoneId('zone-1')
   const region = regionId('region-1')
   const nowhere = { host: '127.0.0.1', port: 0 }
@@ -62,6 +62,8 @@
     regions: new Map([[zone, region]]),
     callers: nowhere,
     readiness: nowhere,
+    relay: relayPort === null ? null : { host: '127.0.0.1', port: relayPort },
+    processorShare: 1,
     metrics: null,
     store: {
       ...nowhere,
@@ -187,17 +189,33 @@
 
 const LATE_MILLISECONDS = 400
 
+export interface SceneOptions {
+  readonly promotionMilliseconds?: number
+  readonly connectionLimit?: number
+  /** Where the hosts run statements for each other, in their order. */
+  readonly relayPorts?: readonly number[]
+}
+
 export class Scene {
+  readonly #relayPorts: number[]
   readonly store = new MemoryStore()
   readonly group: MemoryGroup
   readonly dialer: MemoryDialer
   readonly hosts: SceneHost[] = []
   promotionFault: PromotionFault = () => 'none'
 
-  constructor(promotionMilliseconds = 50) {
-    this.group = new MemoryGroup({ service: SERVICE, servers: [P, A, B], promotionMilliseconds })
+  constructor(options: SceneOptions = {}) {
+    const { promotionMilliseconds = 50, connectionLimit = 25 } = options
+    this.#relayPorts = [...(options.relayPorts ?? [])]
+    this.group = new MemoryGroup({
+      service: SERVICE,
+      servers: [P, A, B],
+      promotionMilliseconds,
+      connectionLimit,
+    })
     this.dialer = new MemoryDialer([this.group])
-    this.store.configure(CONFIGURATION)
+    const services = CONFIGURATION.services.map(service => ({ ...service, connectionLimit }))
+    this.store.configure({ ...CONFIGURATION, services })
     for (const server of [P, A, B]) this.list(server)
   }
 
@@ -223,7 +241,7 @@
       },
     })
     const host = new EntryHost(
-      settingsOf(name, grace),
+      settingsOf(name, grace, this.#relayPorts.shift() ?? null),
       {
         dialer: this.dialer,
         store,
@@ -295,8 +313,9 @@
 export async function inScene(
   hosts: number,
   story: (scene: Scene, hosts: readonly SceneHost[]) => Promise<void>,
+  options: SceneOptions = {},
 ): Promise<void> {
-  const scene = new Scene()
+  const scene = new Scene(options)
   try {
     for (let index = 1; index <= hosts; index += 1) scene.add(`host-${String(index)}`)
     await scene.ready()
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -32,10 +32,15 @@
   #touchedAt = Number.NEGATIVE_INFINITY
   #probeSentAt: Milliseconds | null = null
 
-  constructor(context: HostContext, entry: BackendServerEntry, connectionLimit: number) {
+  constructor(
+    context: HostContext,
+    entry: BackendServerEntry,
+    connectionLimit: number,
+    holders: () => number,
+  ) {
     this.#context = context
     this.#entry = entry
-    this.pool = new ServerPool(context, addressOf(entry), connectionLimit)
+    this.pool = new ServerPool(context, addressOf(entry), connectionLimit, holders)
     this.distance = distanceOf(context, entry)
     const floors = [LATENCY_IN_ZONE, LATENCY_IN_REGION, LATENCY_PAST_THE_LINK] as const
     this.latency = new LatencyEstimate(floors[this.distance])
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -24,7 +24,7 @@
   SessionState,
   StatementRequest,
   StatementResult,
-  StatementRunner,
+  Runner,
 } from './statementRunner.js'
 
 /** Where a database's callers are served; null when no route has the name. */
@@ -59,7 +59,7 @@
   readonly #context: HostContext
   readonly #link: CallerLink
   readonly #routes: RouteLookup
-  readonly #runner: StatementRunner
+  readonly #runner: Runner
   readonly #onEnd: (session: CallerSession) => void
   readonly #state: SessionState = { values: new SessionValues(), ownPosition: null }
   readonly #queue: CallerStatement[] = []
@@ -75,7 +75,7 @@
     context: HostContext,
     link: CallerLink,
     routes: RouteLookup,
-    runner: StatementRunner,
+    runner: Runner,
     onEnd: (session: CallerSession) => void,
   ) {
     this.#context = context
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -1,6 +1,12 @@
 /** One entry host: takes callers, follows the store, and keeps the services it needs in order. */
 import { createServer, type Server, type Socket } from 'node:net'
-import { readHostRecord, readRecordName, type HostRecord } from '@nutmegcourse/coordination'
+import {
+  ownersFrom,
+  planOwners,
+  readHostRecord,
+  readRecordName,
+  type HostRecord,
+} from '@nutmegcourse/coordination'
 import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
 import type {
   BackendDialer,
@@ -11,7 +17,7 @@
   PromotionPort,
   StoreLink,
 } from '@nutmegcourse/protocol'
-import { ServerDirectory, type DirectoryNews } from '@nutmegcourse/state'
+import { ServerDirectory, connectionHolders, type DirectoryNews } from '@nutmegcourse/state'
 import { CallerSession, type RouteLookup } from './callerSession.js'
 import { ConfigurationBook } from './configurationBook.js'
 import type { DecisionLog } from './decisionLog.js'
@@ -19,6 +25,9 @@
 import { HostRegistration } from './hostRegistration.js'
 import { PrimaryKeeper } from './primaryKeeper.js'
 import { PrimaryProbe } from './primaryProbe.js'
+import { RelayPeer } from './relayPeer.js'
+import { RelayServer, type RelayDesks } from './relayServer.js'
+import { RelayingRunner, type OwnerBook } from './relayingRunner.js'
 import { ServiceDesk } from './serviceDesk.js'
 import { StatementRunner } from './statementRunner.js'
 import { StoreFollower } from './storeFollower.js'
@@ -54,9 +63,13 @@
   readonly desk: ServiceDesk
   readonly probe: PrimaryProbe
   readonly keeper: PrimaryKeeper
+  /** Hosts that hold connections to the service's servers and watch its primary. */
+  owners: readonly string[]
+  /** Whom this host asks to run statements, in order. */
+  order: readonly string[]
 }
 
-export class EntryHost implements RouteLookup {
+export class EntryHost implements RouteLookup, OwnerBook, RelayDesks {
   readonly #context: HostContext
   readonly #ports: EntryHostPorts
   readonly #directory: ServerDirectory
@@ -64,7 +77,9 @@
   readonly #services = new Map<string, ServiceParts>()
   readonly #hosts = new Map<string, HostRecord>()
   readonly #sessions = new Set<CallerSession>()
-  readonly #runner: StatementRunner
+  readonly #runner: RelayingRunner
+  readonly #relay: RelayServer
+  readonly #peers = new Map<string, RelayPeer>()
   readonly #follower: StoreFollower
   readonly #registration: HostRegistration
   #server: Server | null = null
@@ -79,10 +94,12 @@
     clock: Clock,
     random: RandomSource,
   ) {
-    this.#context = { settings, clock, random, dialer: ports.dialer, log, hostCount: 1 }
+    this.#context = { settings, clock, random, dialer: ports.dialer, log }
     this.#ports = ports
     this.#directory = new ServerDirectory(settings.drainMilliseconds)
-    this.#runner = new StatementRunner(this.#context)
+    const runner = new StatementRunner(this.#context)
+    this.#runner = new RelayingRunner(this.#context, runner, this)
+    this.#relay = new RelayServer(this.#context, runner, this)
     this.#follower = new StoreFollower(this.#context, ports.store, {
       changed: change => {
         this.#changed(change)
@@ -118,8 +135,27 @@
     return route === null || parts === undefined ? null : { route, desk: parts.desk }
   }
 
+  peersFor(desk: ServiceDesk): RelayPeer[] | null {
+    if (desk.isOwned) return null
+    const order = this.#services.get(desk.name)?.order ?? []
+    const peers = order.flatMap(host => this.#peer(host) ?? [])
+    const now = this.#context.clock.now()
+    if (peers.some(peer => peer.isUp(now))) return peers
+    desk.standIn(now)
+    return null
+  }
+
+  serve(service: string): ServiceDesk | null {
+    if (this.#isStopping) return null
+    const desk = this.#services.get(service)?.desk ?? null
+    if (desk !== null && !desk.isOwned) desk.standIn(this.#context.clock.now())
+    return desk
+  }
+
   /** Follows the store and its backend servers; callers come with `listen` or `admit`. */
   start(): void {
+    const { relay } = this.#context.settings
+    if (relay !== null) this.#relay.listen(relay.host, relay.port)
     this.#timer = setInterval(() => {
       this.#tick()
     }, TICK_MILLISECONDS)
@@ -159,11 +195,12 @@
     while (this.#isWorking && clock.now() - startedAt < grace - EXIT_RESERVE_MILLISECONDS) {
       await rest(TICK_MILLISECONDS)
     }
-    this.#close()
+    this.close()
   }
 
   get #isWorking(): boolean {
     return (
+      this.#relay.isWorking ||
       [...this.#sessions].some(session => session.isBusy) ||
       [...this.#services.values()].some(({ keeper }) => keeper.isChanging)
     )
@@ -186,10 +223,13 @@
     for (const session of this.#sessions) session.closeWhenIdle()
   }
 
-  #close(): void {
+  /** Drops everything at once, as the end of the process would. */
+  close(): void {
     if (this.#timer !== null) clearInterval(this.#timer)
     this.#server?.close()
     this.#follower.stop()
+    this.#relay.close()
+    for (const peer of this.#peers.values()) peer.close()
     for (const { desk } of this.#services.values()) desk.close()
   }
 
@@ -198,15 +238,19 @@
     const wasStandingStill = now - this.#lastTick > STANDSTILL_MILLISECONDS
     this.#lastTick = now
     for (const news of this.#directory.expire(now)) this.#apply(news, now)
+    for (const peer of this.#peers.values()) peer.tick(now)
     for (const { desk, probe, keeper } of this.#services.values()) {
+      const isActive = desk.isActive(now)
       for (const server of desk.servers) {
         // What was asked before a standstill was answered while nobody looked.
         if (wasStandingStill) server.forgetQuestions()
         server.watchLife(now)
-        server.pool.tick(now, this.#directory.mayTakeWork(server.entry.server, now))
+        const keepWarm = isActive && this.#directory.mayTakeWork(server.entry.server, now)
+        server.pool.tick(now, keepWarm)
       }
+      if (!isActive) continue
       probe.tick(now)
-      if (!this.#isStopping) keeper.tick(now)
+      if (!this.#isStopping && desk.isOwned) keeper.tick(now)
     }
   }
 
@@ -223,6 +267,7 @@
     for (const host of this.#hosts.keys()) {
       if (!records.has(`host/${host}`)) this.#hosts.delete(host)
     }
+    this.#planOwners()
     for (const [service, { keeper }] of this.#services) {
       if (!records.has(`change/${service}`)) keeper.heardChange(null, 0)
     }
@@ -257,6 +302,7 @@
     const { version, routes, services } = configuration
     this.#context.log.write('configuration_taken', { version, routes: routes.length })
     for (const service of services) this.#configureService(service)
+    this.#planOwners()
     for (const [name, { probe }] of this.#services) {
       probe.guarantees = routes.filter(route => route.service === name).map(each => each.guarantee)
     }
@@ -276,13 +322,45 @@
       this.#directory,
       store,
       promotion,
-      this.#hosts,
+      () => this.#services.get(service.name)?.owners ?? [],
     )
-    this.#services.set(service.name, { desk, probe: new PrimaryProbe(this.#context, desk), keeper })
+    const probe = new PrimaryProbe(this.#context, desk)
+    this.#services.set(service.name, { desk, probe, keeper, owners: [], order: [] })
     const now = this.#context.clock.now()
     for (const { entry } of this.#directory.ofService(service.name)) desk.appeared(entry, now)
   }
 
+  /** Who holds connections to what, from the hosts that are known to run. */
+  #planOwners(): void {
+    const { entryHost, zone, region } = this.#context.settings
+    for (const [name, parts] of this.#services) {
+      const { desk } = parts
+      const holders = connectionHolders(desk.configuration.connectionLimit, this.#hosts.size)
+      const plan = planOwners(name, this.#hosts, holders)
+      parts.owners = plan.owners
+      parts.order = ownersFrom(plan, entryHost, { zone, region, relay: null, weight: 1 })
+      desk.holders = holders
+      // Before this host is listed itself it serves by itself: it knows too little to rely on others.
+      desk.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
+    }
+  }
+
+  /** A host that registers anew has lost its connections, and may stand at another address. */
+  #dropPeer(host: string): void {
+    this.#peers.get(host)?.close()
+    this.#peers.delete(host)
+  }
+
+  #peer(host: string): RelayPeer | null {
+    const known = this.#peers.get(host)
+    if (known !== undefined) return known
+    const [address = '', port = ''] = this.#hosts.get(host)?.relay?.split(':') ?? []
+    if (address === '' || port === '') return null
+    const peer = new RelayPeer(this.#context, host, { host: address, port: Number(port) })
+    this.#peers.set(host, peer)
+    return peer
+  }
+
   #apply(news: DirectoryNews, now: Milliseconds): void {
     const { entry } = news
     this.#context.log.write(`server_${news.kind}`, {
@@ -322,7 +400,8 @@
         const record = value === null ? null : readHostRecord(value)
         if (record === null) this.#hosts.delete(name.host)
         else this.#hosts.set(name.host, record)
-        this.#context.hostCount = Math.max(1, this.#hosts.size)
+        this.#dropPeer(name.host)
+        this.#planOwners()
         return
       }
       case undefined:
--- a/packages/host/src/hostContext.ts
+++ b/packages/host/src/hostContext.ts
@@ -13,6 +13,4 @@
   readonly random: RandomSource
   readonly dialer: BackendDialer
   readonly log: DecisionLog
-  /** Entry hosts that are known to run, this one among them. */
-  hostCount: number
 }
--- a/packages/host/src/hostRegistration.ts
+++ b/packages/host/src/hostRegistration.ts
@@ -51,14 +51,15 @@
   async #register(): Promise<boolean> {
     const lease = await this.#store.grantLease(LIFETIME_MILLISECONDS, CALL_LIMIT_MILLISECONDS)
     if (lease.isErr()) return this.#failed(lease.error.kind)
-    const { entryHost, zone, region } = this.#context.settings
+    const { entryHost, zone, region, relay, processorShare: weight } = this.#context.settings
+    const relayText = relay === null ? null : `${relay.host}:${String(relay.port)}`
     const change = await this.#store.change(
       {
         expected: [],
         puts: [
           {
             key: hostKey(entryHost),
-            value: writeRecord({ zone, region }),
+            value: writeRecord({ zone, region, relay: relayText, weight }),
             lease: lease.value,
           },
         ],
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -72,7 +72,7 @@
   readonly #directory: ServerDirectory
   readonly #store: StoreLink
   readonly #promotion: PromotionPort
-  readonly #hosts: ReadonlyMap<string, unknown>
+  readonly #observers: () => readonly string[]
   readonly #suspicion = new PrimarySuspicion()
   readonly #control: GroupControl
   #known: KnownRecord | null = null
@@ -89,14 +89,14 @@
     directory: ServerDirectory,
     store: StoreLink,
     promotion: PromotionPort,
-    hosts: ReadonlyMap<string, unknown>,
+    observers: () => readonly string[],
   ) {
     this.#context = context
     this.#desk = desk
     this.#directory = directory
     this.#store = store
     this.#promotion = promotion
-    this.#hosts = hosts
+    this.#observers = observers
     this.#control = new GroupControl(context, desk)
   }
 
@@ -150,19 +150,19 @@
       silentMilliseconds: primary.silentFor(now),
       refusals: primary.pool.refusals,
     }
-    const advice = this.#suspicion.advise(signs, this.#hosts.size, rank, now)
+    const advice = this.#suspicion.advise(signs, this.#observers().length, rank, now)
     if (advice === 'trust') this.#withdrawVote()
     else this.#castVote(primary.entry.server, now)
     return advice === 'act' ? 'silent' : null
   }
 
-  /** This host's place among the hosts, other for each service so that the work is spread. */
+  /** This host's place among those that watch the service, other for each service so that the work is spread. */
   #rank(): number {
     const service = stableHash(this.#desk.name)
     const weight = (host: string): number => mixHashes(stableHash(host), service)
     const own = weight(this.#context.settings.entryHost)
     let rank = 0
-    for (const host of this.#hosts.keys()) if (weight(host) > own) rank += 1
+    for (const host of this.#observers()) if (weight(host) > own) rank += 1
     return rank
   }
 
--- /dev/null
+++ b/packages/host/src/relayMessages.ts
@@ -0,0 +1,109 @@
+/**
+ * What hosts tell each other about statements that one runs for another: JSON-RPC over TCP.
+ *
+ * @internal
+ */
+import type { LogPosition, Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, logPosition } from '@nutmegcourse/shared'
+import { statementId, type CallerAnswer, type Route } from '@nutmegcourse/protocol'
+import { SessionValues, type PreparedStatement } from '@nutmegcourse/state'
+import type { RemoteStatement } from './attempt.js'
+import type { ServiceDesk } from './serviceDesk.js'
+import type { SessionState, StatementRequest } from './statementRunner.js'
+
+export const RELAY_METHODS = {
+  single: 'single',
+  begin: 'begin',
+  continue: 'continue',
+  end: 'end',
+  ping: 'ping',
+} as const
+
+interface PositionMessage {
+  readonly term: number
+  readonly offset: number
+}
+
+export interface RequestMessage {
+  readonly route: Route
+  readonly id: string
+  readonly text: string
+  readonly body: RemoteStatement['body']
+  readonly isWrite: boolean
+  /** The session's values. */
+  readonly values: readonly (readonly [string, string])[]
+  /** The definition of the prepared statement that is executed. */
+  readonly prepared: PreparedStatement | null
+  readonly own: PositionMessage | null
+  /** What is left of the statement's time, in milliseconds: clocks of hosts are never compared. */
+  readonly remaining: number
+}
+
+export interface BeginMessage {
+  readonly request: RequestMessage
+  readonly readOnly: boolean
+}
+
+export interface ContinueMessage {
+  readonly request: RequestMessage
+  readonly transaction: number
+}
+
+export interface EndMessage {
+  readonly transaction: number
+}
+
+export type AnswerMessage =
+  | {
+      readonly kind: 'answered'
+      readonly answer: CallerAnswer
+      readonly position: PositionMessage | null
+      /** The session's own position afterwards. */
+      readonly own: PositionMessage | null
+      /** The transaction that goes on at this host. */
+      readonly transaction: number | null
+    }
+  /** Nothing was done: the host stops, or does not know the service or the transaction. */
+  | { readonly kind: 'declined' }
+
+export function writeRequest(request: StatementRequest, now: Milliseconds): RequestMessage {
+  const { route, statement, session, isWrite, deadline } = request
+  const { id, text, body } = statement
+  const prepared = body.kind === 'execute' ? session.values.prepared.get(body.name) : undefined
+  return {
+    route,
+    id,
+    text,
+    body,
+    isWrite,
+    values: [...session.values.values],
+    prepared: prepared ?? null,
+    own: session.ownPosition,
+    remaining: deadline - now,
+  }
+}
+
+export function readRequest(
+  message: RequestMessage,
+  desk: ServiceDesk,
+  now: Milliseconds,
+): StatementRequest {
+  const values = new SessionValues()
+  for (const [name, value] of message.values) values.values.set(name, value)
+  if (message.body.kind === 'execute' && message.prepared !== null) {
+    values.prepared.set(message.body.name, message.prepared)
+  }
+  const session: SessionState = { values, ownPosition: readPosition(message.own) }
+  return {
+    desk,
+    route: message.route,
+    session,
+    statement: { id: statementId(message.id), text: message.text, body: message.body },
+    isWrite: message.isWrite,
+    arrivedAt: now,
+    deadline: addMilliseconds(now, message.remaining),
+  }
+}
+
+export const readPosition = (message: PositionMessage | null): LogPosition | null =>
+  message === null ? null : logPosition(message.term, message.offset)
--- /dev/null
+++ b/packages/host/src/relayPeer.ts
@@ -0,0 +1,126 @@
+/**
+ * The way to one other entry host that runs statements for this one.
+ *
+ * @internal
+ */
+import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import type { HostAddress } from '@nutmegcourse/protocol'
+import { openJsonRpc, type JsonRpcConnection } from '@nutmegcourse/transport'
+import type { HostContext } from './hostContext.js'
+import { RELAY_METHODS, type AnswerMessage, type EndMessage } from './relayMessages.js'
+
+/** A host of the fleet takes a connection within a round trip, past the link in tens of milliseconds. */
+const CONNECT_LIMIT_MILLISECONDS = 300
+
+/** After a failure the next hosts in order are used for so long. */
+const PAUSE_MILLISECONDS = 1000
+
+/** With answers owed and no byte for this long, the host is asked whether it lives, ... */
+const QUIET_MILLISECONDS = 250
+/** ... and if it does not say so within this, its connection is given up. */
+const PING_LIMIT_MILLISECONDS = 250
+
+/** The other host answers by the deadline; this is for the way back. */
+const ANSWER_RESERVE_MILLISECONDS = 60
+
+export type RelayOutcome =
+  | { readonly kind: 'answered'; readonly message: Extract<AnswerMessage, { kind: 'answered' }> }
+  /** Nothing was done there. */
+  | { readonly kind: 'notSent' }
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'overdue' }
+
+export class RelayPeer {
+  readonly name: string
+  readonly #context: HostContext
+  readonly #address: HostAddress
+  #connection: JsonRpcConnection | null = null
+  #opening: Promise<JsonRpcConnection | null> | null = null
+  #downUntil = milliseconds(0)
+  #owed = 0
+  #isAsking = false
+  #heardBytes = 0
+  #heardAt = 0
+
+  constructor(context: HostContext, name: string, address: HostAddress) {
+    this.#context = context
+    this.name = name
+    this.#address = address
+  }
+
+  isUp(now: Milliseconds): boolean {
+    return now >= this.#downUntil
+  }
+
+  async call(method: string, params: unknown, deadline: Milliseconds): Promise<RelayOutcome> {
+    const connection = await this.#connect()
+    if (connection === null) return { kind: 'notSent' }
+    const { clock } = this.#context
+    if (this.#owed === 0) this.#heardAt = clock.now()
+    this.#owed += 1
+    const limit = Math.max(1, deadline - clock.now() + ANSWER_RESERVE_MILLISECONDS)
+    const answer = await connection.request<AnswerMessage>(method, params, limit)
+    this.#owed -= 1
+    if (answer.isOk()) {
+      const message = answer.value
+      return message.kind === 'declined' ? { kind: 'notSent' } : { kind: 'answered', message }
+    }
+    if (answer.error.kind === 'answerTimeout') return { kind: 'overdue' }
+    return { kind: 'lost' }
+  }
+
+  /** Ends a transaction there; without the connection it ends by itself. */
+  end(transaction: number): void {
+    const message: EndMessage = { transaction }
+    if (this.#connection?.closed === false) {
+      this.#connection.notify(RELAY_METHODS.end, message)
+    }
+  }
+
+  tick(now: Milliseconds): void {
+    const connection = this.#connection
+    if (connection === null || this.#owed === 0 || this.#isAsking) return
+    const { received } = connection.traffic
+    if (received !== this.#heardBytes) {
+      this.#heardBytes = received
+      this.#heardAt = now
+    } else if (now - this.#heardAt > QUIET_MILLISECONDS) void this.#ask(connection)
+  }
+
+  close(): void {
+    this.#connection?.close()
+  }
+
+  async #ask(connection: JsonRpcConnection): Promise<void> {
+    this.#isAsking = true
+    const answer = await connection.request(RELAY_METHODS.ping, {}, PING_LIMIT_MILLISECONDS)
+    this.#isAsking = false
+    this.#heardAt = this.#context.clock.now()
+    if (answer.isOk()) return
+    this.#failed('silent')
+    connection.close()
+  }
+
+  #connect(): Promise<JsonRpcConnection | null> {
+    if (this.#connection?.closed === false) return Promise.resolve(this.#connection)
+    this.#opening ??= this.#open().finally(() => (this.#opening = null))
+    return this.#opening
+  }
+
+  async #open(): Promise<JsonRpcConnection | null> {
+    const { host, port } = this.#address
+    const opened = await openJsonRpc(host, port, {}, CONNECT_LIMIT_MILLISECONDS)
+    if (opened.isErr()) {
+      this.#failed(opened.error.kind)
+      return null
+    }
+    this.#connection = opened.value
+    this.#heardBytes = 0
+    return opened.value
+  }
+
+  #failed(why: string): void {
+    this.#downUntil = addMilliseconds(this.#context.clock.now(), PAUSE_MILLISECONDS)
+    this.#context.log.write('relay_lost', { host: this.name, why })
+  }
+}
--- /dev/null
+++ b/packages/host/src/relayServer.ts
@@ -0,0 +1,190 @@
+/**
+ * Runs statements for other entry hosts. A transaction belongs to the connection over which it came:
+ * when that is gone, so is whoever could end it, and it is rolled back.
+ *
+ * @internal
+ */
+import { createServer, type Server, type Socket } from 'node:net'
+import { JsonRpcConnection } from '@nutmegcourse/transport'
+import type { HostContext } from './hostContext.js'
+import {
+  RELAY_METHODS,
+  readRequest,
+  type AnswerMessage,
+  type BeginMessage,
+  type ContinueMessage,
+  type EndMessage,
+  type RequestMessage,
+} from './relayMessages.js'
+import type { ServiceDesk } from './serviceDesk.js'
+import type {
+  BegunTransaction,
+  LocalTransaction,
+  StatementRequest,
+  StatementRunner,
+} from './statementRunner.js'
+
+/** Beyond the configured time that a transaction may rest: its own host ends it before that. */
+const IDLE_RESERVE_MILLISECONDS = 1000
+
+export interface RelayDesks {
+  /** The desk of a service, ready to serve; null when it is unknown or this host stops. */
+  serve(service: string): ServiceDesk | null
+  readonly idleTransactionMilliseconds: number
+}
+
+interface HeldTransaction {
+  readonly transaction: LocalTransaction
+  readonly idleTimer: NodeJS.Timeout | null
+}
+
+export class RelayServer {
+  readonly #context: HostContext
+  readonly #runner: StatementRunner
+  readonly #desks: RelayDesks
+  #server: Server | null = null
+  readonly #sessions = new Set<RelaySession>()
+
+  constructor(context: HostContext, runner: StatementRunner, desks: RelayDesks) {
+    this.#context = context
+    this.#runner = runner
+    this.#desks = desks
+  }
+
+  /** Statements that run, and transactions that are open, for other hosts. */
+  get isWorking(): boolean {
+    return [...this.#sessions].some(session => session.isWorking)
+  }
+
+  listen(host: string, port: number): void {
+    this.#server = createServer({ noDelay: true }, socket => {
+      this.#accept(socket)
+    })
+    this.#server.on('error', error => {
+      this.#context.log.write('relay_not_listening', { detail: error.message })
+    })
+    this.#server.listen({ host, port })
+  }
+
+  close(): void {
+    this.#server?.close()
+    for (const session of this.#sessions) session.close()
+  }
+
+  #accept(socket: Socket): void {
+    const session = new RelaySession(this.#context, this.#runner, this.#desks, socket)
+    this.#sessions.add(session)
+    session.onClose(() => {
+      this.#sessions.delete(session)
+    })
+  }
+}
+
+/** One other host's connection, and the transactions that it has open here. */
+class RelaySession {
+  readonly #context: HostContext
+  readonly #runner: StatementRunner
+  readonly #desks: RelayDesks
+  readonly #connection: JsonRpcConnection
+  readonly #held = new Map<number, HeldTransaction>()
+  #running = 0
+  #lastTransaction = 0
+
+  constructor(context: HostContext, runner: StatementRunner, desks: RelayDesks, socket: Socket) {
+    this.#context = context
+    this.#runner = runner
+    this.#desks = desks
+    this.#connection = new JsonRpcConnection(socket, {
+      [RELAY_METHODS.ping]: () => true,
+      [RELAY_METHODS.single]: params => this.#single(params as RequestMessage),
+      [RELAY_METHODS.begin]: params => this.#begin(params as BeginMessage),
+      [RELAY_METHODS.continue]: params => this.#continue(params as ContinueMessage),
+      [RELAY_METHODS.end]: params => {
+        this.#end((params as EndMessage).transaction)
+        return true
+      },
+    })
+    this.#connection.onClose(() => {
+      for (const id of [...this.#held.keys()]) this.#end(id)
+    })
+  }
+
+  get isWorking(): boolean {
+    return this.#running > 0 || this.#held.size > 0
+  }
+
+  onClose(listener: () => void): void {
+    this.#connection.onClose(listener)
+  }
+
+  close(): void {
+    this.#connection.close()
+  }
+
+  async #single(message: RequestMessage): Promise<AnswerMessage> {
+    const desk = this.#desks.serve(message.route.service)
+    if (desk === null) return { kind: 'declined' }
+    const request = readRequest(message, desk, this.#context.clock.now())
+    this.#running += 1
+    const result = await this.#runner.single(request)
+    this.#running -= 1
+    return answerOf(request, { result, transaction: null }, null)
+  }
+
+  async #begin(message: BeginMessage): Promise<AnswerMessage> {
+    const desk = this.#desks.serve(message.request.route.service)
+    if (desk === null) return { kind: 'declined' }
+    const request = readRequest(message.request, desk, this.#context.clock.now())
+    this.#running += 1
+    const begun = await this.#runner.begin(request, message.readOnly)
+    this.#running -= 1
+    this.#lastTransaction += 1
+    return answerOf(request, begun, this.#hold(this.#lastTransaction, begun.transaction))
+  }
+
+  async #continue(message: ContinueMessage): Promise<AnswerMessage> {
+    const known = this.#held.get(message.transaction)
+    if (known === undefined) return { kind: 'declined' }
+    if (known.idleTimer !== null) clearTimeout(known.idleTimer)
+    // While a statement runs, only what follows it here may end the transaction.
+    this.#held.delete(message.transaction)
+    const { desk } = known.transaction
+    const request = readRequest(message.request, desk, this.#context.clock.now())
+    this.#running += 1
+    const gone = await this.#runner.continue(request, known.transaction)
+    this.#running -= 1
+    return answerOf(request, gone, this.#hold(message.transaction, gone.transaction))
+  }
+
+  /** Null when there is nothing to hold, or nobody left to end it. */
+  #hold(id: number, transaction: LocalTransaction | null): number | null {
+    if (transaction === null) return null
+    if (this.#connection.closed) {
+      this.#runner.endTransaction(transaction, 'open')
+      return null
+    }
+    const limit = this.#desks.idleTransactionMilliseconds + IDLE_RESERVE_MILLISECONDS
+    const end = () => {
+      this.#end(id)
+    }
+    const idleTimer = Number.isFinite(limit) ? setTimeout(end, limit) : null
+    this.#held.set(id, { transaction, idleTimer })
+    return id
+  }
+
+  #end(id: number): void {
+    const known = this.#held.get(id)
+    if (known === undefined) return
+    this.#held.delete(id)
+    if (known.idleTimer !== null) clearTimeout(known.idleTimer)
+    this.#runner.endTransaction(known.transaction, 'open')
+  }
+}
+
+function answerOf(
+  request: StatementRequest,
+  { result }: BegunTransaction<LocalTransaction>,
+  transaction: number | null,
+): AnswerMessage {
+  return { kind: 'answered', ...result, own: request.session.ownPosition, transaction }
+}
--- /dev/null
+++ b/packages/host/src/relayingRunner.ts
@@ -0,0 +1,167 @@
+/**
+ * Runs statements here where this host holds connections to the service, and at an owner where it
+ * does not. What was promised to a caller stays true across the hop: a statement that reached the
+ * owner and whose answer is lost is told as one whose connection was lost.
+ *
+ * @internal
+ */
+import { fateOf, type Mishap, type StatementPlace } from '@nutmegcourse/state'
+import type { SessionStatus } from '@nutmegcourse/protocol'
+import type { HostContext } from './hostContext.js'
+import { RELAY_METHODS, readPosition, writeRequest, type AnswerMessage } from './relayMessages.js'
+import type { RelayOutcome, RelayPeer } from './relayPeer.js'
+import type { ServiceDesk } from './serviceDesk.js'
+import {
+  refused,
+  type BegunTransaction,
+  type RelayedTransaction,
+  type Runner,
+  type RunningTransaction,
+  type StatementRequest,
+  type StatementResult,
+  type StatementRunner,
+} from './statementRunner.js'
+
+/** Whom to ask for a service. */
+export interface OwnerBook {
+  /** Other hosts in the order in which to ask them; null when this host serves by itself. */
+  peersFor(desk: ServiceDesk): RelayPeer[] | null
+}
+
+interface Relayed {
+  readonly outcome: RelayOutcome
+  readonly peer: RelayPeer | null
+}
+
+type Answered = Extract<AnswerMessage, { kind: 'answered' }>
+
+export class RelayingRunner implements Runner {
+  readonly #context: HostContext
+  readonly #local: StatementRunner
+  readonly #owners: OwnerBook
+
+  constructor(context: HostContext, local: StatementRunner, owners: OwnerBook) {
+    this.#context = context
+    this.#local = local
+    this.#owners = owners
+  }
+
+  async single(request: StatementRequest): Promise<StatementResult> {
+    const peers = this.#owners.peersFor(request.desk)
+    if (peers === null) return this.#local.single(request)
+    const place: StatementPlace = request.isWrite ? 'singleWrite' : 'singleRead'
+    const message = (): unknown => writeRequest(request, this.#context.clock.now())
+    const { outcome } = await this.#ask(request, peers, place, RELAY_METHODS.single, message)
+    if (outcome.kind === 'answered') return this.#take(request, outcome.message)
+    if (outcome.kind === 'notSent' && !this.#isOver(request)) return this.#local.single(request)
+    return this.#fail(request, place, outcome)
+  }
+
+  async begin(request: StatementRequest, readOnly: boolean): Promise<BegunTransaction> {
+    const peers = this.#owners.peersFor(request.desk)
+    if (peers === null) return this.#local.begin(request, readOnly)
+    const place: StatementPlace =
+      request.statement.body.kind === 'commit' ? 'commit' : 'firstOfTransaction'
+    const message = (): unknown => ({
+      request: writeRequest(request, this.#context.clock.now()),
+      readOnly,
+    })
+    const { outcome, peer } = await this.#ask(request, peers, place, RELAY_METHODS.begin, message)
+    if (outcome.kind === 'answered' && peer !== null) {
+      return this.#takeTransaction(request, peer, outcome.message)
+    }
+    if (outcome.kind === 'notSent' && !this.#isOver(request)) {
+      return this.#local.begin(request, readOnly)
+    }
+    return { result: this.#fail(request, place, outcome), transaction: null }
+  }
+
+  async continue(
+    request: StatementRequest,
+    transaction: RunningTransaction,
+  ): Promise<BegunTransaction> {
+    if (transaction.kind === 'local') return this.#local.continue(request, transaction)
+    const { peer, id } = transaction
+    const params = { request: writeRequest(request, this.#context.clock.now()), transaction: id }
+    const outcome = await peer.call(RELAY_METHODS.continue, params, request.deadline)
+    if (outcome.kind === 'answered') return this.#takeTransaction(request, peer, outcome.message)
+    peer.end(id)
+    const isCommit = request.statement.body.kind === 'commit'
+    const place: StatementPlace = isCommit ? 'commit' : 'withinTransaction'
+    return { result: this.#fail(request, place, outcome), transaction: null }
+  }
+
+  endTransaction(transaction: RunningTransaction, status: SessionStatus | null): void {
+    if (transaction.kind === 'local') this.#local.endTransaction(transaction, status)
+    else transaction.peer.end(transaction.id)
+  }
+
+  /** Asks one owner after the other, as long as asking again can do no harm. */
+  async #ask(
+    request: StatementRequest,
+    peers: readonly RelayPeer[],
+    place: StatementPlace,
+    method: string,
+    message: () => unknown,
+  ): Promise<Relayed> {
+    let last: Relayed = { outcome: { kind: 'notSent' }, peer: null }
+    for (const peer of peers) {
+      if (this.#isOver(request)) break
+      if (!peer.isUp(this.#context.clock.now())) continue
+      const outcome = await peer.call(method, message(), request.deadline)
+      last = { outcome, peer }
+      if (outcome.kind === 'answered') return last
+      this.#context.log.write('relay_failed', {
+        request: request.statement.id,
+        service: request.desk.name,
+        host: peer.name,
+        outcome: outcome.kind,
+      })
+      if (fateOf(place, mishapOf(outcome), false).kind !== 'retry') return last
+    }
+    return last
+  }
+
+  #take(request: StatementRequest, message: Answered): StatementResult {
+    request.session.ownPosition = readPosition(message.own)
+    return { answer: message.answer, position: readPosition(message.position) }
+  }
+
+  #takeTransaction(
+    request: StatementRequest,
+    peer: RelayPeer,
+    message: Answered,
+  ): BegunTransaction {
+    const result = this.#take(request, message)
+    if (message.transaction === null) return { result, transaction: null }
+    const transaction: RelayedTransaction = {
+      kind: 'relayed',
+      desk: request.desk,
+      peer,
+      id: message.transaction,
+    }
+    return { result, transaction }
+  }
+
+  #fail(request: StatementRequest, place: StatementPlace, outcome: RelayOutcome): StatementResult {
+    const mishap = mishapOf(outcome)
+    const fate = fateOf(place, mishap, false)
+    return refused(request, fate.kind === 'answer' ? fate.refusal : fate.otherwise, mishap)
+  }
+
+  #isOver(request: StatementRequest): boolean {
+    return this.#context.clock.now() >= request.deadline
+  }
+}
+
+function mishapOf(outcome: RelayOutcome): Mishap {
+  switch (outcome.kind) {
+    case 'answered':
+    case 'overdue':
+      return { kind: 'overdue' }
+    case 'notSent':
+      return { kind: 'notSent' }
+    case 'lost':
+      return { kind: 'lost', failure: 'connectionLost' }
+  }
+}
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -58,6 +58,8 @@
   readonly #all = new Set<PooledLink>()
   readonly #line = new WaitingLine<LinkWaiter>()
   #connectionLimit: number
+  /** Hosts that share the server's connections. */
+  readonly #holders: () => number
   #opening = 0
   #mayOpenAt = milliseconds(0)
   #isClosed = false
@@ -66,7 +68,13 @@
   /** Refused connections in a row. */
   refusals = 0
 
-  constructor(context: HostContext, address: BackendAddress, connectionLimit: number) {
+  constructor(
+    context: HostContext,
+    address: BackendAddress,
+    connectionLimit: number,
+    holders: () => number,
+  ) {
+    this.#holders = holders
     this.#context = context
     this.#address = address
     this.#connectionLimit = connectionLimit
@@ -180,7 +188,7 @@
   }
 
   #limits(): PoolLimits {
-    return poolLimits(this.#connectionLimit, this.#context.hostCount)
+    return poolLimits(this.#connectionLimit, this.#holders())
   }
 
   #takeIdle(session: SessionValues): PooledLink | null {
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -3,7 +3,13 @@
  *
  * @internal
  */
-import type { BackendServerId, LogPosition, Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  milliseconds,
+  type BackendServerId,
+  type LogPosition,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type {
   BackendServerEntry,
   ReadGuarantee,
@@ -21,6 +27,9 @@
 import type { HostContext } from './hostContext.js'
 import { Signal } from './waiting.js'
 
+/** How long a host keeps what it needs to serve in an owner's place after it last did. */
+const STAND_IN_MILLISECONDS = 5000
+
 export class ServiceDesk {
   readonly name: string
   readonly bounds = new FreshnessBounds()
@@ -28,6 +37,11 @@
   readonly changed = new Signal()
   readonly #context: HostContext
   readonly #directory: ServerDirectory
+  #activeUntil = milliseconds(0)
+  /** Hosts that hold connections to this service's servers. */
+  holders = 1
+  /** This host is one of them. */
+  isOwned = true
   readonly #leadership = new Leadership()
   readonly #servers = new Map<BackendServerId, BackendServerState>()
   #configuration: ServiceConfiguration
@@ -43,6 +57,16 @@
     this.name = configuration.name
   }
 
+  /** Whether this host works with the service's servers: it owns it, or serves in an owner's place. */
+  isActive(now: Milliseconds): boolean {
+    return this.isOwned || now < this.#activeUntil
+  }
+
+  /** Another host, or this one's own callers, have work for it that no owner takes. */
+  standIn(now: Milliseconds): void {
+    this.#activeUntil = addMilliseconds(now, STAND_IN_MILLISECONDS)
+  }
+
   get configuration(): ServiceConfiguration {
     return this.#configuration
   }
@@ -79,7 +103,10 @@
     this.#servers.get(entry.server)?.close()
     this.#leadership.forget(entry.server)
     const limit = this.#configuration.connectionLimit
-    this.#servers.set(entry.server, new BackendServerState(this.#context, entry, limit))
+    this.#servers.set(
+      entry.server,
+      new BackendServerState(this.#context, entry, limit, () => this.holders),
+    )
     if (entry.role === 'primary') this.#leads(entry.server, now, 'entry')
     this.changed.raise()
   }
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -22,6 +22,7 @@
 } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
+import type { RelayPeer } from './relayPeer.js'
 import type { AcquireFailure, PooledLink } from './serverPool.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import { earlier, pause, rest } from './waiting.js'
@@ -48,17 +49,41 @@
   readonly position: LogPosition | null
 }
 
-/** A transaction that has begun on a connection. */
-export interface RunningTransaction {
+/** A transaction that has begun on a connection of this host. */
+export interface LocalTransaction {
+  readonly kind: 'local'
   readonly desk: ServiceDesk
   readonly server: BackendServerState
   readonly link: PooledLink
 }
 
-export interface BegunTransaction {
+/** A transaction that another entry host runs for this one. */
+export interface RelayedTransaction {
+  readonly kind: 'relayed'
+  readonly desk: ServiceDesk
+  readonly peer: RelayPeer
+  /** The other host's number for it. */
+  readonly id: number
+}
+
+export type RunningTransaction = LocalTransaction | RelayedTransaction
+
+export interface BegunTransaction<Transaction = RunningTransaction> {
   readonly result: StatementResult
-  /** Null when the transaction is over, with nothing kept. */
-  readonly transaction: RunningTransaction | null
+  /** Null when the transaction is over. */
+  readonly transaction: Transaction | null
+}
+
+/** Runs the statements of sessions, here or elsewhere. */
+export interface Runner {
+  /** A read or write outside a transaction. */
+  single(request: StatementRequest): Promise<StatementResult>
+  /** The first statement of a transaction, with the BEGIN that the caller was already told of. */
+  begin(request: StatementRequest, readOnly: boolean): Promise<BegunTransaction>
+  /** A later statement of a transaction, the commit included. */
+  continue(request: StatementRequest, transaction: RunningTransaction): Promise<BegunTransaction>
+  /** Gives up the transaction. `status` is where the server left it. */
+  endTransaction(transaction: RunningTransaction, status: SessionStatus | null): void
 }
 
 /** Before a server that was full is asked again; about what one statement takes there. */
@@ -105,7 +130,10 @@
   }
 
   /** The first statement of a transaction, with the BEGIN that the caller was already told of. */
-  async begin(request: StatementRequest, readOnly: boolean): Promise<BegunTransaction> {
+  async begin(
+    request: StatementRequest,
+    readOnly: boolean,
+  ): Promise<BegunTransaction<LocalTransaction>> {
     const excluded = new Set<BackendServerId>()
     let last: Mishap = { kind: 'notSent' }
     for (;;) {
@@ -127,8 +155,8 @@
   /** A later statement of a transaction, the commit included. */
   async continue(
     request: StatementRequest,
-    transaction: RunningTransaction,
-  ): Promise<BegunTransaction> {
+    transaction: LocalTransaction,
+  ): Promise<BegunTransaction<LocalTransaction>> {
     const isCommit = request.statement.body.kind === 'commit'
     const place: StatementPlace = isCommit ? 'commit' : 'withinTransaction'
     for (;;) {
@@ -158,7 +186,7 @@
   }
 
   /** Gives the connection back without the transaction. `status` is where the server left it. */
-  endTransaction(transaction: RunningTransaction, status: SessionStatus | null): void {
+  endTransaction(transaction: LocalTransaction, status: SessionStatus | null): void {
     const { server, link } = transaction
     if (status === null) {
       server.pool.discard(link)
@@ -300,7 +328,9 @@
     readOnly: boolean,
     excluded: Set<BackendServerId>,
   ): Promise<
-    ({ readonly kind: 'begun' } & BegunTransaction) | ({ kind: 'mishap' } & ServerMishap) | null
+    | ({ readonly kind: 'begun' } & BegunTransaction<LocalTransaction>)
+    | ({ kind: 'mishap' } & ServerMishap)
+    | null
   > {
     const { clock } = this.#context
     const { desk, route, session } = request
@@ -323,7 +353,7 @@
       server.pool.release(link)
       return null
     }
-    const transaction: RunningTransaction = { desk, server, link }
+    const transaction: LocalTransaction = { kind: 'local', desk, server, link }
     if (!(await adoptValues(this.#context, link, session.values, request.deadline))) {
       server.pool.discard(link)
       return lostMishap(server)
@@ -358,9 +388,10 @@
 
   async #firstStatement(
     request: StatementRequest,
-    transaction: RunningTransaction,
+    transaction: LocalTransaction,
   ): Promise<
-    ({ readonly kind: 'begun' } & BegunTransaction) | ({ kind: 'mishap' } & ServerMishap)
+    | ({ readonly kind: 'begun' } & BegunTransaction<LocalTransaction>)
+    | ({ kind: 'mishap' } & ServerMishap)
   > {
     const isCommit = request.statement.body.kind === 'commit'
     if (isCommit) return { kind: 'begun', ...(await this.continue(request, transaction)) }
@@ -386,10 +417,10 @@
 
   #transactionAnswered(
     request: StatementRequest,
-    transaction: RunningTransaction,
+    transaction: LocalTransaction,
     outcome: Extract<AttemptOutcome, { kind: 'answered' }>,
     isCommit: boolean,
-  ): BegunTransaction {
+  ): BegunTransaction<LocalTransaction> {
     if (isCommit) this.#noteOwnWrite(request, outcome.position)
     if (outcome.status === 'open') return { result: answered(outcome), transaction }
     this.endTransaction(transaction, outcome.status)
@@ -522,7 +553,12 @@
   return { answer: { kind: 'rows', rows, signature }, position }
 }
 
-function refused(request: StatementRequest, refusal: CallerRefusal, last: Mishap): StatementResult {
+/** @internal */
+export function refused(
+  request: StatementRequest,
+  refusal: CallerRefusal,
+  last: Mishap,
+): StatementResult {
   const why = last.kind === 'refused' ? last.refusal : last.kind
   const retryAfter =
     refusal === 'notRun' ? ` retry_after_ms=${String(RETRY_AFTER_MILLISECONDS)}` : ''
--- a/packages/protocol/src/host/hostSettings.ts
+++ b/packages/protocol/src/host/hostSettings.ts
@@ -14,6 +14,10 @@
   readonly regions: ReadonlyMap<AvailabilityZoneId, RegionId>
   readonly callers: HostAddress
   readonly readiness: HostAddress
+  /** Where it runs statements for other entry hosts; null when the settings leave no port for it. */
+  readonly relay: HostAddress | null
+  /** The part of a processor that this host has. */
+  readonly processorShare: number
   /** Where counters are served; null when the settings leave no port for it. */
   readonly metrics: HostAddress | null
   readonly store: HostAddress & {
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -31,6 +31,16 @@
  */
 const BURST_PART = 0.4
 
+/** What a host needs to each server to serve others as well: transactions hold them through pauses. */
+const CONNECTIONS_PER_HOLDER = 3
+
+/** How many of the hosts may hold connections to one service's servers. */
+export function connectionHolders(connectionLimit: number, hosts: number): number {
+  const kept = connectionLimit * KEPT_PART
+  if (kept >= hosts) return Math.max(hosts, 1)
+  return Math.max(1, Math.floor(kept / CONNECTIONS_PER_HOLDER))
+}
+
 export function poolLimits(connectionLimit: number, hosts: number): PoolLimits {
   if (!Number.isFinite(connectionLimit)) return { share: 8, burst: 32 }
   const share = Math.max(1, Math.floor((connectionLimit * KEPT_PART) / Math.max(hosts, 1)))
