feat(host): a typed catalogue of events, logs that never block, counters and latencies served as text

Cause: lines went to standard error and a full pipe would have stopped the service (Node writes to pipes synchronously).

--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -23,6 +23,7 @@
 } from '@nutmegcourse/protocol'
 import { MemoryDialer, MemoryGroup, MemoryStore, StoreConnection } from '@nutmegcourse/stand-ins'
 import { DecisionLog, type LogFields } from '../../src/decisionLog.js'
+import { HostMetrics } from '../../src/hostMetrics.js'
 import { EntryHost } from '../../src/index.js'
 
 export const SERVICE = 'db-1'
@@ -235,11 +236,15 @@
 
   add(name: string, grace = 1000, store = new StoreConnection(this.store)): SceneHost {
     const lines: SceneHost['lines'] = []
-    const log = new DecisionLog({
-      info: (event, fields) => {
-        lines.push({ event, fields })
+    const metrics = new HostMetrics()
+    const log = new DecisionLog(
+      {
+        info: (event, fields) => {
+          lines.push({ event, fields })
+        },
       },
-    })
+      metrics,
+    )
     const host = new EntryHost(
       settingsOf(name, grace, this.#relayPorts.shift() ?? null),
       {
@@ -251,6 +256,7 @@
         },
       },
       log,
+      metrics,
       new SystemClock(),
       new SeededRandom(name.length + this.hosts.length),
     )
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -5,7 +5,7 @@
  *
  * @internal
  */
-import { addMilliseconds, type LogPosition } from '@nutmegcourse/shared'
+import { addMilliseconds, type LogPosition, type Milliseconds } from '@nutmegcourse/shared'
 import type {
   CallerAnswer,
   CallerEvents,
@@ -160,7 +160,9 @@
     this.#isWorking = true
     this.#stopIdleTimer()
     for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+      const arrivedAt = this.#context.clock.now()
       const { answer, position } = await this.#serve(next)
+      this.#count(next, answer, arrivedAt)
       if (this.#isOver) break
       this.#link.answer(answer, this.#status, position)
     }
@@ -338,6 +340,12 @@
     this.#transaction = { kind: 'none' }
   }
 
+  #count(statement: CallerStatement, answer: CallerAnswer, arrivedAt: Milliseconds): void {
+    const outcome = answer.kind === 'refused' ? answer.refusal : 'answered'
+    const took = this.#context.clock.now() - arrivedAt
+    this.#context.metrics.statement(statement.body.kind, outcome, took)
+  }
+
   #logRefusal(request: StatementRequest, { answer }: StatementResult): void {
     if (answer.kind !== 'refused') return
     this.#context.log.write('statement_refused', {
--- a/packages/host/src/decisionLog.ts
+++ b/packages/host/src/decisionLog.ts
@@ -7,9 +7,12 @@
 
 const SECOND = 1000
 
+import type { EventName } from './decisionEvents.js'
+import type { HostMetrics } from './hostMetrics.js'
+
 /** Where lines go. */
 export interface LineSink {
-  info(event: string, fields: LogFields): void
+  info(event: EventName, fields: LogFields): void
 }
 
 export type LogFields = Readonly<Record<string, unknown>>
@@ -22,13 +25,16 @@
 
 export class DecisionLog {
   readonly #log: LineSink
-  readonly #budgets = new Map<string, Budget>()
+  readonly #metrics: HostMetrics
+  readonly #budgets = new Map<EventName, Budget>()
 
-  constructor(log: LineSink) {
+  constructor(log: LineSink, metrics: HostMetrics) {
     this.#log = log
+    this.#metrics = metrics
   }
 
-  write(event: string, fields: LogFields = {}): void {
+  write(event: EventName, fields: LogFields = {}): void {
+    this.#metrics.event(event)
     const budget = this.#budgetOf(event)
     const second = Math.floor(performance.now() / SECOND)
     if (budget.second !== second) {
@@ -45,7 +51,7 @@
     this.#log.info(event, fields)
   }
 
-  #budgetOf(event: string): Budget {
+  #budgetOf(event: EventName): Budget {
     const known = this.#budgets.get(event)
     if (known !== undefined) return known
     const budget = { second: 0, written: 0, leftOut: 0 }
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -22,6 +22,7 @@
 import { ConfigurationBook } from './configurationBook.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { HostContext } from './hostContext.js'
+import type { HostMetrics } from './hostMetrics.js'
 import { HostRegistration } from './hostRegistration.js'
 import { PrimaryKeeper } from './primaryKeeper.js'
 import { PrimaryProbe } from './primaryProbe.js'
@@ -91,10 +92,11 @@
     settings: HostSettings,
     ports: EntryHostPorts,
     log: DecisionLog,
+    metrics: HostMetrics,
     clock: Clock,
     random: RandomSource,
   ) {
-    this.#context = { settings, clock, random, dialer: ports.dialer, log }
+    this.#context = { settings, clock, random, dialer: ports.dialer, log, metrics }
     this.#ports = ports
     this.#directory = new ServerDirectory(settings.drainMilliseconds)
     const runner = new StatementRunner(this.#context)
@@ -117,6 +119,10 @@
     return [...this.#services.values()].every(({ desk }) => desk.servers.length > 0)
   }
 
+  get sessionCount(): number {
+    return this.#sessions.size
+  }
+
   get isKnown(): boolean {
     return this.#configuration.current !== null
   }
--- a/packages/host/src/hostContext.ts
+++ b/packages/host/src/hostContext.ts
@@ -6,6 +6,7 @@
 import type { Clock, RandomSource } from '@nutmegcourse/shared'
 import type { BackendDialer, HostSettings } from '@nutmegcourse/protocol'
 import type { DecisionLog } from './decisionLog.js'
+import type { HostMetrics } from './hostMetrics.js'
 
 export interface HostContext {
   readonly settings: HostSettings
@@ -13,4 +14,5 @@
   readonly random: RandomSource
   readonly dialer: BackendDialer
   readonly log: DecisionLog
+  readonly metrics: HostMetrics
 }
--- /dev/null
+++ b/packages/host/src/hostMetrics.ts
@@ -0,0 +1,73 @@
+/** Counters and latency histograms of one entry host, served as text. */
+import { createHistogram, type RecordableHistogram } from 'node:perf_hooks'
+import { createServer, type Server } from 'node:http'
+import type { HostAddress, StatementBody } from '@nutmegcourse/protocol'
+import type { EventName } from './decisionEvents.js'
+
+/** What became of a statement: what its caller was told, in one word. */
+export type StatementOutcome = string
+
+const PERCENTILES = [50, 90, 99, 99.9]
+const MICROSECONDS = 1000
+
+export class HostMetrics {
+  readonly #events = new Map<EventName, number>()
+  readonly #statements = new Map<string, number>()
+  readonly #latencies = new Map<string, RecordableHistogram>()
+  readonly #gauges = new Map<string, () => number>()
+
+  /** A value that is read when somebody asks. */
+  gauge(name: string, read: () => number): void {
+    this.#gauges.set(name, read)
+  }
+
+  /** Each event counts, also when its line was left out. */
+  event(event: EventName): void {
+    this.#events.set(event, (this.#events.get(event) ?? 0) + 1)
+  }
+
+  /** A statement was answered: labels are the kind and the outcome, whose numbers are bounded. */
+  statement(
+    kind: StatementBody['kind'],
+    outcome: StatementOutcome,
+    tookMilliseconds: number,
+  ): void {
+    const key = `statement="${kind}",outcome="${outcome}"`
+    this.#statements.set(key, (this.#statements.get(key) ?? 0) + 1)
+    let histogram = this.#latencies.get(kind)
+    if (histogram === undefined) {
+      histogram = createHistogram()
+      this.#latencies.set(kind, histogram)
+    }
+    histogram.record(Math.max(1, Math.round(tookMilliseconds * MICROSECONDS)))
+  }
+
+  text(): string {
+    const lines: string[] = []
+    for (const [name, read] of this.#gauges) {
+      lines.push(`nutmegcourse_${name} ${String(read())}`)
+    }
+    for (const [event, count] of this.#events) {
+      lines.push(`nutmegcourse_events_total{event="${event}"} ${String(count)}`)
+    }
+    for (const [labels, count] of this.#statements) {
+      lines.push(`nutmegcourse_statements_total{${labels}} ${String(count)}`)
+    }
+    for (const [kind, histogram] of this.#latencies) {
+      for (const percentile of PERCENTILES) {
+        const value = histogram.percentile(percentile) / MICROSECONDS
+        const labels = `statement="${kind}",percentile="${String(percentile)}"`
+        lines.push(`nutmegcourse_statement_milliseconds{${labels}} ${String(value)}`)
+      }
+    }
+    return `${lines.join('\n')}\n`
+  }
+}
+
+/** Serves the text at every path. */
+export function serveMetrics(address: HostAddress, metrics: HostMetrics): Server {
+  const server = createServer((_incoming, outgoing) => {
+    outgoing.writeHead(200, { 'Content-Type': 'text/plain; charset=utf-8' }).end(metrics.text())
+  })
+  return server.listen(address.port, address.host)
+}
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** The entry host's process. */
-import { createLog } from '@nutmegcourse/observability'
+import { parseArgs } from 'node:util'
+import { createLog, openStandardOutput } from '@nutmegcourse/observability'
 import {
   LineBackendDialer,
   LineCallerLink,
@@ -11,8 +12,9 @@
   settingsPath,
 } from '@nutmegcourse/platform'
 import { SystemClock, SystemRandom } from '@nutmegcourse/shared'
-import type { HostSettings, PromotionPort } from '@nutmegcourse/protocol'
+import type { HostAddress, HostSettings, PromotionPort } from '@nutmegcourse/protocol'
 import { DecisionLog } from './decisionLog.js'
+import { HostMetrics, serveMetrics } from './hostMetrics.js'
 import { EntryHost } from './entryHost.js'
 
 const EXIT_BAD_SETTINGS = 2
@@ -24,7 +26,14 @@
 
 function run(settings: HostSettings, path: string): void {
   const { entryHost, zone } = settings
-  const log = new DecisionLog(createLog({ process: 'host', entryHost, zone }, 'info'))
+  const output = openStandardOutput()
+  const metrics = new HostMetrics()
+  metrics.gauge('resident_bytes', () => process.memoryUsage.rss())
+  metrics.gauge('log_lines_dropped_total', () => output.dropped)
+  const log = new DecisionLog(
+    createLog({ process: 'host', entryHost, zone }, 'info', output),
+    metrics,
+  )
   const host = new EntryHost(
     settings,
     {
@@ -35,11 +44,15 @@
       callerLink: socket => new LineCallerLink(socket),
     },
     log,
+    metrics,
     new SystemClock(),
     new SystemRandom(),
   )
+  metrics.gauge('sessions', () => host.sessionCount)
   host.start()
   host.listen()
+  const metricsAddress = metricsPlace(settings)
+  if (metricsAddress !== null) serveMetrics(metricsAddress, metrics)
   serveReadiness(settings.readiness, () => host.isReady)
   log.write('started', { settings: path })
   process.on('SIGHUP', () => {
@@ -56,6 +69,14 @@
   })
 }
 
+/** `--metrics-port` goes before the settings, which name a port that differs from day to day. */
+function metricsPlace(settings: HostSettings): HostAddress | null {
+  const { values } = parseArgs({ options: { 'metrics-port': { type: 'string' } } })
+  const port = Number(values['metrics-port'])
+  const isPort = Number.isInteger(port) && port > 0 && port < 65_536
+  return isPort ? { host: settings.callers.host, port } : settings.metrics
+}
+
 const path = settingsPath(process.env)
 if (path === null) {
   console.error('no settings file is named')
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,3 +1,4 @@
+export * from './boundedOutput.js'
 export * from './log.js'
 export * from './metrics.js'
 export * from './describeCounters.js'
--- a/packages/observability/src/log.ts
+++ b/packages/observability/src/log.ts
@@ -1,4 +1,5 @@
-/** Structured logs: one JSON object a line on standard error, so that standard output stays a program's own. */
+/** Structured logs: one JSON object a line. */
+import type { Writable } from 'node:stream'
 import { createLogger, format, transports, type Logger } from 'winston'
 
 export type Log = Logger
@@ -9,8 +10,12 @@
   readonly zone: string
 }
 
-export function createLog(identity: LogIdentity, level: string): Log {
-  const output = new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })
+/** `stream` takes the lines in place of standard error. */
+export function createLog(identity: LogIdentity, level: string, stream?: Writable): Log {
+  const output =
+    stream === undefined
+      ? new transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] })
+      : new transports.Stream({ stream })
   const logger = createLogger({
     level,
     defaultMeta: identity,
