--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -11,9 +11,11 @@
   | { readonly phase: 'claimed'; readonly holder: string; readonly attempt: AttemptId }
   | { readonly phase: 'done'; readonly holder: string; readonly primary: BackendServerId }
 
-/** A host finds the primary of a service silent. */
+/** What a host says of the primary of a service when some host finds it silent. */
 export interface SuspicionRecord {
   readonly primary: BackendServerId
+  /** True when this host reaches it, false when it finds it silent too. */
+  readonly reaches: boolean
 }
 
 /** An entry host that takes callers. */
@@ -66,8 +68,10 @@
 }
 
 export function readSuspicionRecord(text: string): SuspicionRecord | null {
-  const primary = textOf(parse(text), 'primary')
-  return primary === null ? null : { primary: backendServerId(primary) }
+  const fields = parse(text)
+  const primary = textOf(fields, 'primary')
+  if (primary === null) return null
+  return { primary: backendServerId(primary), reaches: fields.reaches === true }
 }
 
 export function readHostRecord(text: string): HostRecord | null {
--- a/packages/coordination/src/synchronous/primarySuspicion.ts
+++ b/packages/coordination/src/synchronous/primarySuspicion.ts
@@ -1,8 +1,8 @@
 /**
  * Decides when a silent primary is to be replaced. One host's view is not enough at first: a host
  * that is cut off from a healthy primary would replace it for everyone. So hosts tell each other
- * through the store whom they find silent, and few of them together act; a host that stays alone with its view
- * acts later, because a change away from a primary that lives interrupts its callers hardly at all.
+ * through the store whom they find silent, and whoever reaches the server says so. They act when those
+ * who lost it outnumber those who reach it; a host that hears nobody acts later.
  */
 import type { BackendServerId, Milliseconds } from '@nutmegcourse/shared'
 
@@ -15,12 +15,25 @@
 /** A primary whose port refuses connections has no process; two refusals rule out a lost packet. */
 export const REFUSALS_TO_SUSPECT = 2
 
-/** Part of the entry hosts that must agree, and the least number of them. */
+/** With this part of the entry hosts agreed, nobody's denial can outweigh them: they act at once. */
+const MAJORITY_SHARE = 0.5
+
+/** With this part, and at least so many, they act once the others have had time to deny. */
 const QUORUM_SHARE = 0.25
 const LEAST_QUORUM = 2
 
-/** A host that nobody joins acts by itself after this long. */
-const ALONE_AFTER_MILLISECONDS = 1800
+/** A vote's way to the others and a denial's way back: two changes in the store and their news. */
+const DENIAL_MILLISECONDS = 200
+
+/**
+ * A host that nobody joins acts by itself after this long. The others reach the primary, or can not
+ * say that they do not: they are down, or the store turns them away. Moving it away from hosts that
+ * reach it may cut them off from the new one, so only a host that finds no way through them acts.
+ */
+const ALONE_AFTER_MILLISECONDS = 2500
+
+/** So long after another host reached the primary for this one, it is taken to be well. */
+const REACHED_LATELY_MILLISECONDS = 1500
 
 /** A vote counts so long after it was heard of, and is cast again in half of that time. */
 export const VOTE_LIFETIME_MILLISECONDS = 4000
@@ -34,18 +47,36 @@
   readonly silentMilliseconds: number
   /** Refused connections in a row. */
   readonly refusals: number
+  /** Since another host last reached it for this one; infinite when none did. */
+  readonly reachedThroughOthersAgo: number
 }
 
 export type SuspicionAdvice = 'trust' | 'vote' | 'act'
 
+interface Vote {
+  readonly primary: BackendServerId
+  readonly at: number
+  readonly reaches: boolean
+}
+
 export class PrimarySuspicion {
   #suspect: BackendServerId | null = null
   #since = 0
-  readonly #votes = new Map<string, { readonly primary: BackendServerId; readonly at: number }>()
+  readonly #votes = new Map<string, Vote>()
 
   /** Another host finds the server silent. */
   heardVote(host: string, primary: BackendServerId, now: Milliseconds): void {
-    this.#votes.set(host, { primary, at: now })
+    this.#votes.set(host, { primary, at: now, reaches: false })
+  }
+
+  /** Another host reaches the server. */
+  heardDenial(host: string, primary: BackendServerId, now: Milliseconds): void {
+    this.#votes.set(host, { primary, at: now, reaches: true })
+  }
+
+  /** Whether some host lately found the server silent. */
+  isAccused(primary: BackendServerId, now: Milliseconds): boolean {
+    return this.#count(primary, false, now) > 0
   }
 
   heardNoVote(host: string): void {
@@ -63,15 +94,22 @@
       this.#since = now
     }
     const suspectedFor = now - this.#since
-    const isAgreed = 1 + this.#votesFor(signs.primary, now) >= quorum(hosts)
-    const mayActAt = isAgreed ? rank * RANK_PAUSE_MILLISECONDS : ALONE_AFTER_MILLISECONDS
-    return suspectedFor >= mayActAt ? 'act' : 'vote'
+    const suspects = 1 + this.#count(signs.primary, false, now)
+    if (suspects >= hosts * MAJORITY_SHARE) return suspectedFor >= turn(rank) ? 'act' : 'vote'
+    // Moving it would take it away from more hosts than it would come back to.
+    if (this.#count(signs.primary, true, now) >= suspects) return 'vote'
+    if (suspects >= quorum(hosts)) {
+      return suspectedFor >= DENIAL_MILLISECONDS + turn(rank) ? 'act' : 'vote'
+    }
+    if (signs.reachedThroughOthersAgo < REACHED_LATELY_MILLISECONDS) return 'vote'
+    return suspectedFor >= ALONE_AFTER_MILLISECONDS ? 'act' : 'vote'
   }
 
-  #votesFor(primary: BackendServerId, now: Milliseconds): number {
+  #count(primary: BackendServerId, reaches: boolean, now: Milliseconds): number {
     let count = 0
     for (const vote of this.#votes.values()) {
-      if (vote.primary === primary && now - vote.at < VOTE_LIFETIME_MILLISECONDS) count += 1
+      const isFresh = now - vote.at < VOTE_LIFETIME_MILLISECONDS
+      if (vote.primary === primary && vote.reaches === reaches && isFresh) count += 1
     }
     return count
   }
@@ -80,5 +118,7 @@
 const isSuspicious = (signs: PrimarySigns): boolean =>
   signs.silentMilliseconds >= SUSPECT_AFTER_MILLISECONDS || signs.refusals >= REFUSALS_TO_SUSPECT
 
+const turn = (rank: number): number => rank * RANK_PAUSE_MILLISECONDS
+
 const quorum = (hosts: number): number =>
   Math.min(Math.max(LEAST_QUORUM, Math.ceil(hosts * QUORUM_SHARE)), Math.max(hosts, 1))
--- a/packages/host/__tests__/relay.spec.ts
+++ b/packages/host/__tests__/relay.spec.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { inScene, type Scene, type SceneHost } from './support/scene.js'
+import { P, inScene, type Scene, type SceneHost } from './support/scene.js'
 
 /** Too few connections for three hosts, so that one of them holds them all. */
 const FEW_CONNECTIONS = 5
@@ -36,6 +36,32 @@
   )
 }
 
+describe('a host that is cut off from the primary', () => {
+  // A cut separates one host from the primary; the others reach it. Its callers' writes go through
+  // them, and the primary stays: moving it would cut the others off from the new one.
+  it('writes through hosts that reach it, and leaves the primary where it is', async () => {
+    await inScene(
+      3,
+      async (scene, [host]) => {
+        if (host === undefined) return
+        const caller = await scene.caller(host, 'own')
+        scene.cutOff(host, P)
+        let served = 0
+        const limit = performance.now() + 4000
+        while (performance.now() < limit) {
+          if ((await caller.tell('write 1')) === 'done') served += 1
+          await new Promise(resolve => setTimeout(resolve, 40))
+        }
+        expect(served > 40).toEqual(true)
+        expect(scene.group.promotions).toEqual(0)
+        const told = [await caller.tell('begin'), await caller.tell('write 2')]
+        expect([...told, await caller.tell('commit')]).toEqual(['done', 'done', 'done'])
+      },
+      { relayPorts: await freePorts(3) },
+    )
+  })
+})
+
 describe('a service with fewer connections than hosts', () => {
   it('is served at every host through the one that holds the connections', async () => {
     await inCrowd(async (scene, _owner, other) => {
--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -182,6 +182,7 @@
 export interface SceneHost {
   readonly host: EntryHost
   readonly store: StoreConnection
+  readonly dialer: MemoryDialer
   readonly lines: { readonly event: string; readonly fields: LogFields }[]
 }
 
@@ -245,10 +246,13 @@
       },
       metrics,
     )
+    const dialer = new MemoryDialer([this.group])
+    dialer.hooks = this.dialer.hooks
+    dialer.links = this.dialer.links
     const host = new EntryHost(
       settingsOf(name, grace, this.#relayPorts.shift() ?? null),
       {
-        dialer: this.dialer,
+        dialer,
         store,
         promotion: this.#promotionFor(name),
         callerLink: () => {
@@ -260,12 +264,17 @@
       new SystemClock(),
       new SeededRandom(name.length + this.hosts.length),
     )
-    const made = { host, store, lines }
+    const made = { host, store, dialer, lines }
     this.hosts.push(made)
     host.start()
     return made
   }
 
+  /** One host's packets to a server, and the server's to it, are lost. */
+  cutOff(host: SceneHost, server: BackendServerId): void {
+    host.dialer.unreachable.add(server)
+  }
+
   /** A server's process is gone. */
   crash(server: BackendServerId): void {
     this.group.server(server).isDown = true
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -62,8 +62,12 @@
     },
   },
   primary_suspected: {
-    when: 'The primary is silent for this host; it tells the others so.',
-    fields: { service: 'the service', primary: 'the server' },
+    when: 'The primary is silent for some host; this one tells the others what it sees itself.',
+    fields: {
+      service: 'the service',
+      primary: 'the server',
+      reaches: 'true: this host reaches it; false: it is silent here too',
+    },
   },
   vote_failed: {
     when: 'The word to the others about a silent primary got lost.',
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -7,7 +7,12 @@
   readRecordName,
   type HostRecord,
 } from '@nutmegcourse/coordination'
-import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  type Clock,
+  type Milliseconds,
+  type RandomSource,
+} from '@nutmegcourse/shared'
 import type {
   BackendDialer,
   CallerLink,
@@ -60,6 +65,10 @@
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024
 
+/** Hosts that are asked to reach a primary which this one does not, and the pause when none could. */
+const AROUND_PEERS = 6
+const AROUND_PAUSE_MILLISECONDS = 150
+
 interface ServiceParts {
   readonly desk: ServiceDesk
   readonly probe: PrimaryProbe
@@ -83,6 +92,7 @@
   readonly #peers = new Map<string, RelayPeer>()
   readonly #follower: StoreFollower
   readonly #registration: HostRegistration
+  readonly #aroundPausedUntil = new Map<string, Milliseconds>()
   #server: Server | null = null
   #timer: NodeJS.Timeout | null = null
   #lastTick = Number.NEGATIVE_INFINITY
@@ -141,16 +151,33 @@
     return route === null || parts === undefined ? null : { route, desk: parts.desk }
   }
 
-  peersFor(desk: ServiceDesk): RelayPeer[] | null {
-    if (desk.isOwned) return null
-    const order = this.#services.get(desk.name)?.order ?? []
-    const peers = order.flatMap(host => this.#peer(host) ?? [])
+  peersFor(desk: ServiceDesk, atPrimary: boolean): RelayPeer[] | null {
     const now = this.#context.clock.now()
-    if (peers.some(peer => peer.isUp(now))) return peers
+    if (desk.isOwned && (!atPrimary || desk.reachesPrimary(now))) return null
+    const order = this.#services.get(desk.name)?.order ?? []
+    const peers = order.flatMap(host => this.#peer(host) ?? []).filter(peer => peer.isUp(now))
+    if (desk.isOwned) return this.#aroundCut(desk, peers, now)
+    if (peers.length > 0) return peers
     desk.standIn(now)
     return null
   }
 
+  /**
+   * This host does not reach the primary; others may. A few of them are asked, and when none does,
+   * nobody is asked again for a moment: then the primary is gone, and each statement would pay for it.
+   */
+  #aroundCut(
+    desk: ServiceDesk,
+    peers: readonly RelayPeer[],
+    now: Milliseconds,
+  ): RelayPeer[] | null {
+    const isPaused = now < (this.#aroundPausedUntil.get(desk.name) ?? now)
+    const hasHelped = now - desk.reachedThroughOthersAt < AROUND_PAUSE_MILLISECONDS
+    if (peers.length === 0 || (isPaused && !hasHelped)) return null
+    this.#aroundPausedUntil.set(desk.name, addMilliseconds(now, AROUND_PAUSE_MILLISECONDS))
+    return peers.slice(0, AROUND_PEERS)
+  }
+
   serve(service: string): ServiceDesk | null {
     if (this.#isStopping) return null
     const desk = this.#services.get(service)?.desk ?? null
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -23,6 +23,7 @@
   writeRecord,
   type ChangeRecord,
   type ChosenPrimary,
+  type SuspicionRecord,
 } from '@nutmegcourse/coordination'
 import {
   addMilliseconds,
@@ -80,7 +81,7 @@
   #abandonedAt: Milliseconds | null = null
   #quietUntil = milliseconds(0)
   #isChanging = false
-  #voteCastAt: Milliseconds | null = null
+  #lastVote: { readonly vote: SuspicionRecord; readonly at: Milliseconds } | null = null
   #attempts = 0
 
   constructor(
@@ -120,7 +121,9 @@
   heardSuspicion(host: string, value: string | null): void {
     const suspicion = value === null ? null : readSuspicionRecord(value)
     if (suspicion === null) this.#suspicion.heardNoVote(host)
-    else this.#suspicion.heardVote(host, suspicion.primary, this.#context.clock.now())
+    else if (suspicion.reaches) {
+      this.#suspicion.heardDenial(host, suspicion.primary, this.#context.clock.now())
+    } else this.#suspicion.heardVote(host, suspicion.primary, this.#context.clock.now())
   }
 
   tick(now: Milliseconds): void {
@@ -149,10 +152,14 @@
       primary: primary.entry.server,
       silentMilliseconds: primary.silentFor(now),
       refusals: primary.pool.refusals,
+      reachedThroughOthersAgo: now - this.#desk.reachedThroughOthersAt,
     }
     const advice = this.#suspicion.advise(signs, this.#observers().length, rank, now)
-    if (advice === 'trust') this.#withdrawVote()
-    else this.#castVote(primary.entry.server, now)
+    const { server } = primary.entry
+    if (advice !== 'trust') this.#castVote({ primary: server, reaches: false }, now)
+    else if (this.#suspicion.isAccused(server, now) && this.#desk.reachesPrimary(now)) {
+      this.#castVote({ primary: server, reaches: true }, now)
+    } else this.#withdrawVote()
     return advice === 'act' ? 'silent' : null
   }
 
@@ -171,17 +178,19 @@
     return record?.phase === 'claimed' && record.holder !== this.#context.settings.entryHost
   }
 
-  #castVote(primary: BackendServerId, now: Milliseconds): void {
-    const last = this.#voteCastAt
-    if (last !== null && now < addMilliseconds(last, VOTE_LIFETIME_MILLISECONDS / 2)) return
-    this.#voteCastAt = now
-    this.#context.log.write('primary_suspected', { service: this.#desk.name, primary })
-    void this.#putVote(writeRecord({ primary }))
+  /** Says it again in time, and at once when this host's own view has changed. */
+  #castVote(vote: SuspicionRecord, now: Milliseconds): void {
+    const last = this.#lastVote
+    const isSame = last?.vote.primary === vote.primary && last.vote.reaches === vote.reaches
+    if (isSame && now < addMilliseconds(last.at, VOTE_LIFETIME_MILLISECONDS / 2)) return
+    this.#lastVote = { vote, at: now }
+    this.#context.log.write('primary_suspected', { service: this.#desk.name, ...vote })
+    void this.#putVote(writeRecord(vote))
   }
 
   #withdrawVote(): void {
-    if (this.#voteCastAt === null) return
-    this.#voteCastAt = null
+    if (this.#lastVote === null) return
+    this.#lastVote = null
     void this.#putVote(null)
   }
 
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -17,11 +17,12 @@
   type RequestMessage,
 } from './relayMessages.js'
 import type { ServiceDesk } from './serviceDesk.js'
-import type {
-  BegunTransaction,
-  LocalTransaction,
-  StatementRequest,
-  StatementRunner,
+import {
+  needsPrimary,
+  type BegunTransaction,
+  type LocalTransaction,
+  type StatementRequest,
+  type StatementRunner,
 } from './statementRunner.js'
 
 /** Beyond the configured time that a transaction may rest: its own host ends it before that. */
@@ -125,6 +126,7 @@
     const desk = this.#desks.serve(message.route.service)
     if (desk === null) return { kind: 'declined' }
     const request = readRequest(message, desk, this.#context.clock.now())
+    if (this.#isOutOfReach(request, !request.isWrite)) return { kind: 'declined' }
     this.#running += 1
     const result = await this.#runner.single(request)
     this.#running -= 1
@@ -135,6 +137,7 @@
     const desk = this.#desks.serve(message.request.route.service)
     if (desk === null) return { kind: 'declined' }
     const request = readRequest(message.request, desk, this.#context.clock.now())
+    if (this.#isOutOfReach(request, message.readOnly)) return { kind: 'declined' }
     this.#running += 1
     const begun = await this.#runner.begin(request, message.readOnly)
     this.#running -= 1
@@ -156,6 +159,13 @@
     return answerOf(request, gone, this.#hold(message.transaction, gone.transaction))
   }
 
+  /** The other host asks the next one then, which may reach the primary. */
+  #isOutOfReach(request: StatementRequest, readOnly: boolean): boolean {
+    const { desk } = request
+    if (!desk.isOwned || !needsPrimary(request, readOnly)) return false
+    return !desk.reachesPrimary(this.#context.clock.now())
+  }
+
   /** Null when there is nothing to hold, or nobody left to end it. */
   #hold(id: number, transaction: LocalTransaction | null): number | null {
     if (transaction === null) return null
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -12,6 +12,7 @@
 import type { RelayOutcome, RelayPeer } from './relayPeer.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import {
+  needsPrimary,
   refused,
   type BegunTransaction,
   type RelayedTransaction,
@@ -24,8 +25,11 @@
 
 /** Whom to ask for a service. */
 export interface OwnerBook {
-  /** Other hosts in the order in which to ask them; null when this host serves by itself. */
-  peersFor(desk: ServiceDesk): RelayPeer[] | null
+  /**
+   * Other hosts in the order in which to ask them; null when this host serves by itself.
+   * `atPrimary`: only the primary can run it.
+   */
+  peersFor(desk: ServiceDesk, atPrimary: boolean): RelayPeer[] | null
 }
 
 interface Relayed {
@@ -47,7 +51,8 @@
   }
 
   async single(request: StatementRequest): Promise<StatementResult> {
-    const peers = this.#owners.peersFor(request.desk)
+    const atPrimary = needsPrimary(request, !request.isWrite)
+    const peers = this.#owners.peersFor(request.desk, atPrimary)
     if (peers === null) return this.#local.single(request)
     const place: StatementPlace = request.isWrite ? 'singleWrite' : 'singleRead'
     const message = (): unknown => writeRequest(request, this.#context.clock.now())
@@ -58,7 +63,7 @@
   }
 
   async begin(request: StatementRequest, readOnly: boolean): Promise<BegunTransaction> {
-    const peers = this.#owners.peersFor(request.desk)
+    const peers = this.#owners.peersFor(request.desk, needsPrimary(request, readOnly))
     if (peers === null) return this.#local.begin(request, readOnly)
     const place: StatementPlace =
       request.statement.body.kind === 'commit' ? 'commit' : 'firstOfTransaction'
@@ -110,7 +115,10 @@
       if (!peer.isUp(this.#context.clock.now())) continue
       const outcome = await peer.call(method, message(), request.deadline)
       last = { outcome, peer }
-      if (outcome.kind === 'answered') return last
+      if (outcome.kind === 'answered') {
+        request.desk.reachedThroughOthersAt = this.#context.clock.now()
+        return last
+      }
       this.#context.log.write('relay_failed', {
         request: request.statement.id,
         service: request.desk.name,
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -18,6 +18,7 @@
 import {
   FreshnessBounds,
   Leadership,
+  SILENCE_LIMIT_MILLISECONDS,
   rankForRead,
   type ReadCandidate,
   type ReadNeed,
@@ -40,6 +41,8 @@
   #activeUntil = milliseconds(0)
   /** Hosts that hold connections to this service's servers. */
   holders = 1
+  /** When another host last ran something at a primary that this one does not reach. */
+  reachedThroughOthersAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   /** This host is one of them. */
   isOwned = true
   readonly #leadership = new Leadership()
@@ -99,6 +102,13 @@
     return primary
   }
 
+  /** Whether the primary is known and has not been silent to this host. */
+  reachesPrimary(now: Milliseconds): boolean {
+    const primary = this.writablePrimary(now)
+    if (primary === null || primary.pool.refusals > 0) return false
+    return primary.silentFor(now) <= SILENCE_LIMIT_MILLISECONDS
+  }
+
   appeared(entry: BackendServerEntry, now: Milliseconds): void {
     this.#servers.get(entry.server)?.close()
     this.#leadership.forget(entry.server)
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -44,6 +44,10 @@
   readonly deadline: Milliseconds
 }
 
+/** Whether only the primary can run it. `readOnly`: it begins a transaction that only reads. */
+export const needsPrimary = (request: StatementRequest, readOnly: boolean): boolean =>
+  request.isWrite || !readOnly || request.route.guarantee.kind === 'latest'
+
 export interface StatementResult {
   readonly answer: CallerAnswer
   readonly position: LogPosition | null
@@ -334,21 +338,21 @@
   > {
     const { clock } = this.#context
     const { desk, route, session } = request
-    const needsPrimary = !readOnly || route.guarantee.kind === 'latest'
-    const server = needsPrimary
+    const atPrimary = needsPrimary(request, readOnly)
+    const server = atPrimary
       ? await this.#awaitPrimary(request)
       : await this.#awaitReader(request, excluded)
     if (server === null) return null
-    const limit = needsPrimary
+    const limit = atPrimary
       ? request.deadline
       : earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
     const link = await this.#acquire(request, server, limit)
     if (link === null) {
-      if (!needsPrimary) await this.#leaveOut(request, server, excluded)
+      if (!atPrimary) await this.#leaveOut(request, server, excluded)
       return null
     }
     const sentAt = clock.now()
-    const need = needsPrimary ? null : desk.need(route.guarantee, session.ownPosition, sentAt)
+    const need = atPrimary ? null : desk.need(route.guarantee, session.ownPosition, sentAt)
     if (need?.kind === 'unknown') {
       server.pool.release(link)
       return null
@@ -363,7 +367,7 @@
     const begun = await runOwn(
       this.#context,
       link,
-      { kind: 'begin', readOnly: !needsPrimary, after },
+      { kind: 'begin', readOnly: !atPrimary, after },
       request.deadline,
     )
     if (begun === null) {
@@ -382,7 +386,7 @@
       } as const
       return { kind: 'mishap', outcome, server }
     }
-    if (needsPrimary) desk.provedToLead(server.entry.server, sentAt, begun.position)
+    if (atPrimary) desk.provedToLead(server.entry.server, sentAt, begun.position)
     return this.#firstStatement(request, transaction)
   }
 
--- a/packages/stand-ins/src/hostPlatform/memoryLink.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryLink.ts
@@ -37,7 +37,15 @@
   #closed: (() => void) | null = null
   readonly #open = new Set<(reply: Reply) => void>()
 
-  constructor(group: MemoryGroup, server: MemoryServer, hooks: MemoryDialerHooks) {
+  readonly #unreachable: ReadonlySet<BackendServerId>
+
+  constructor(
+    group: MemoryGroup,
+    server: MemoryServer,
+    hooks: MemoryDialerHooks,
+    unreachable: ReadonlySet<BackendServerId>,
+  ) {
+    this.#unreachable = unreachable
     this.#group = group
     this.#server = server
     this.#hooks = hooks
@@ -73,7 +81,7 @@
 
   async #answer(command: BackendCommand): Promise<Reply> {
     await Promise.resolve()
-    if (this.#server.isSilent) return never()
+    if (this.#server.isSilent || this.#unreachable.has(this.#server.id)) return never()
     if (this.#server.isDown) {
       this.close()
       return err({ kind: 'connectionLost' })
@@ -218,8 +226,10 @@
 }
 
 export class MemoryDialer implements BackendDialer {
-  readonly hooks: MemoryDialerHooks = {}
-  readonly links = new Set<MemoryLink>()
+  hooks: MemoryDialerHooks = {}
+  links = new Set<MemoryLink>()
+  /** Servers whose packets to and from this dialer's host are lost. */
+  readonly unreachable = new Set<BackendServerId>()
   readonly #groups: readonly MemoryGroup[]
 
   constructor(groups: readonly MemoryGroup[]) {
@@ -235,7 +245,9 @@
     if (group === undefined || server === undefined || server.isDown) {
       return { link: CLOSED_LINK, opened: Promise.resolve(err({ kind: 'connectionRefused' })) }
     }
-    if (server.isSilent) return { link: CLOSED_LINK, opened: never() }
+    if (server.isSilent || this.unreachable.has(server.id)) {
+      return { link: CLOSED_LINK, opened: never() }
+    }
     if (server.connections >= group.connectionLimit) {
       const failure: LinkFailure = {
         kind: 'rejected',
@@ -244,7 +256,7 @@
       }
       return { link: CLOSED_LINK, opened: Promise.resolve(err(failure)) }
     }
-    const link = new MemoryLink(group, server, this.hooks)
+    const link = new MemoryLink(group, server, this.hooks, this.unreachable)
     this.links.add(link)
     return { link, opened: Promise.resolve(ok(undefined)) }
   }
@@ -254,7 +266,9 @@
     const server = this.#groups
       .find(each => each.service === address.service)
       ?.servers.get(address.server)
-    if (server?.isSilent === true) return { answered: never(), cancel }
+    if (server?.isSilent === true || this.unreachable.has(address.server)) {
+      return { answered: never(), cancel }
+    }
     if (server === undefined || server.isDown) {
       return { answered: Promise.resolve(err({ kind: 'connectionRefused' })), cancel }
     }
