feat(coordination): a silent primary whose replicas go on receiving is not replaced without a majority

Kept: it holds a primary that serves hosts which can not say so; grounds by test only, no measured gain.

--- a/packages/coordination/__tests__/synchronous/primarySuspicion.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primarySuspicion.spec.ts
@@ -19,6 +19,7 @@
   readonly silent?: number
   readonly refusals?: number
   readonly reached?: number
+  readonly grew?: number
   readonly hosts: number
   readonly rank: number
   readonly denials?: readonly string[]
@@ -53,6 +54,20 @@
       [2500, 'act'],
     ],
   },
+  {
+    // Seven of nine hosts and the primary are cut off from the store, two hosts from the primary. The
+    // two hear no denial, but see that the replicas go on receiving.
+    name: 'its replicas go on receiving: it serves somebody',
+    silent: 600,
+    grew: 300,
+    hosts: 9,
+    rank: 0,
+    votes: [['x', P, 0]],
+    advice: [
+      [0, 'vote'],
+      [3500, 'vote'],
+    ],
+  },
   {
     name: 'alone, but others reach the primary for it',
     silent: 600,
@@ -162,7 +177,18 @@
 ]
 
 describe('PrimarySuspicion', () => {
-  for (const { name, silent, refusals, reached, hosts, rank, votes, denials, advice } of CASES) {
+  for (const {
+    name,
+    silent,
+    refusals,
+    reached,
+    grew,
+    hosts,
+    rank,
+    votes,
+    denials,
+    advice,
+  } of CASES) {
     it(name, () => {
       const suspicion = new PrimarySuspicion()
       for (const [host, primary, at] of votes) suspicion.heardVote(host, primary, milliseconds(at))
@@ -171,6 +197,7 @@
         primary: P,
         silentMilliseconds: silent ?? 0,
         refusals: refusals ?? 0,
+        logGrewAgo: grew ?? Number.POSITIVE_INFINITY,
         reachedThroughOthersAgo: reached ?? Number.POSITIVE_INFINITY,
       }
       const given = advice.map(([at]) => suspicion.advise(signs, hosts, rank, milliseconds(at)))
@@ -184,6 +211,7 @@
       primary: P,
       silentMilliseconds: 600,
       refusals: 0,
+      logGrewAgo: Number.POSITIVE_INFINITY,
       reachedThroughOthersAgo: Number.POSITIVE_INFINITY,
     }
     suspicion.advise(silent, 9, 0, milliseconds(0))
--- a/packages/coordination/src/synchronous/primarySuspicion.ts
+++ b/packages/coordination/src/synchronous/primarySuspicion.ts
@@ -32,6 +32,9 @@
  */
 const ALONE_AFTER_MILLISECONDS = 2500
 
+/** Between two writes of a database that is in use; replicas may apply them that much later too. */
+const GREW_LATELY_MILLISECONDS = 1000
+
 /** So long after another host reached the primary for this one, it is taken to be well. */
 const REACHED_LATELY_MILLISECONDS = 1500
 
@@ -47,6 +50,8 @@
   readonly silentMilliseconds: number
   /** Refused connections in a row. */
   readonly refusals: number
+  /** Since a replica was last seen to receive more; infinite when none was. */
+  readonly logGrewAgo: number
   /** Since another host last reached it for this one; infinite when none did. */
   readonly reachedThroughOthersAgo: number
 }
@@ -96,6 +101,8 @@
     const suspectedFor = now - this.#since
     const suspects = 1 + this.#count(signs.primary, false, now)
     if (suspects >= hosts * MAJORITY_SHARE) return suspectedFor >= turn(rank) ? 'act' : 'vote'
+    // It serves hosts that may be unable to say so, as when they are cut off from the store.
+    if (signs.logGrewAgo < GREW_LATELY_MILLISECONDS) return 'vote'
     // Moving it would take it away from more hosts than it would come back to.
     if (this.#count(signs.primary, true, now) >= suspects) return 'vote'
     if (suspects >= quorum(hosts)) {
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -152,6 +152,7 @@
       primary: primary.entry.server,
       silentMilliseconds: primary.silentFor(now),
       refusals: primary.pool.refusals,
+      logGrewAgo: now - this.#desk.logGrewAt,
       reachedThroughOthersAgo: now - this.#desk.reachedThroughOthersAt,
     }
     const advice = this.#suspicion.advise(signs, this.#observers().length, rank, now)
--- a/packages/host/src/primaryProbe.ts
+++ b/packages/host/src/primaryProbe.ts
@@ -92,6 +92,7 @@
     const { server: id } = server.entry
     if (begun.outcome.kind === 'done') this.#desk.provedToLead(id, askedAt, begun.position)
     else if (begun.outcome.refusal === 'notPrimary') {
+      this.#desk.sawLog(id, begun.position, clock.now())
       this.#desk.refusedToLead(id, askedAt, 'probe')
     }
   }
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -5,6 +5,7 @@
  */
 import {
   addMilliseconds,
+  isAtOrPast,
   milliseconds,
   type BackendServerId,
   type LogPosition,
@@ -41,6 +42,9 @@
   #activeUntil = milliseconds(0)
   /** Hosts that hold connections to this service's servers. */
   holders = 1
+  /** When a replica was last seen to have received more. */
+  logGrewAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
+  #newestSeen: LogPosition | null = null
   /** When another host last ran something at a primary that this one does not reach. */
   reachedThroughOthersAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   /** This host is one of them. */
@@ -163,6 +167,18 @@
     this.changed.raise()
   }
 
+  /**
+   * A replica's log ended here. While it grows, its primary serves somebody, though this host may
+   * have lost sight of it.
+   */
+  sawLog(id: BackendServerId, position: LogPosition | null, now: Milliseconds): void {
+    if (position === null || id === this.#leadership.primary) return
+    const newest = this.#newestSeen
+    if (newest !== null && isAtOrPast(newest, position)) return
+    this.#newestSeen = position
+    if (newest !== null) this.logGrewAt = now
+  }
+
   need(guarantee: ReadGuarantee, own: LogPosition | null, now: Milliseconds): ReadNeed {
     return this.bounds.need(guarantee, own, now)
   }
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -322,7 +322,10 @@
     })
     if (outcome.status === 'idle') server.pool.release(link)
     else server.pool.discard(link)
-    if (outcome.kind === 'answered') server.latency.record(clock.now() - sentAt, clock.now())
+    if (outcome.kind === 'answered') {
+      server.latency.record(clock.now() - sentAt, clock.now())
+      request.desk.sawLog(server.entry.server, outcome.position, clock.now())
+    }
     return outcome
   }
 
