--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -25,7 +25,7 @@
   StatementRequest,
   StatementResult,
   Runner,
-} from './statementRunner.js'
+} from './statements.js'
 
 /** Where a database's callers are served; null when no route has the name. */
 export interface RouteLookup {
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -1,18 +1,7 @@
 /** One entry host: takes callers, follows the store, and keeps the services it needs in order. */
 import { createServer, type Server, type Socket } from 'node:net'
-import {
-  ownersFrom,
-  planOwners,
-  readHostRecord,
-  readRecordName,
-  type HostRecord,
-} from '@nutmegcourse/coordination'
-import {
-  addMilliseconds,
-  type Clock,
-  type Milliseconds,
-  type RandomSource,
-} from '@nutmegcourse/shared'
+import { changeKey, hostKey, readHostRecord, readRecordName } from '@nutmegcourse/coordination'
+import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
 import type {
   BackendDialer,
   CallerLink,
@@ -22,18 +11,18 @@
   PromotionPort,
   StoreLink,
 } from '@nutmegcourse/protocol'
-import { ServerDirectory, connectionHolders, type DirectoryNews } from '@nutmegcourse/state'
+import { ServerDirectory, type DirectoryNews } from '@nutmegcourse/state'
 import { CallerSession, type RouteLookup } from './callerSession.js'
 import { ConfigurationBook } from './configurationBook.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { HostContext } from './hostContext.js'
+import { HostFleet } from './hostFleet.js'
 import type { HostMetrics } from './hostMetrics.js'
 import { HostRegistration } from './hostRegistration.js'
 import { PrimaryKeeper } from './primaryKeeper.js'
 import { PrimaryProbe } from './primaryProbe.js'
-import { RelayPeer } from './relayPeer.js'
 import { RelayServer, type RelayDesks } from './relayServer.js'
-import { RelayingRunner, type OwnerBook } from './relayingRunner.js'
+import { RelayingRunner } from './relayingRunner.js'
 import { ServiceDesk } from './serviceDesk.js'
 import { StatementRunner } from './statementRunner.js'
 import { StoreFollower } from './storeFollower.js'
@@ -65,34 +54,24 @@
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024
 
-/** Hosts that are asked to reach a primary which this one does not, and the pause when none could. */
-const AROUND_PEERS = 6
-const AROUND_PAUSE_MILLISECONDS = 150
-
 interface ServiceParts {
   readonly desk: ServiceDesk
   readonly probe: PrimaryProbe
   readonly keeper: PrimaryKeeper
-  /** Hosts that hold connections to the service's servers and watch its primary. */
-  owners: readonly string[]
-  /** Whom this host asks to run statements, in order. */
-  order: readonly string[]
 }
 
-export class EntryHost implements RouteLookup, OwnerBook, RelayDesks {
+export class EntryHost implements RouteLookup, RelayDesks {
   readonly #context: HostContext
   readonly #ports: EntryHostPorts
   readonly #directory: ServerDirectory
   readonly #configuration = new ConfigurationBook()
   readonly #services = new Map<string, ServiceParts>()
-  readonly #hosts = new Map<string, HostRecord>()
+  readonly #fleet: HostFleet
   readonly #sessions = new Set<CallerSession>()
   readonly #runner: RelayingRunner
   readonly #relay: RelayServer
-  readonly #peers = new Map<string, RelayPeer>()
   readonly #follower: StoreFollower
   readonly #registration: HostRegistration
-  readonly #aroundPausedUntil = new Map<string, Milliseconds>()
   #server: Server | null = null
   #timer: NodeJS.Timeout | null = null
   #lastTick = Number.NEGATIVE_INFINITY
@@ -109,8 +88,9 @@
     this.#context = { settings, clock, random, dialer: ports.dialer, log, metrics }
     this.#ports = ports
     this.#directory = new ServerDirectory(settings.drainMilliseconds)
+    this.#fleet = new HostFleet(this.#context)
     const runner = new StatementRunner(this.#context)
-    this.#runner = new RelayingRunner(this.#context, runner, this)
+    this.#runner = new RelayingRunner(this.#context, runner, this.#fleet)
     this.#relay = new RelayServer(this.#context, runner, this)
     this.#follower = new StoreFollower(this.#context, ports.store, {
       changed: change => {
@@ -151,33 +131,6 @@
     return route === null || parts === undefined ? null : { route, desk: parts.desk }
   }
 
-  peersFor(desk: ServiceDesk, atPrimary: boolean): RelayPeer[] | null {
-    const now = this.#context.clock.now()
-    if (desk.isOwned && (!atPrimary || desk.reachesPrimary(now))) return null
-    const order = this.#services.get(desk.name)?.order ?? []
-    const peers = order.flatMap(host => this.#peer(host) ?? []).filter(peer => peer.isUp(now))
-    if (desk.isOwned) return this.#aroundCut(desk, peers, now)
-    if (peers.length > 0) return peers
-    desk.standIn(now)
-    return null
-  }
-
-  /**
-   * This host does not reach the primary; others may. A few of them are asked, and when none does,
-   * nobody is asked again for a moment: then the primary is gone, and each statement would pay for it.
-   */
-  #aroundCut(
-    desk: ServiceDesk,
-    peers: readonly RelayPeer[],
-    now: Milliseconds,
-  ): RelayPeer[] | null {
-    const isPaused = now < (this.#aroundPausedUntil.get(desk.name) ?? now)
-    const hasHelped = now - desk.reachedThroughOthersAt < AROUND_PAUSE_MILLISECONDS
-    if (peers.length === 0 || (isPaused && !hasHelped)) return null
-    this.#aroundPausedUntil.set(desk.name, addMilliseconds(now, AROUND_PAUSE_MILLISECONDS))
-    return peers.slice(0, AROUND_PEERS)
-  }
-
   serve(service: string): ServiceDesk | null {
     if (this.#isStopping) return null
     const desk = this.#services.get(service)?.desk ?? null
@@ -262,7 +215,7 @@
     this.#server?.close()
     this.#follower.stop()
     this.#relay.close()
-    for (const peer of this.#peers.values()) peer.close()
+    this.#fleet.close()
     for (const { desk } of this.#services.values()) desk.close()
   }
 
@@ -271,7 +224,7 @@
     const wasStandingStill = now - this.#lastTick > STANDSTILL_MILLISECONDS
     this.#lastTick = now
     for (const news of this.#directory.expire(now)) this.#apply(news, now)
-    for (const peer of this.#peers.values()) peer.tick(now)
+    this.#fleet.tick(now)
     for (const { desk, probe, keeper } of this.#services.values()) {
       const isActive = desk.isActive(now)
       for (const server of desk.servers) {
@@ -297,12 +250,10 @@
     )
     for (const change of changes) this.#changed(change)
     for (const news of this.#directory.keepOnly(listed, now)) this.#apply(news, now)
-    for (const host of this.#hosts.keys()) {
-      if (!records.has(`host/${host}`)) this.#hosts.delete(host)
-    }
-    this.#planOwners()
+    this.#fleet.keepOnly(host => records.has(hostKey(host)))
+    this.#fleet.plan(this.#desks())
     for (const [service, { keeper }] of this.#services) {
-      if (!records.has(`change/${service}`)) keeper.heardChange(null, 0)
+      if (!records.has(changeKey(service))) keeper.heardChange(null, 0)
     }
   }
 
@@ -335,7 +286,7 @@
     const { version, routes, services } = configuration
     this.#context.log.write('configuration_taken', { version, routes: routes.length })
     for (const service of services) this.#configureService(service)
-    this.#planOwners()
+    this.#fleet.plan(this.#desks())
     for (const [name, { probe }] of this.#services) {
       probe.guarantees = routes.filter(route => route.service === name).map(each => each.guarantee)
     }
@@ -349,49 +300,17 @@
     }
     const desk = new ServiceDesk(this.#context, this.#directory, service)
     const { store, promotion } = this.#ports
-    const keeper = new PrimaryKeeper(
-      this.#context,
-      desk,
-      this.#directory,
-      store,
-      promotion,
-      () => this.#services.get(service.name)?.owners ?? [],
+    const keeper = new PrimaryKeeper(this.#context, desk, this.#directory, store, promotion, () =>
+      this.#fleet.ownersOf(service.name),
     )
     const probe = new PrimaryProbe(this.#context, desk)
-    this.#services.set(service.name, { desk, probe, keeper, owners: [], order: [] })
+    this.#services.set(service.name, { desk, probe, keeper })
     const now = this.#context.clock.now()
     for (const { entry } of this.#directory.ofService(service.name)) desk.appeared(entry, now)
   }
 
-  /** Who holds connections to what, from the hosts that are known to run. */
-  #planOwners(): void {
-    const { entryHost, zone, region } = this.#context.settings
-    for (const [name, parts] of this.#services) {
-      const { desk } = parts
-      const holders = connectionHolders(desk.configuration.connectionLimit, this.#hosts.size)
-      const plan = planOwners(name, this.#hosts, holders)
-      parts.owners = plan.owners
-      parts.order = ownersFrom(plan, entryHost, { zone, region, relay: null, weight: 1 })
-      desk.holders = holders
-      // Before this host is listed itself it serves by itself: it knows too little to rely on others.
-      desk.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
-    }
-  }
-
-  /** A host that registers anew has lost its connections, and may stand at another address. */
-  #dropPeer(host: string): void {
-    this.#peers.get(host)?.close()
-    this.#peers.delete(host)
-  }
-
-  #peer(host: string): RelayPeer | null {
-    const known = this.#peers.get(host)
-    if (known !== undefined) return known
-    const [address = '', port = ''] = this.#hosts.get(host)?.relay?.split(':') ?? []
-    if (address === '' || port === '') return null
-    const peer = new RelayPeer(this.#context, host, { host: address, port: Number(port) })
-    this.#peers.set(host, peer)
-    return peer
+  #desks(): ServiceDesk[] {
+    return [...this.#services.values()].map(({ desk }) => desk)
   }
 
   #apply(news: DirectoryNews, now: Milliseconds): void {
@@ -431,10 +350,8 @@
         return
       case 'host': {
         const record = value === null ? null : readHostRecord(value)
-        if (record === null) this.#hosts.delete(name.host)
-        else this.#hosts.set(name.host, record)
-        this.#dropPeer(name.host)
-        this.#planOwners()
+        this.#fleet.heard(name.host, record)
+        this.#fleet.plan(this.#desks())
         return
       }
       case undefined:
--- /dev/null
+++ b/packages/host/src/hostFleet.ts
@@ -0,0 +1,115 @@
+/**
+ * The entry hosts that run: who of them holds connections to which service, and the ways to them.
+ *
+ * @internal
+ */
+import { ownersFrom, planOwners, type HostRecord } from '@nutmegcourse/coordination'
+import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import { connectionHolders } from '@nutmegcourse/state'
+import type { HostContext } from './hostContext.js'
+import { RelayPeer } from './relayPeer.js'
+import type { OwnerBook } from './relayingRunner.js'
+import type { ServiceDesk } from './serviceDesk.js'
+
+/** Hosts that are asked to reach a primary which this one does not, and the pause when none could. */
+const AROUND_PEERS = 6
+const AROUND_PAUSE_MILLISECONDS = 150
+
+export class HostFleet implements OwnerBook {
+  readonly #context: HostContext
+  readonly #hosts = new Map<string, HostRecord>()
+  readonly #peers = new Map<string, RelayPeer>()
+  /** By service: who holds connections to its servers and watches its primary. */
+  readonly #owners = new Map<string, readonly string[]>()
+  /** By service: whom this host asks to run statements, in order. */
+  readonly #order = new Map<string, readonly string[]>()
+  readonly #aroundPausedUntil = new Map<string, Milliseconds>()
+
+  constructor(context: HostContext) {
+    this.#context = context
+  }
+
+  ownersOf(service: string): readonly string[] {
+    return this.#owners.get(service) ?? []
+  }
+
+  /** A host registered, or its record is gone. */
+  heard(host: string, record: HostRecord | null): void {
+    if (record === null) this.#hosts.delete(host)
+    else this.#hosts.set(host, record)
+    this.#dropPeer(host)
+  }
+
+  /** A whole list was read: hosts that it does not name are gone. */
+  keepOnly(isListed: (host: string) => boolean): void {
+    for (const host of this.#hosts.keys()) if (!isListed(host)) this.#hosts.delete(host)
+  }
+
+  /** Works out who holds connections to what, from the hosts that are known to run. */
+  plan(desks: Iterable<ServiceDesk>): void {
+    const { entryHost, zone, region } = this.#context.settings
+    for (const desk of desks) {
+      const holders = connectionHolders(desk.configuration.connectionLimit, this.#hosts.size)
+      const plan = planOwners(desk.name, this.#hosts, holders)
+      this.#owners.set(desk.name, plan.owners)
+      this.#order.set(
+        desk.name,
+        ownersFrom(plan, entryHost, { zone, region, relay: null, weight: 1 }),
+      )
+      desk.holders = holders
+      // Before this host is listed itself it serves by itself: it knows too little to rely on others.
+      desk.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
+    }
+  }
+
+  peersFor(desk: ServiceDesk, atPrimary: boolean): RelayPeer[] | null {
+    const now = this.#context.clock.now()
+    if (desk.isOwned && (!atPrimary || desk.reachesPrimary(now))) return null
+    const order = this.#order.get(desk.name) ?? []
+    const peers = order.flatMap(host => this.#peer(host) ?? []).filter(peer => peer.isUp(now))
+    if (desk.isOwned) return this.#aroundCut(desk, peers, now)
+    if (peers.length > 0) return peers
+    desk.standIn(now)
+    return null
+  }
+
+  /**
+   * This host does not reach the primary; others may. A few of them are asked, and when none does,
+   * nobody is asked again for a moment: then the primary is gone, and each statement would pay for it.
+   */
+  #aroundCut(
+    desk: ServiceDesk,
+    peers: readonly RelayPeer[],
+    now: Milliseconds,
+  ): RelayPeer[] | null {
+    const isPaused = now < (this.#aroundPausedUntil.get(desk.name) ?? now)
+    const hasHelped = now - desk.reachedThroughOthersAt < AROUND_PAUSE_MILLISECONDS
+    if (peers.length === 0 || (isPaused && !hasHelped)) return null
+    this.#aroundPausedUntil.set(desk.name, addMilliseconds(now, AROUND_PAUSE_MILLISECONDS))
+    return peers.slice(0, AROUND_PEERS)
+  }
+
+  tick(now: Milliseconds): void {
+    for (const peer of this.#peers.values()) peer.tick(now)
+  }
+
+  close(): void {
+    for (const peer of this.#peers.values()) peer.close()
+  }
+
+  /** A host that registers anew has lost its connections, and may stand at another address. */
+  #dropPeer(host: string): void {
+    this.#peers.get(host)?.close()
+    this.#peers.delete(host)
+  }
+
+  #peer(host: string): RelayPeer | null {
+    const known = this.#peers.get(host)
+    if (known !== undefined) return known
+    const [address = '', port = ''] = this.#hosts.get(host)?.relay?.split(':') ?? []
+    if (address === '' || port === '') return null
+    const peer = new RelayPeer(this.#context, host, { host: address, port: Number(port) })
+    this.#peers.set(host, peer)
+    return peer
+  }
+}
--- /dev/null
+++ b/packages/host/src/primaryClaim.ts
@@ -0,0 +1,116 @@
+/**
+ * The claim of one host to change the primary of a service: a record in the store under a lease, made
+ * by compare-and-swap. Its revision is the fencing token.
+ *
+ * @internal
+ */
+import { changeKey, readChangeRecord, writeRecord } from '@nutmegcourse/coordination'
+import { attemptId, type BackendServerId } from '@nutmegcourse/shared'
+import type { StoreLink } from '@nutmegcourse/protocol'
+import type { HostContext } from './hostContext.js'
+
+/** Limit of one call to the store; a slow one takes some hundred milliseconds. */
+export const CALL_LIMIT_MILLISECONDS = 1000
+
+/** A change takes one to two seconds; the lease outlives its slowest steps and is renewed between them. */
+const CLAIM_MILLISECONDS = 4000
+
+export interface Claim {
+  /** The fencing token. */
+  readonly token: number
+  readonly lease: number
+}
+
+/** Takes what a failed claim found in its place. */
+export type HeardRecord = (value: string | null, revision: number) => void
+
+export class PrimaryClaims {
+  readonly #context: HostContext
+  readonly #store: StoreLink
+  readonly #service: string
+  readonly #heard: HeardRecord
+  #attempts = 0
+
+  constructor(context: HostContext, store: StoreLink, service: string, heard: HeardRecord) {
+    this.#context = context
+    this.#store = store
+    this.#service = service
+    this.#heard = heard
+  }
+
+  /**
+   * `revision` is that of the record on which the decision to claim stands. One that was heard of
+   * meanwhile may be another host's claim, and must not be overwritten.
+   */
+  async claim(revision: number): Promise<Claim | null> {
+    const lifetime = Math.max(
+      CLAIM_MILLISECONDS,
+      this.#context.settings.store.shortestLeaseMilliseconds,
+    )
+    const lease = await this.#store.grantLease(lifetime, CALL_LIMIT_MILLISECONDS)
+    if (lease.isErr()) return this.#failed(lease.error.kind)
+    const { entryHost } = this.#context.settings
+    this.#attempts += 1
+    const attempt = attemptId(`${entryHost}/${String(this.#attempts)}/${String(lease.value)}`)
+    const key = changeKey(this.#service)
+    const value = writeRecord({ phase: 'claimed', holder: entryHost, attempt })
+    const made = await this.#store.change(
+      { expected: [{ key, revision }], puts: [{ key, value, lease: lease.value }], removes: [] },
+      CALL_LIMIT_MILLISECONDS,
+    )
+    if (made.isErr()) {
+      if (made.error.kind !== 'noAnswer') return this.#failed(made.error.kind)
+      return this.#settle(attempt, lease.value)
+    }
+    if (made.value.kind === 'made') return { token: made.value.revision, lease: lease.value }
+    if (made.value.kind === 'conflict') {
+      const [record] = made.value.records
+      this.#heard(record?.value ?? null, record?.revision ?? 0)
+    }
+    return this.#failed(made.value.kind)
+  }
+
+  /** The answer to a claim was lost: what the store holds tells whether it was made. */
+  async #settle(attempt: string, lease: number): Promise<Claim | null> {
+    const read = await this.#store.read(changeKey(this.#service), CALL_LIMIT_MILLISECONDS)
+    if (read.isErr()) return this.#failed(read.error.kind)
+    const record = read.value === null ? null : readChangeRecord(read.value.value)
+    const isOwn = record?.phase === 'claimed' && record.attempt === attempt
+    if (!isOwn || read.value === null) return this.#failed('lost')
+    return { token: read.value.revision, lease }
+  }
+
+  #failed(why: string): null {
+    this.#context.log.write('claim_failed', { service: this.#service, why })
+    return null
+  }
+
+  /** Renews the lease. False when the claim is gone; a store that is away says nothing. */
+  async keep(claim: Claim): Promise<boolean> {
+    const renewed = await this.#store.renewLease(claim.lease, CALL_LIMIT_MILLISECONDS)
+    if (renewed.isErr() || renewed.value) return true
+    this.#context.log.write('claim_lost', { service: this.#service, token: claim.token })
+    return false
+  }
+
+  /** Tells all hosts who leads now, in place of the claim. */
+  async recordDone(claim: Claim, primary: BackendServerId): Promise<void> {
+    const key = changeKey(this.#service)
+    const { entryHost: holder } = this.#context.settings
+    const value = writeRecord({ phase: 'done', holder, primary })
+    const made = await this.#store.change(
+      {
+        expected: [{ key, revision: claim.token }],
+        puts: [{ key, value, lease: 0 }],
+        removes: [],
+      },
+      CALL_LIMIT_MILLISECONDS,
+    )
+    this.#context.log.write('change_done', {
+      service: this.#service,
+      primary,
+      token: claim.token,
+      recorded: made.isOk() ? made.value.kind : made.error.kind,
+    })
+  }
+}
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -14,7 +14,6 @@
   PrimarySuspicion,
   RANK_PAUSE_MILLISECONDS,
   VOTE_LIFETIME_MILLISECONDS,
-  changeKey,
   mixHashes,
   readChangeRecord,
   readSuspicionRecord,
@@ -27,7 +26,6 @@
 } from '@nutmegcourse/coordination'
 import {
   addMilliseconds,
-  attemptId,
   milliseconds,
   type BackendServerId,
   type Milliseconds,
@@ -36,13 +34,10 @@
 import type { ServerDirectory } from '@nutmegcourse/state'
 import { GroupControl } from './groupControl.js'
 import type { HostContext } from './hostContext.js'
+import { CALL_LIMIT_MILLISECONDS, PrimaryClaims, type Claim } from './primaryClaim.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import { rest } from './waiting.js'
 
-/** A change takes one to two seconds; the lease outlives its slowest steps and is renewed between them. */
-const CLAIM_MILLISECONDS = 4000
-const CALL_LIMIT_MILLISECONDS = 1000
-
 /** Rounds of one claim: each asks all servers anew. */
 const ROUNDS = 40
 const ROUND_PAUSE_MILLISECONDS = 100
@@ -57,11 +52,6 @@
 /** After a change or a claim by another, before this host thinks of one again. */
 const SETTLE_MILLISECONDS = 800
 
-interface Claim {
-  readonly token: number
-  readonly lease: number
-}
-
 interface KnownRecord {
   readonly record: ChangeRecord
   readonly revision: number
@@ -76,13 +66,13 @@
   readonly #observers: () => readonly string[]
   readonly #suspicion = new PrimarySuspicion()
   readonly #control: GroupControl
+  readonly #claims: PrimaryClaims
   #known: KnownRecord | null = null
   /** Another host's claim ended without a word that it was done. */
   #abandonedAt: Milliseconds | null = null
   #quietUntil = milliseconds(0)
   #isChanging = false
   #lastVote: { readonly vote: SuspicionRecord; readonly at: Milliseconds } | null = null
-  #attempts = 0
 
   constructor(
     context: HostContext,
@@ -99,6 +89,9 @@
     this.#promotion = promotion
     this.#observers = observers
     this.#control = new GroupControl(context, desk)
+    this.#claims = new PrimaryClaims(context, store, desk.name, (value, revision) => {
+      this.heardChange(value, revision)
+    })
   }
 
   get isChanging(): boolean {
@@ -206,7 +199,7 @@
 
   async #change(reason: string): Promise<void> {
     const revision = this.#known?.revision ?? 0
-    const claim = await this.#claim(revision)
+    const claim = await this.#claims.claim(revision)
     if (claim === null) return
     this.#context.log.write('change_claimed', {
       service: this.#desk.name,
@@ -225,7 +218,7 @@
   }
 
   async #round(claim: Claim): Promise<'done' | 'again' | 'lost'> {
-    if (!(await this.#keepClaim(claim))) return 'lost'
+    if (!(await this.#claims.keep(claim))) return 'lost'
     const oldPrimary = this.#desk.primary?.entry.server ?? null
     const choice = new PrimaryChoice(
       {
@@ -270,9 +263,9 @@
         case 'accepted':
           return this.#awaitEffect(claim, server)
         case 'rejected':
-          return (await this.#keepClaim(claim)) ? 'again' : 'lost'
+          return (await this.#claims.keep(claim)) ? 'again' : 'lost'
         case 'unavailable':
-          if (!(await this.#keepClaim(claim))) return 'lost'
+          if (!(await this.#claims.keep(claim))) return 'lost'
           continue
         case 'noAnswer':
           // It may be carried out any time; asking again settles it.
@@ -290,7 +283,7 @@
       if (report?.role === 'primary') {
         this.#desk.toldToLead(server, clock.now())
         await this.#resumePaused(server)
-        await this.#recordDone(claim, server)
+        await this.#claims.recordDone(claim, server)
         return 'done'
       }
       await rest(EFFECT_PAUSE_MILLISECONDS)
@@ -298,61 +291,6 @@
     return 'again'
   }
 
-  /**
-   * `revision` is that of the record on which the decision to claim stands. One that was heard of
-   * meanwhile may be another host's claim, and must not be overwritten.
-   */
-  async #claim(revision: number): Promise<Claim | null> {
-    const lifetime = Math.max(
-      CLAIM_MILLISECONDS,
-      this.#context.settings.store.shortestLeaseMilliseconds,
-    )
-    const lease = await this.#store.grantLease(lifetime, CALL_LIMIT_MILLISECONDS)
-    if (lease.isErr()) return this.#claimFailed(lease.error.kind)
-    const { entryHost } = this.#context.settings
-    this.#attempts += 1
-    const attempt = attemptId(`${entryHost}/${String(this.#attempts)}/${String(lease.value)}`)
-    const key = changeKey(this.#desk.name)
-    const value = writeRecord({ phase: 'claimed', holder: entryHost, attempt })
-    const made = await this.#store.change(
-      { expected: [{ key, revision }], puts: [{ key, value, lease: lease.value }], removes: [] },
-      CALL_LIMIT_MILLISECONDS,
-    )
-    if (made.isErr()) {
-      if (made.error.kind !== 'noAnswer') return this.#claimFailed(made.error.kind)
-      return this.#settleClaim(attempt, lease.value)
-    }
-    if (made.value.kind === 'made') return { token: made.value.revision, lease: lease.value }
-    if (made.value.kind === 'conflict') {
-      const [record] = made.value.records
-      this.heardChange(record?.value ?? null, record?.revision ?? 0)
-    }
-    return this.#claimFailed(made.value.kind)
-  }
-
-  /** The answer to a claim was lost: what the store holds tells whether it was made. */
-  async #settleClaim(attempt: string, lease: number): Promise<Claim | null> {
-    const read = await this.#store.read(changeKey(this.#desk.name), CALL_LIMIT_MILLISECONDS)
-    if (read.isErr()) return this.#claimFailed(read.error.kind)
-    const record = read.value === null ? null : readChangeRecord(read.value.value)
-    const isOwn = record?.phase === 'claimed' && record.attempt === attempt
-    if (!isOwn || read.value === null) return this.#claimFailed('lost')
-    return { token: read.value.revision, lease }
-  }
-
-  #claimFailed(why: string): null {
-    this.#context.log.write('claim_failed', { service: this.#desk.name, why })
-    return null
-  }
-
-  /** Renews the lease. False when the claim is gone; a store that is away says nothing. */
-  async #keepClaim(claim: Claim): Promise<boolean> {
-    const renewed = await this.#store.renewLease(claim.lease, CALL_LIMIT_MILLISECONDS)
-    if (renewed.isErr() || renewed.value) return true
-    this.#context.log.write('claim_lost', { service: this.#desk.name, token: claim.token })
-    return false
-  }
-
   /**
    * A promotion lets paused replicas receive again. One whose pause came late, or was for a later
    * term, would stay behind for good and push all its reads to the others.
@@ -374,26 +312,6 @@
     )
   }
 
-  async #recordDone(claim: Claim, primary: BackendServerId): Promise<void> {
-    const key = changeKey(this.#desk.name)
-    const { entryHost: holder } = this.#context.settings
-    const value = writeRecord({ phase: 'done', holder, primary })
-    const made = await this.#store.change(
-      {
-        expected: [{ key, revision: claim.token }],
-        puts: [{ key, value, lease: 0 }],
-        removes: [],
-      },
-      CALL_LIMIT_MILLISECONDS,
-    )
-    this.#context.log.write('change_done', {
-      service: this.#desk.name,
-      primary,
-      token: claim.token,
-      recorded: made.isOk() ? made.value.kind : made.error.kind,
-    })
-  }
-
   #logChoice(claim: Claim, chosen: ChosenPrimary): void {
     this.#context.log.write('primary_chosen', {
       service: this.#desk.name,
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -9,7 +9,7 @@
 import { SessionValues, type PreparedStatement } from '@nutmegcourse/state'
 import type { RemoteStatement } from './attempt.js'
 import type { ServiceDesk } from './serviceDesk.js'
-import type { SessionState, StatementRequest } from './statementRunner.js'
+import type { SessionState, StatementRequest } from './statements.js'
 
 export const RELAY_METHODS = {
   single: 'single',
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -22,8 +22,8 @@
   type BegunTransaction,
   type LocalTransaction,
   type StatementRequest,
-  type StatementRunner,
-} from './statementRunner.js'
+} from './statements.js'
+import type { StatementRunner } from './statementRunner.js'
 
 /** Beyond the configured time that a transaction may rest: its own host ends it before that. */
 const IDLE_RESERVE_MILLISECONDS = 1000
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -20,8 +20,8 @@
   type RunningTransaction,
   type StatementRequest,
   type StatementResult,
-  type StatementRunner,
-} from './statementRunner.js'
+} from './statements.js'
+import type { StatementRunner } from './statementRunner.js'
 
 /** Whom to ask for a service. */
 export interface OwnerBook {
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -9,92 +9,24 @@
   laterPosition,
   type BackendServerId,
   type LogPosition,
-  type Milliseconds,
 } from '@nutmegcourse/shared'
-import type { CallerAnswer, CallerRefusal, Route, SessionStatus } from '@nutmegcourse/protocol'
-import { fateOf, type Mishap, type SessionValues, type StatementPlace } from '@nutmegcourse/state'
-import {
-  adoptValues,
-  attempt,
-  runOwn,
-  type AttemptOutcome,
-  type RemoteStatement,
-} from './attempt.js'
+import type { SessionStatus } from '@nutmegcourse/protocol'
+import { fateOf, type Mishap, type StatementPlace } from '@nutmegcourse/state'
+import { adoptValues, attempt, runOwn, type AttemptOutcome } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
-import type { RelayPeer } from './relayPeer.js'
-import type { AcquireFailure, PooledLink } from './serverPool.js'
-import type { ServiceDesk } from './serviceDesk.js'
-import { earlier, pause, rest } from './waiting.js'
-
-/** What a session brings to each of its statements. */
-export interface SessionState {
-  readonly values: SessionValues
-  /** The end of the log after the session's last acknowledged write; null when it wrote nothing. */
-  ownPosition: LogPosition | null
-}
-
-export interface StatementRequest {
-  readonly desk: ServiceDesk
-  readonly route: Route
-  readonly session: SessionState
-  readonly statement: RemoteStatement
-  readonly isWrite: boolean
-  readonly arrivedAt: Milliseconds
-  readonly deadline: Milliseconds
-}
-
-/** Whether only the primary can run it. `readOnly`: it begins a transaction that only reads. */
-export const needsPrimary = (request: StatementRequest, readOnly: boolean): boolean =>
-  request.isWrite || !readOnly || request.route.guarantee.kind === 'latest'
-
-export interface StatementResult {
-  readonly answer: CallerAnswer
-  readonly position: LogPosition | null
-}
-
-/** A transaction that has begun on a connection of this host. */
-export interface LocalTransaction {
-  readonly kind: 'local'
-  readonly desk: ServiceDesk
-  readonly server: BackendServerState
-  readonly link: PooledLink
-}
-
-/** A transaction that another entry host runs for this one. */
-export interface RelayedTransaction {
-  readonly kind: 'relayed'
-  readonly desk: ServiceDesk
-  readonly peer: RelayPeer
-  /** The other host's number for it. */
-  readonly id: number
-}
-
-export type RunningTransaction = LocalTransaction | RelayedTransaction
-
-export interface BegunTransaction<Transaction = RunningTransaction> {
-  readonly result: StatementResult
-  /** Null when the transaction is over. */
-  readonly transaction: Transaction | null
-}
-
-/** Runs the statements of sessions, here or elsewhere. */
-export interface Runner {
-  /** A read or write outside a transaction. */
-  single(request: StatementRequest): Promise<StatementResult>
-  /** The first statement of a transaction, with the BEGIN that the caller was already told of. */
-  begin(request: StatementRequest, readOnly: boolean): Promise<BegunTransaction>
-  /** A later statement of a transaction, the commit included. */
-  continue(request: StatementRequest, transaction: RunningTransaction): Promise<BegunTransaction>
-  /** Gives up the transaction. `status` is where the server left it. */
-  endTransaction(transaction: RunningTransaction, status: SessionStatus | null): void
-}
-
-/** Before a server that was full is asked again; about what one statement takes there. */
-const BUSY_PAUSE_MILLISECONDS = 20
-
-/** News that a request waits for may be missed; then it looks again after this long. */
-const LOOK_AGAIN_MILLISECONDS = 100
+import { ServerAccess, type ServerMishap } from './serverAccess.js'
+import type { PooledLink } from './serverPool.js'
+import {
+  answered,
+  needsPrimary,
+  refused,
+  type BegunTransaction,
+  type LocalTransaction,
+  type StatementRequest,
+  type StatementResult,
+} from './statements.js'
+import { earlier, pause } from './waiting.js'
 
 /** A read waits this long for a connection before it looks at other servers. */
 const READ_ACQUIRE_MILLISECONDS = 200
@@ -107,14 +39,6 @@
 const HEDGE_LEAST_MILLISECONDS = 120
 const HEDGE_TIMEOUT_SHARE = 0.4
 
-/** What a caller is advised to wait before it comes back. */
-const RETRY_AFTER_MILLISECONDS = 250
-
-interface ServerMishap {
-  readonly outcome: Extract<AttemptOutcome, { kind: 'mishap' }>
-  readonly server: BackendServerState
-}
-
 type ReadOutcome =
   /** The server gave no connection, or nothing tells yet how fresh the read must be. */
   | { readonly kind: 'notTried'; readonly server: BackendServerState }
@@ -123,9 +47,11 @@
 
 export class StatementRunner {
   readonly #context: HostContext
+  readonly #access: ServerAccess
 
   constructor(context: HostContext) {
     this.#context = context
+    this.#access = new ServerAccess(context)
   }
 
   /** A read or write outside a transaction. */
@@ -141,7 +67,7 @@
     const excluded = new Set<BackendServerId>()
     let last: Mishap = { kind: 'notSent' }
     for (;;) {
-      if (this.#isOver(request)) {
+      if (this.#access.isOver(request)) {
         return { result: this.#refusal(request, 'firstOfTransaction', last), transaction: null }
       }
       const begun = await this.#tryBegin(request, readOnly, excluded)
@@ -152,7 +78,7 @@
       if (fate.kind === 'answer') {
         return { result: refused(request, fate.refusal, last), transaction: null }
       }
-      await this.#leaveOut(request, begun.server, excluded)
+      await this.#access.leaveOut(request, begun.server, excluded)
     }
   }
 
@@ -177,10 +103,10 @@
         return this.#transactionAnswered(request, transaction, outcome, isCommit)
       }
       const isOpen = outcome.status === 'open'
-      this.#learn(request, transaction.server, outcome.mishap, sentAt)
+      this.#access.learn(request, transaction.server, outcome.mishap, sentAt)
       const fate = fateOf(place, outcome.mishap, isOpen)
-      if (fate.kind === 'retryHere' && !this.#isOver(request)) {
-        await rest(this.#jitter(BUSY_PAUSE_MILLISECONDS))
+      if (fate.kind === 'retryHere' && !this.#access.isOver(request)) {
+        await this.#access.pauseAfter(outcome.mishap)
         continue
       }
       this.endTransaction(transaction, outcome.status)
@@ -212,23 +138,23 @@
 
   async #write(request: StatementRequest): Promise<StatementResult> {
     let last: Mishap = { kind: 'notSent' }
-    while (!this.#isOver(request)) {
-      const server = await this.#awaitPrimary(request)
+    while (!this.#access.isOver(request)) {
+      const server = await this.#access.awaitPrimary(request)
       if (server === null) continue
-      const link = await this.#acquire(request, server, request.deadline)
+      const link = await this.#access.acquire(request, server, request.deadline)
       if (link === null) continue
       const sentAt = this.#context.clock.now()
-      const outcome = await this.#attemptSingle(request, server, link, null, false)
+      const outcome = await this.#access.attemptSingle(request, server, link, null, false)
       if (outcome.kind === 'answered') {
         this.#noteOwnWrite(request, outcome.position)
         request.desk.provedToLead(server.entry.server, sentAt, outcome.position)
         return answered(outcome)
       }
       last = outcome.mishap
-      this.#learn(request, server, last, sentAt)
+      this.#access.learn(request, server, last, sentAt)
       const fate = fateOf('singleWrite', last, false)
       if (fate.kind === 'answer') return refused(request, fate.refusal, last)
-      await this.#pauseAfter(last)
+      await this.#access.pauseAfter(last)
     }
     return this.#refusal(request, 'singleWrite', last)
   }
@@ -236,18 +162,18 @@
   async #read(request: StatementRequest): Promise<StatementResult> {
     const excluded = new Set<BackendServerId>()
     let last: Mishap = { kind: 'notSent' }
-    while (!this.#isOver(request)) {
+    while (!this.#access.isOver(request)) {
       const outcome = await this.#hedgedRead(request, excluded)
       if (outcome === null) continue
       if (outcome.kind === 'answered') return outcome.result
       if (outcome.kind === 'notTried') {
-        await this.#leaveOut(request, outcome.server, excluded)
+        await this.#access.leaveOut(request, outcome.server, excluded)
         continue
       }
       last = outcome.outcome.mishap
       const fate = fateOf('singleRead', last, false)
       if (fate.kind === 'answer') return refused(request, fate.refusal, last)
-      await this.#leaveOut(request, outcome.server, excluded)
+      await this.#access.leaveOut(request, outcome.server, excluded)
     }
     return this.#refusal(request, 'singleRead', last)
   }
@@ -257,7 +183,7 @@
     request: StatementRequest,
     excluded: Set<BackendServerId>,
   ): Promise<ReadOutcome | null> {
-    const server = await this.#awaitReader(request, excluded)
+    const server = await this.#access.awaitReader(request, excluded)
     if (server === null) return null
     const first = this.#tryRead(request, server)
     if (request.route.guarantee.kind === 'latest') return first
@@ -279,7 +205,7 @@
   async #tryRead(request: StatementRequest, server: BackendServerState): Promise<ReadOutcome> {
     const { clock } = this.#context
     const limit = earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
-    const link = await this.#acquire(request, server, limit)
+    const link = await this.#access.acquire(request, server, limit)
     if (link === null) return { kind: 'notTried', server }
     const sentAt = clock.now()
     const need = request.desk.need(request.route.guarantee, request.session.ownPosition, sentAt)
@@ -288,48 +214,13 @@
       return { kind: 'notTried', server }
     }
     const after = need.kind === 'position' ? need.position : null
-    const outcome = await this.#attemptSingle(request, server, link, after, after === null)
-    this.#noteReach(server, after, outcome)
+    const outcome = await this.#access.attemptSingle(request, server, link, after, after === null)
+    this.#access.noteReach(server, after, outcome)
     if (outcome.kind === 'answered') return { kind: 'answered', result: answered(outcome) }
-    this.#learn(request, server, outcome.mishap, sentAt)
+    this.#access.learn(request, server, outcome.mishap, sentAt)
     return { kind: 'mishap', outcome, server }
   }
 
-  #noteReach(server: BackendServerState, after: LogPosition | null, outcome: AttemptOutcome): void {
-    if (after === null) return
-    if (outcome.kind === 'answered') server.behind.noteServed()
-    else if (outcome.mishap.kind === 'refused' && outcome.mishap.refusal === 'behind') {
-      server.behind.noteBehind(after, this.#context.clock.now())
-    }
-  }
-
-  async #attemptSingle(
-    request: StatementRequest,
-    server: BackendServerState,
-    link: PooledLink,
-    after: LogPosition | null,
-    confirmsLead: boolean,
-  ): Promise<AttemptOutcome> {
-    const { clock } = this.#context
-    const sentAt = clock.now()
-    const outcome = await attempt(this.#context, link, {
-      session: request.session.values,
-      statement: request.statement,
-      after,
-      isInTransaction: false,
-      confirmsLead,
-      deadline: request.deadline,
-    })
-    if (outcome.status === 'idle') server.pool.release(link)
-    else server.pool.discard(link)
-    if (outcome.kind === 'answered') {
-      server.latency.record(clock.now() - sentAt, clock.now())
-      request.desk.sawLog(server.entry.server, outcome.position, clock.now())
-    }
-    return outcome
-  }
-
-  /** Begins on one server and runs the first statement; null when no server was ready. */
   async #tryBegin(
     request: StatementRequest,
     readOnly: boolean,
@@ -343,15 +234,15 @@
     const { desk, route, session } = request
     const atPrimary = needsPrimary(request, readOnly)
     const server = atPrimary
-      ? await this.#awaitPrimary(request)
-      : await this.#awaitReader(request, excluded)
+      ? await this.#access.awaitPrimary(request)
+      : await this.#access.awaitReader(request, excluded)
     if (server === null) return null
     const limit = atPrimary
       ? request.deadline
       : earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
-    const link = await this.#acquire(request, server, limit)
+    const link = await this.#access.acquire(request, server, limit)
     if (link === null) {
-      if (!atPrimary) await this.#leaveOut(request, server, excluded)
+      if (!atPrimary) await this.#access.leaveOut(request, server, excluded)
       return null
     }
     const sentAt = clock.now()
@@ -381,7 +272,7 @@
       this.endTransaction(transaction, begun.status)
       const { refusal } = begun.outcome
       if (refusal === 'behind' && after !== null) server.behind.noteBehind(after, clock.now())
-      this.#learn(request, server, { kind: 'refused', refusal }, sentAt)
+      this.#access.learn(request, server, { kind: 'refused', refusal }, sentAt)
       const outcome = {
         kind: 'mishap',
         mishap: { kind: 'refused', refusal },
@@ -417,7 +308,7 @@
         ...this.#transactionAnswered(request, transaction, outcome, false),
       }
     }
-    this.#learn(request, transaction.server, outcome.mishap, sentAt)
+    this.#access.learn(request, transaction.server, outcome.mishap, sentAt)
     this.endTransaction(transaction, outcome.status)
     return { kind: 'mishap', outcome, server: transaction.server }
   }
@@ -434,83 +325,6 @@
     return { result: answered(outcome), transaction: null }
   }
 
-  async #awaitPrimary(request: StatementRequest): Promise<BackendServerState | null> {
-    const primary = request.desk.writablePrimary(this.#context.clock.now())
-    if (primary !== null) return primary
-    await this.#awaitNews(request)
-    return null
-  }
-
-  async #awaitReader(
-    request: StatementRequest,
-    excluded: ReadonlySet<BackendServerId>,
-  ): Promise<BackendServerState | null> {
-    const { desk, route, session } = request
-    const now = this.#context.clock.now()
-    const need = desk.need(route.guarantee, session.ownPosition, now)
-    if (need.kind === 'primary') return this.#awaitPrimary(request)
-    const reader = need.kind === 'unknown' ? null : desk.chooseReader(need.position, excluded, now)
-    if (reader !== null) return reader
-    await this.#awaitNews(request)
-    return null
-  }
-
-  async #acquire(
-    request: StatementRequest,
-    server: BackendServerState,
-    limit: Milliseconds,
-  ): Promise<PooledLink | null> {
-    const { priority } = request.route
-    const acquired = await server.pool.acquire(request.session.values, priority, limit)
-    if ('link' in acquired) return acquired.link
-    await this.#afterNoConnection(request, acquired.failure)
-    return null
-  }
-
-  async #afterNoConnection(request: StatementRequest, failure: AcquireFailure): Promise<void> {
-    if (failure === 'unreachable' || failure === 'full') {
-      await request.desk.changed.wait(this.#jitter(BUSY_PAUSE_MILLISECONDS))
-    }
-  }
-
-  /** Leaves the server out of this read's further tries; when none is left, all are tried again. */
-  async #leaveOut(
-    request: StatementRequest,
-    server: BackendServerState,
-    excluded: Set<BackendServerId>,
-  ): Promise<void> {
-    excluded.add(server.entry.server)
-    const isLeft = request.desk.chooseReader(null, excluded, this.#context.clock.now()) !== null
-    if (isLeft) return
-    excluded.clear()
-    await this.#pauseAfter({ kind: 'refused', refusal: 'busy' })
-  }
-
-  async #pauseAfter(what: Mishap): Promise<void> {
-    if (what.kind !== 'refused') return
-    await rest(this.#jitter(BUSY_PAUSE_MILLISECONDS))
-  }
-
-  /** What a failed try tells of the server. */
-  #learn(
-    request: StatementRequest,
-    server: BackendServerState,
-    what: Mishap,
-    sentAt: Milliseconds,
-  ): void {
-    const { entry } = server
-    this.#context.log.write('try_failed', {
-      request: request.statement.id,
-      route: request.route.name,
-      server: entry.server,
-      ...what,
-      tookMilliseconds: Math.round(this.#context.clock.now() - sentAt),
-    })
-    if (what.kind === 'refused' && what.refusal === 'notPrimary') {
-      request.desk.refusedToLead(entry.server, sentAt, 'answer')
-    }
-  }
-
   #noteOwnWrite(request: StatementRequest, position: LogPosition | null): void {
     const { session } = request
     if (position === null) return
@@ -518,25 +332,12 @@
       session.ownPosition === null ? position : laterPosition(session.ownPosition, position)
   }
 
-  async #awaitNews(request: StatementRequest): Promise<void> {
-    const left = request.deadline - this.#context.clock.now()
-    await request.desk.changed.wait(Math.min(left, LOOK_AGAIN_MILLISECONDS))
-  }
-
   #hedgeDelay(request: StatementRequest, server: BackendServerState): number {
     const usual = server.latency.at(this.#context.clock.now()) * HEDGE_FACTOR
     const latest = request.route.statementTimeoutMilliseconds * HEDGE_TIMEOUT_SHARE
     return Math.min(Math.max(usual, HEDGE_LEAST_MILLISECONDS), latest)
   }
 
-  #isOver(request: StatementRequest): boolean {
-    return this.#context.clock.now() >= request.deadline
-  }
-
-  #jitter(span: number): number {
-    return span * (0.5 + this.#context.random.next())
-  }
-
   #refusal(request: StatementRequest, place: StatementPlace, last: Mishap): StatementResult {
     const fate = fateOf(place, last, false)
     return refused(request, fate.kind === 'answer' ? fate.refusal : fate.otherwise, last)
@@ -555,24 +356,6 @@
   return { kind: 'mishap', outcome, server }
 }
 
-function answered(outcome: Extract<AttemptOutcome, { kind: 'answered' }>): StatementResult {
-  const { rows, signature, position } = outcome
-  return { answer: { kind: 'rows', rows, signature }, position }
-}
-
-/** @internal */
-export function refused(
-  request: StatementRequest,
-  refusal: CallerRefusal,
-  last: Mishap,
-): StatementResult {
-  const why = last.kind === 'refused' ? last.refusal : last.kind
-  const retryAfter =
-    refusal === 'notRun' ? ` retry_after_ms=${String(RETRY_AFTER_MILLISECONDS)}` : ''
-  const detail = `${request.route.name}: ${why}${retryAfter}`
-  return { answer: { kind: 'refused', refusal, detail }, position: null }
-}
-
 /** The first answer of two tries; when both fail, the first's failure. */
 async function firstAnswered(
   first: Promise<ReadOutcome>,
