--- /dev/null
+++ b/packages/ctl/__tests__/logsCommand.spec.ts
@@ -0,0 +1,88 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { readLogs, type LogsQuestion } from '../src/commands/logsCommand.js'
+import { parseCommand } from '../src/parseCommand.js'
+
+const line = (second: number, host: string, message: string, fields: object): string =>
+  JSON.stringify({
+    message,
+    entryHost: host,
+    zone: 'z',
+    level: 'info',
+    timestamp: `2026-01-01T00:00:0${second}.000Z`,
+    ...fields,
+  })
+
+const LOGS = [
+  line(4, 'h1', 'statement_refused', { request: 'r1', refusal: 'notRun', detail: 'behind' }),
+  `  12.3 h2 ${line(2, 'h2', 'change_claimed', { service: 's', token: 7, reason: 'silent' })}`,
+  line(3, 'h1', 'try_failed', { request: 'r1', server: 'i-a', kind: 'refused', refusal: 'behind' }),
+  line(1, 'h1', 'primary_suspected', { service: 's', primary: 'i-p', reaches: false }),
+  line(1, 'h1', 'primary_suspected', { service: 'other', primary: 'i-q', reaches: false }),
+  line(5, 'h1', 'lines_left_out', { of: 'try_failed', lines: 40 }),
+  'a line of another program',
+  '{"cut off',
+].join('\n')
+
+describe('readLogs', () => {
+  const cases: readonly (readonly [string, LogsQuestion, readonly string[]])[] = [
+    ['one request, in order', { kind: 'request', id: 'r1' }, ['try_failed', 'statement_refused']],
+    [
+      'one change of primary, over all hosts',
+      { kind: 'change', service: 's' },
+      ['primary_suspected', 'change_claimed'],
+    ],
+  ]
+  for (const [name, question, events] of cases) {
+    it(name, () => {
+      const { exitCode: status, output } = readLogs(LOGS, question, true)
+      const story = JSON.parse(output) as { event: string }[]
+      expect([status, ...story.map(({ event }) => event)]).toEqual([0, ...events])
+      expect(readLogs(LOGS, question, false).output.split('\n').length).toEqual(events.length + 1)
+    })
+  }
+
+  it('counts by reason, what was left out too', () => {
+    const counts = JSON.parse(readLogs(LOGS, { kind: 'summary' }, true).output) as object
+    expect(counts).toEqual({
+      'try_failed (left out)': 40,
+      primary_suspected: 2,
+      'statement_refused notRun': 1,
+      'change_claimed silent': 1,
+      'try_failed behind': 1,
+    })
+  })
+
+  it('says when nothing is there', () => {
+    expect(readLogs(LOGS, { kind: 'request', id: 'none' }, false).exitCode).toEqual(2)
+    expect(readLogs('', { kind: 'summary' }, false).exitCode).toEqual(2)
+  })
+})
+
+describe('the words of logs', () => {
+  const good: readonly (readonly [readonly string[], LogsQuestion, readonly string[]])[] = [
+    [
+      ['logs', 'request', 'r1', 'a.log', 'b.log'],
+      { kind: 'request', id: 'r1' },
+      ['a.log', 'b.log'],
+    ],
+    [['logs', 'change', 's', '-'], { kind: 'change', service: 's' }, ['-']],
+    [['logs', 'summary', 'a.log'], { kind: 'summary' }, ['a.log']],
+  ]
+  for (const [words, question, files] of good) {
+    it(words.join(' '), () => {
+      const parsed = parseCommand(words)
+      expect(parsed.isOk() && parsed.value.command).toEqual({ kind: 'logs', question, files })
+    })
+  }
+  for (const words of [
+    ['logs'],
+    ['logs', 'request', 'r1'],
+    ['logs', 'summary'],
+    ['logs', 'x', 'y'],
+  ]) {
+    it(`refuses ${words.join(' ')}`, () => {
+      expect(parseCommand(words).isErr()).toEqual(true)
+    })
+  }
+})
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -4,11 +4,12 @@
 import { readFile } from 'node:fs/promises'
 import { userInfo } from 'node:os'
 import { text } from 'node:stream/consumers'
-import { ResultAsync } from 'neverthrow'
+import { ResultAsync, okAsync } from 'neverthrow'
 import { ctlSettingsSchema, formatSettingsError, readYamlFile } from '@nutmegcourse/settings'
 import { EXIT_CODES, fail, succeed, type CommandResult } from './exitCode.js'
-import { parseCommand, type CommandLine } from './parseCommand.js'
-import { runCommand, type CommandContext } from './runCommand.js'
+import { readLogs, type LogsQuestion } from './commands/logsCommand.js'
+import { parseCommand } from './parseCommand.js'
+import { runCommand, type CommandContext, type FleetCommand } from './runCommand.js'
 import { GENERAL_USAGE } from './usage.js'
 
 const SETTINGS_VARIABLE = 'NUTMEGCOURSECTL_SETTINGS'
@@ -17,36 +18,50 @@
 async function main(words: readonly string[]): Promise<CommandResult> {
   const parsed = parseCommand(words)
   if (parsed.isErr()) return fail(EXIT_CODES.usage, `${parsed.error}\n\n${GENERAL_USAGE}`)
-  if (parsed.value.command.kind === 'help') return succeed(parsed.value.command.text)
+  const { command, json } = parsed.value
+  if (command.kind === 'help') return succeed(command.text)
+  if (command.kind === 'logs') return readLogFiles(command.files, command.question, json)
   const settingsFile = parsed.value.settingsFile ?? process.env[SETTINGS_VARIABLE]
   if (settingsFile === undefined) {
     return fail(EXIT_CODES.usage, `no settings: give --settings FILE or set ${SETTINGS_VARIABLE}`)
   }
   const settings = await readYamlFile(settingsFile, ctlSettingsSchema)
   if (settings.isErr()) return fail(EXIT_CODES.usage, formatSettingsError(settings.error))
-  const document = await readOperand(parsed.value)
+  const document = await readOperand(command)
   if (document.isErr()) return fail(EXIT_CODES.usage, document.error)
   const context: CommandContext = {
     settings: settings.value,
     document: document.value,
-    json: parsed.value.json,
+    json,
     operator: userInfo().username,
     changeId: randomUUID(),
   }
-  return runCommand(parsed.value.command, context)
+  return runCommand(command, context)
 }
 
-function readOperand(line: CommandLine): ResultAsync<string, string> {
-  return ResultAsync.fromPromise(readDocumentText(line), error =>
-    error instanceof Error ? error.message : String(error),
-  )
+async function readLogFiles(
+  files: readonly string[],
+  question: LogsQuestion,
+  json: boolean,
+): Promise<CommandResult> {
+  const texts = await readAll(Promise.all(files.map(readText)))
+  if (texts.isErr()) return fail(EXIT_CODES.usage, texts.error)
+  return readLogs(texts.value.join('\n'), question, json)
 }
 
-async function readDocumentText({ command }: CommandLine): Promise<string> {
-  if (command.kind !== 'apply' && command.kind !== 'diff') return ''
-  return command.file === STANDARD_INPUT ? text(process.stdin) : readFile(command.file, 'utf8')
+function readOperand(command: FleetCommand): ResultAsync<string, string> {
+  const hasFile = command.kind === 'apply' || command.kind === 'diff'
+  return hasFile ? readAll(readText(command.file)) : okAsync('')
 }
 
+const readAll = <Text>(reading: Promise<Text>): ResultAsync<Text, string> =>
+  ResultAsync.fromPromise(reading, error =>
+    error instanceof Error ? error.message : String(error),
+  )
+
+const readText = (file: string): Promise<string> =>
+  file === STANDARD_INPUT ? text(process.stdin) : readFile(file, 'utf8')
+
 const result = await main(process.argv.slice(2))
 process.stdout.write(result.output)
 if (result.complaint !== '') process.stderr.write(`${result.complaint.trimEnd()}\n`)
--- a/packages/ctl/src/parseCommand.ts
+++ b/packages/ctl/src/parseCommand.ts
@@ -2,6 +2,7 @@
 import { parseArgs, type ParseArgsConfig } from 'node:util'
 import { err, ok, type Result } from 'neverthrow'
 import { backendServerId, type BackendServerId } from '@nutmegcourse/shared'
+import type { LogsQuestion } from './commands/logsCommand.js'
 import { COMMAND_USAGE, GENERAL_USAGE, isCommandName, type CommandName } from './usage.js'
 
 export type ExplainSubject = 'class' | 'session' | 'database'
@@ -20,6 +21,7 @@
   | { readonly kind: 'diff'; readonly file: string }
   | { readonly kind: 'status' }
   | { readonly kind: 'explain'; readonly subject: ExplainSubject; readonly name: string }
+  | { readonly kind: 'logs'; readonly question: LogsQuestion; readonly files: readonly string[] }
   | { readonly kind: 'drain'; readonly backendServer: BackendServerId; readonly undo: boolean }
 
 export interface CommandLine {
@@ -54,6 +56,7 @@
   status: [],
   explain: [],
   drain: ['undo'],
+  logs: [],
 }
 
 const COMMON_OPTIONS: readonly (keyof Options)[] = ['settings', 'json', 'help']
@@ -108,6 +111,8 @@
       return takeOperands(name, operands, 1).map(([file = '']) => ({ kind: 'diff', file }))
     case 'explain':
       return readExplain(operands)
+    case 'logs':
+      return readLogsQuestion(operands)
     case 'drain':
       return takeOperands(name, operands, 1).map(([server = '']) => ({
         kind: 'drain',
@@ -140,6 +145,24 @@
   )
 }
 
+/** `logs request ID FILE...`, `logs change SERVICE FILE...` or `logs summary FILE...`. */
+function readLogsQuestion(operands: readonly string[]): Result<Command, string> {
+  const [subject, ...rest] = operands
+  const [name, ...others] = rest
+  const question: LogsQuestion | null =
+    subject === 'summary'
+      ? { kind: 'summary' }
+      : subject === 'request' && name !== undefined
+        ? { kind: 'request', id: name }
+        : subject === 'change' && name !== undefined
+          ? { kind: 'change', service: name }
+          : null
+  if (question === null) return err('logs takes request ID, change SERVICE or summary')
+  const files = question.kind === 'summary' ? rest : others
+  if (files.length === 0) return err('logs takes one FILE or more')
+  return ok({ kind: 'logs', question, files })
+}
+
 function takeOperands(
   name: CommandName,
   operands: readonly string[],
--- a/packages/ctl/src/runCommand.ts
+++ b/packages/ctl/src/runCommand.ts
@@ -19,8 +19,11 @@
   readonly changeId: string
 }
 
+/** Commands that need the store or an agent, and so settings. */
+export type FleetCommand = Exclude<Command, { kind: 'logs' }>
+
 export async function runCommand(
-  command: Command,
+  command: FleetCommand,
   context: CommandContext,
 ): Promise<CommandResult> {
   const { settings, document, json, changeId } = context
--- a/packages/ctl/src/usage.ts
+++ b/packages/ctl/src/usage.ts
@@ -8,6 +8,7 @@
   diff FILE         what FILE would change
   status            entry hosts, databases, targets in force, refusals
   explain WHAT NAME why work went where it went: class, session or database
+  logs WHAT FILE... what entry hosts' logs tell of a request or a change of primary
   drain SERVER      give a backend server no new work
 
 Options of every command:
@@ -55,6 +56,17 @@
 Examples:
   nutmegcoursectl explain database sched-1
   nutmegcoursectl explain class gallery_browsing
+`,
+  logs: `Usage: nutmegcoursectl logs request ID FILE... [--json]
+       nutmegcoursectl logs change SERVICE FILE... [--json]
+       nutmegcoursectl logs summary FILE... [--json]
+
+Reads the lines that entry hosts wrote (docs/LOGS.md), of any number of hosts, in any order. Needs no
+settings. Times are the hosts' own, which may differ by some milliseconds.
+
+Examples:
+  cat host-*.log | nutmegcoursectl logs request 5c0e7a21d94b36f8 -
+  nutmegcoursectl logs change quai-sched host-1.log host-2.log
 `,
   drain: `Usage: nutmegcoursectl drain SERVER [--undo] [--json]
 
--- a/packages/host/src/decisionLog.ts
+++ b/packages/host/src/decisionLog.ts
@@ -5,6 +5,12 @@
 /** Lines of one event a second. At 15 microseconds a line, all events together stay below 1% of a core. */
 const LINES_A_SECOND = 15
 
+/**
+ * A refused statement is what callers complain of, so that its line is there whenever the host still
+ * serves: this is more than a host refuses in a second while it answers anything at all.
+ */
+const REFUSALS_A_SECOND = 100
+
 const SECOND = 1000
 
 import type { EventName } from './decisionEvents.js'
@@ -43,7 +49,8 @@
       budget.written = 0
       budget.leftOut = 0
     }
-    if (budget.written >= LINES_A_SECOND) {
+    const limit = event === 'statement_refused' ? REFUSALS_A_SECOND : LINES_A_SECOND
+    if (budget.written >= limit) {
       budget.leftOut += 1
       return
     }
