fix(host): a primary that goes dark under load is noticed

Ruled out: too few votes (four hosts had it right), the denial itself (true to what the host believed). Test: changeOfPrimary.spec.ts 'notices a silent primary under load', red before.

--- a/packages/host/__tests__/changeOfPrimary.spec.ts
+++ b/packages/host/__tests__/changeOfPrimary.spec.ts
@@ -67,6 +67,28 @@
     })
   }
 
+  // The primary goes dark in the busiest minute. New statements keep coming for it; each of them made a
+  // host take the server for one that had just been given work, and none asked whether it lives. Callers
+  // were refused for seconds, until the store dropped the server's entry.
+  it('notices a silent primary under load', async () => {
+    await inScene(3, async (scene, hosts) => {
+      const told: Promise<string>[] = []
+      const press = setInterval(() => {
+        for (const host of hosts) {
+          told.push(scene.caller(host, 'latest').then(caller => caller.tell('write 1')))
+        }
+      }, 20)
+      await new Promise(resolve => setTimeout(resolve, 200))
+      scene.group.server(P).isSilent = true
+      try {
+        await scene.until(() => scene.group.promotions > 0, 'another server leads', 2000)
+      } finally {
+        clearInterval(press)
+        await Promise.all(told)
+      }
+    })
+  })
+
   // The primary says that it leaves. It goes on serving until another one leads, so that callers see
   // no more than a few refused statements, and all are done again within the time of one.
   it('moves away from a leaving primary without a pause for callers', async () => {
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -89,7 +89,7 @@
       return
     }
     const owes = this.#probeSentAt !== null || this.pool.busy > 0 || this.pool.waiting > 0
-    const quietSince = Math.max(this.heardAt, this.pool.lastAcquiredAt)
+    const quietSince = Math.max(this.heardAt, this.pool.owesSince)
     if (owes && now - quietSince > TOUCH_AFTER_MILLISECONDS) this.#touch(now)
   }
 
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -64,7 +64,7 @@
   #mayOpenAt = milliseconds(0)
   #isClosed = false
   #fullAt = milliseconds(Number.NEGATIVE_INFINITY)
-  #lastAcquiredAt = Number.NEGATIVE_INFINITY
+  #owesSince = Number.NEGATIVE_INFINITY
   /** Refused connections in a row. */
   refusals = 0
 
@@ -103,15 +103,18 @@
     return last
   }
 
-  /** When a connection last went to work. */
-  get lastAcquiredAt(): number {
-    return this.#lastAcquiredAt
+  /**
+   * Since when work has run or waited here without a pause. Not when the last of it came: under load
+   * that is always a moment ago, and the silence of a dead server would never seem to begin.
+   */
+  get owesSince(): number {
+    return this.#owesSince
   }
 
   /** A connection whose values fit the session best, or a place in the line for one. */
   acquire(session: SessionValues, priority: number, deadline: Milliseconds): Promise<Acquired> {
     if (this.#isClosed) return Promise.resolve({ failure: 'withdrawn' })
-    this.#lastAcquiredAt = this.#context.clock.now()
+    if (this.busy === 0 && this.waiting === 0) this.#owesSince = this.#context.clock.now()
     const idle = this.#takeIdle(session)
     if (idle !== null) return Promise.resolve({ link: idle })
     return new Promise(resolve => {
