--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -91,14 +91,7 @@
     const place: StatementPlace = isCommit ? 'commit' : 'withinTransaction'
     for (;;) {
       const sentAt = this.#context.clock.now()
-      const outcome = await attempt(this.#context, transaction.link, {
-        session: request.session.values,
-        statement: request.statement,
-        after: null,
-        isInTransaction: true,
-        confirmsLead: false,
-        deadline: request.deadline,
-      })
+      const outcome = await this.#attemptInside(request, transaction)
       if (outcome.kind === 'answered') {
         return this.#transactionAnswered(request, transaction, outcome, isCommit)
       }
@@ -294,14 +287,7 @@
     const isCommit = request.statement.body.kind === 'commit'
     if (isCommit) return { kind: 'begun', ...(await this.continue(request, transaction)) }
     const sentAt = this.#context.clock.now()
-    const outcome = await attempt(this.#context, transaction.link, {
-      session: request.session.values,
-      statement: request.statement,
-      after: null,
-      isInTransaction: true,
-      confirmsLead: false,
-      deadline: request.deadline,
-    })
+    const outcome = await this.#attemptInside(request, transaction)
     if (outcome.kind === 'answered') {
       return {
         kind: 'begun',
@@ -313,6 +299,20 @@
     return { kind: 'mishap', outcome, server: transaction.server }
   }
 
+  #attemptInside(
+    request: StatementRequest,
+    transaction: LocalTransaction,
+  ): Promise<AttemptOutcome> {
+    return attempt(this.#context, transaction.link, {
+      session: request.session.values,
+      statement: request.statement,
+      after: null,
+      isInTransaction: true,
+      confirmsLead: false,
+      deadline: request.deadline,
+    })
+  }
+
   #transactionAnswered(
     request: StatementRequest,
     transaction: LocalTransaction,
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -50,11 +50,6 @@
     this.#listener = listener
   }
 
-  /** Whether the last call to the store was answered. */
-  get isInTouch(): boolean {
-    return this.#revision !== null && !this.#isAway
-  }
-
   async run(): Promise<void> {
     while (!this.#isStopped) {
       const failure =
--- a/packages/state/src/synchronous/latencyEstimate.ts
+++ b/packages/state/src/synchronous/latencyEstimate.ts
@@ -5,8 +5,12 @@
  */
 import type { Milliseconds } from '@nutmegcourse/shared'
 
-/** Weight of a new sample: about the last eight decide. */
-const SAMPLE_WEIGHT = 0.2
+/**
+ * Weight of a new sample. A rise counts twice as much as a fall: a server that turns slow must lose
+ * its work within a few answers, and one that is well again gets it back by and by.
+ */
+const RISE_WEIGHT = 0.4
+const FALL_WEIGHT = 0.2
 
 /**
  * Without samples the estimate falls back to its floor with this time constant, so that a server
@@ -27,11 +31,8 @@
 
   record(latency: number, now: Milliseconds): void {
     const before = this.at(now)
-    // A rise counts at once, a fall by and by: a server that turns slow must lose work quickly.
-    this.#value =
-      latency > before
-        ? before + (latency - before) * Math.max(SAMPLE_WEIGHT, 0.4)
-        : before + (latency - before) * SAMPLE_WEIGHT
+    const weight = latency > before ? RISE_WEIGHT : FALL_WEIGHT
+    this.#value = before + (latency - before) * weight
     this.#updatedAt = now
   }
 
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -48,10 +48,6 @@
     return [...this.#servers.values()].filter(known => known.entry.service === service)
   }
 
-  all(): KnownServer[] {
-    return [...this.#servers.values()]
-  }
-
   /** The store lists the server. */
   list(entry: BackendServerEntry, now: Milliseconds): DirectoryNews | null {
     const known = this.#servers.get(entry.server)
