--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -18,6 +18,7 @@
   --pace N       milliseconds from one fault to the next, on average (600)
   --limit N      connections that a backend server takes (25)
   --kinds A,B    only these faults
+  --program F    another build of the entry host's program
   --keep DIR     keep settings and logs of runs with findings there
 Each seed ends with one line of JSON. Exit code 1: a promise was broken. 2: bad options.`
 
@@ -35,6 +36,7 @@
   pace: { type: 'string', default: '600' },
   limit: { type: 'string', default: '25' },
   kinds: { type: 'string' },
+  program: { type: 'string', default: PROGRAM },
   keep: { type: 'string' },
   help: { type: 'boolean', default: false },
 } as const
@@ -73,10 +75,10 @@
     paceMilliseconds: count('pace', values.pace),
     connectionLimit: count('limit', values.limit),
     kinds: kinds as readonly FaultKind[],
-    program: PROGRAM,
+    program: values.program,
     keep: values.keep ?? null,
   }
-  if (!existsSync(PROGRAM)) mistakes.push(`the program is not built: ${PROGRAM}`)
+  if (!existsSync(plan.program)) mistakes.push(`--program: no file ${plan.program}`)
   if (values.help) mistakes.push(USAGE)
   return mistakes.length > 0 ? mistakes : plan
 }
