fix(host): a port that is taken is told in a log line with an exit code of its own; test ports below the range of outgoing connections

The port had been free a moment before and was then taken for an outgoing connection of the relay. The ports of the soak and of the process test now come from the bench's reserved slices; the host says not_listening, code 3.

--- a/packages/bench/src/deployment/plan.ts
+++ b/packages/bench/src/deployment/plan.ts
@@ -10,7 +10,7 @@
   type EntryHostId,
   type RegionId,
 } from '@nutmegcourse/shared'
-import { freePorts } from './ports.js'
+import { freePorts } from '@nutmegcourse/stand-ins'
 import type { DeploymentShape, ShapeZone } from './shapes.js'
 
 /** The platform stands apart from the zones, so that a zone can lose it alone. */
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -211,6 +211,10 @@
       outcome: 'notSent, lost or overdue',
     },
   },
+  not_listening: {
+    when: 'A port of the settings can not be listened at. Without callers or readiness the process ends with code 3.',
+    fields: { what: 'callers, readiness or metrics', detail: 'the reason' },
+  },
   relay_not_listening: {
     when: 'This host can not run statements for others.',
     fields: { detail: 'the reason' },
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -157,11 +157,13 @@
     void this.#registration.run()
   }
 
-  listen(): void {
+  /** Takes callers; `failed` hears why this host can not. */
+  listen(failed: (error: Error) => void): void {
     const { host, port } = this.#context.settings.callers
     this.#server = createServer({ allowHalfOpen: true }, socket => {
       this.admit(this.#ports.callerLink(socket))
     })
+    this.#server.on('error', failed)
     this.#server.listen({ host, port, backlog: BACKLOG })
   }
 
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -18,6 +18,8 @@
 import { EntryHost } from './entryHost.js'
 
 const EXIT_BAD_SETTINGS = 2
+/** A port of the settings can not be listened at. Whoever started the process may try again. */
+const EXIT_NOT_LISTENING = 3
 
 /** Where the settings name no place for promotions, none is ordered. */
 const NO_PROMOTION: PromotionPort = {
@@ -49,11 +51,20 @@
     new SystemRandom(),
   )
   metrics.gauge('sessions', () => host.sessionCount)
+  const notListening = (what: string, isVital: boolean) => (error: Error) => {
+    log.write('not_listening', { what, detail: error.message })
+    if (isVital) process.exit(EXIT_NOT_LISTENING)
+  }
   host.start()
-  host.listen()
+  host.listen(notListening('callers', true))
   const metricsAddress = metricsPlace(settings)
-  if (metricsAddress !== null) serveMetrics(metricsAddress, metrics)
-  serveReadiness(settings.readiness, () => host.isReady)
+  if (metricsAddress !== null) {
+    serveMetrics(metricsAddress, metrics).on('error', notListening('metrics', false))
+  }
+  serveReadiness(settings.readiness, () => host.isReady).on(
+    'error',
+    notListening('readiness', true),
+  )
   log.write('started', { settings: path })
   process.on('SIGHUP', () => {
     // What could change while it runs comes from the store; the rest takes effect at the next start.
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -4,14 +4,8 @@
  */
 import { availabilityZoneId, backendServerId, type BackendServerId } from '@nutmegcourse/shared'
 import type { BackendServerEntry, FleetConfiguration, Route } from '@nutmegcourse/protocol'
-import { MemoryDialer, MemoryGroup, MemoryStore, Relay } from '@nutmegcourse/stand-ins'
-import {
-  freePort,
-  portOf,
-  serveBackend,
-  serveStore,
-  writeSettings,
-} from '@nutmegcourse/platform/standIns'
+import { MemoryDialer, MemoryGroup, MemoryStore, Relay, freePorts } from '@nutmegcourse/stand-ins'
+import { portOf, serveBackend, serveStore, writeSettings } from '@nutmegcourse/platform/standIns'
 import { CALLERS, STORE } from './faultPlan.js'
 import { HostProcess } from './hostProcess.js'
 
@@ -199,7 +193,7 @@
       targetZone: STORE,
       target: `${STORE} of ${name}`,
     })
-    const [callers, readiness, internal] = [await freePort(), await freePort(), await freePort()]
+    const [callers = 0, readiness = 0, internal = 0] = await freePorts(3)
     this.relay.target(name, callers)
     const link = { sourceZone: CALLERS, targetZone: name, target: name }
     this.callerPorts.set(name, await this.relay.open(link))
