--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -1,30 +1,23 @@
 /** One entry host: takes callers, follows the store, and keeps the services it needs in order. */
 import { createServer, type Server, type Socket } from 'node:net'
-import { changeKey, hostKey, readHostRecord, readRecordName } from '@nutmegcourse/coordination'
-import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
+import type { Clock, RandomSource } from '@nutmegcourse/shared'
 import type {
   BackendDialer,
   CallerLink,
-  DirectoryChange,
-  FleetConfiguration,
   HostSettings,
   PromotionPort,
   StoreLink,
 } from '@nutmegcourse/protocol'
-import { ServerDirectory, type DirectoryNews } from '@nutmegcourse/state'
 import { CallerSession, type RouteLookup } from './callerSession.js'
-import { ConfigurationBook } from './configurationBook.js'
-import { isUrgent, type ServiceInterest } from './changeUrgency.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { HostContext } from './hostContext.js'
 import { HostFleet } from './hostFleet.js'
 import type { HostMetrics } from './hostMetrics.js'
 import { HostRegistration } from './hostRegistration.js'
-import { PrimaryKeeper } from './primaryKeeper.js'
-import { PrimaryProbe } from './primaryProbe.js'
 import { RelayServer, type RelayDesks } from './relayServer.js'
 import { RelayingRunner } from './relayingRunner.js'
-import { ServiceDesk } from './serviceDesk.js'
+import { ServiceBook } from './serviceBook.js'
+import type { ServiceDesk } from './serviceDesk.js'
 import { StatementRunner } from './statementRunner.js'
 import { StoreFollower } from './storeFollower.js'
 import { rest } from './waiting.js'
@@ -62,19 +55,11 @@
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024
 
-interface ServiceParts {
-  readonly desk: ServiceDesk
-  readonly probe: PrimaryProbe
-  readonly keeper: PrimaryKeeper
-}
-
 export class EntryHost implements RouteLookup, RelayDesks {
   readonly #context: HostContext
   readonly #ports: EntryHostPorts
-  readonly #directory: ServerDirectory
-  readonly #configuration = new ConfigurationBook()
-  readonly #services = new Map<string, ServiceParts>()
   readonly #fleet: HostFleet
+  readonly #services: ServiceBook
   readonly #sessions = new Set<CallerSession>()
   readonly #runner: RelayingRunner
   readonly #relay: RelayServer
@@ -96,27 +81,18 @@
   ) {
     this.#context = { settings, clock, random, dialer: ports.dialer, log, metrics }
     this.#ports = ports
-    this.#directory = new ServerDirectory(settings.drainMilliseconds)
     this.#fleet = new HostFleet(this.#context)
+    this.#services = new ServiceBook(this.#context, ports, this.#fleet)
     const runner = new StatementRunner(this.#context)
     this.#runner = new RelayingRunner(this.#context, runner, this.#fleet)
     this.#relay = new RelayServer(this.#context, runner, this)
-    this.#follower = new StoreFollower(this.#context, ports.store, {
-      changed: change => {
-        this.#changed(change)
-      },
-      listed: changes => {
-        this.#listed(changes)
-      },
-      isUrgent: change => isUrgent(change, this.#interest),
-    })
+    this.#follower = new StoreFollower(this.#context, ports.store, this.#services)
     this.#registration = new HostRegistration(this.#context, ports.store)
   }
 
   /** Whether new callers are welcome: it can tell where their work goes. */
   get isReady(): boolean {
-    if (this.#isStopping || this.#configuration.current === null) return false
-    return [...this.#services.values()].every(({ desk }) => desk.servers.length > 0)
+    return !this.#isStopping && this.#services.isServable
   }
 
   get sessionCount(): number {
@@ -124,26 +100,24 @@
   }
 
   get isKnown(): boolean {
-    return this.#configuration.current !== null
+    return this.#services.isKnown
   }
 
   get idleTransactionMilliseconds(): number {
-    return this.#configuration.current?.idleTransactionMilliseconds ?? Number.POSITIVE_INFINITY
+    return this.#services.idleTransactionMilliseconds
   }
 
   whenKnown(span: number): Promise<void> {
-    return this.#configuration.whenKnown(span)
+    return this.#services.whenKnown(span)
   }
 
   find(database: string): ReturnType<RouteLookup['find']> {
-    const route = this.#configuration.route(database)
-    const parts = route === null ? undefined : this.#services.get(route.service)
-    return route === null || parts === undefined ? null : { route, desk: parts.desk }
+    return this.#services.find(database)
   }
 
   serve(service: string): ServiceDesk | null {
     if (this.#isStopping) return null
-    const desk = this.#services.get(service)?.desk ?? null
+    const desk = this.#services.desk(service) ?? null
     if (desk !== null && !desk.isOwned) desk.standIn(this.#context.clock.now())
     return desk
   }
@@ -198,7 +172,7 @@
     return (
       this.#relay.isWorking ||
       [...this.#sessions].some(session => session.isBusy) ||
-      [...this.#services.values()].some(({ keeper }) => keeper.isChanging)
+      this.#services.isChanging
     )
   }
 
@@ -227,7 +201,7 @@
     this.#follower.stop()
     this.#relay.close()
     this.#fleet.close()
-    for (const { desk } of this.#services.values()) desk.close()
+    this.#services.close()
   }
 
   #tickAfter(span: number): void {
@@ -240,158 +214,14 @@
 
   /** Whether something that a tick watches is under way: a statement, a question, a change. */
   get #isOwedAnswers(): boolean {
-    if (this.#fleet.isOwedAnswers) return true
-    return [...this.#services.values()].some(
-      ({ desk, keeper }) =>
-        keeper.isChanging ||
-        desk.servers.some(server => server.owesAnswer || server.pool.refusals > 0),
-    )
+    return this.#fleet.isOwedAnswers || this.#services.isOwedAnswers
   }
 
   #tick(): void {
     const now = this.#context.clock.now()
     const wasStandingStill = now - this.#lastTick > STANDSTILL_MILLISECONDS
     this.#lastTick = now
-    for (const news of this.#directory.expire(now)) this.#apply(news, now)
     this.#fleet.tick(now)
-    for (const { desk, probe, keeper } of this.#services.values()) {
-      const isActive = desk.isActive(now)
-      for (const server of desk.servers) {
-        // What was asked before a standstill was answered while nobody looked.
-        if (wasStandingStill) server.forgetQuestions()
-        server.watchLife(now)
-        const keepWarm = isActive && this.#directory.mayTakeWork(server.entry.server, now)
-        server.pool.tick(now, keepWarm)
-      }
-      if (!isActive) continue
-      probe.tick(now)
-      if (!this.#isStopping && desk.isOwned) keeper.tick(now)
-    }
-  }
-
-  #listed(changes: readonly DirectoryChange[]): void {
-    const now = this.#context.clock.now()
-    const listed = new Set(
-      changes.flatMap(change => (change.kind === 'server' ? [change.entry.server] : [])),
-    )
-    const records = new Set(
-      changes.flatMap(change => (change.kind === 'record' ? [change.key] : [])),
-    )
-    for (const change of changes) this.#changed(change)
-    for (const news of this.#directory.keepOnly(listed, now)) this.#apply(news, now)
-    this.#fleet.keepOnly(host => records.has(hostKey(host)))
-    this.#fleet.plan(this.#desks())
-    for (const [service, { keeper }] of this.#services) {
-      if (!records.has(changeKey(service))) keeper.heardChange(null, 0)
-    }
-  }
-
-  #changed(change: DirectoryChange): void {
-    const now = this.#context.clock.now()
-    switch (change.kind) {
-      case 'configuration':
-        this.#configure(change.configuration)
-        return
-      case 'server': {
-        const news = this.#directory.list(change.entry, now)
-        if (news !== null) this.#apply(news, now)
-        return
-      }
-      case 'serverGone': {
-        const news = this.#directory.unlist(change.server, now)
-        if (news !== null) this.#apply(news, now)
-        return
-      }
-      case 'record':
-        this.#recordChanged(change.key, change.value, change.revision)
-        return
-      case 'unreadable':
-        this.#context.log.write('entry_unreadable', { key: change.key, detail: change.detail })
-    }
-  }
-
-  #configure(configuration: FleetConfiguration): void {
-    if (!this.#configuration.take(configuration)) return
-    const { version, routes, services } = configuration
-    this.#context.log.write('configuration_taken', { version, routes: routes.length })
-    for (const service of services) this.#configureService(service)
-    this.#fleet.plan(this.#desks())
-    for (const [name, { probe }] of this.#services) {
-      probe.guarantees = routes.filter(route => route.service === name).map(each => each.guarantee)
-    }
-  }
-
-  #configureService(service: FleetConfiguration['services'][number]): void {
-    const known = this.#services.get(service.name)
-    if (known !== undefined) {
-      known.desk.configuration = service
-      return
-    }
-    const desk = new ServiceDesk(this.#context, this.#directory, service)
-    const { store, promotion } = this.#ports
-    const keeper = new PrimaryKeeper(this.#context, desk, this.#directory, store, promotion, () =>
-      this.#fleet.ownersOf(service.name),
-    )
-    const probe = new PrimaryProbe(this.#context, desk)
-    this.#services.set(service.name, { desk, probe, keeper })
-    const now = this.#context.clock.now()
-    for (const { entry } of this.#directory.ofService(service.name)) desk.appeared(entry, now)
-  }
-
-  readonly #interest: ServiceInterest = {
-    worksWith: service => {
-      const desk = this.#services.get(service)?.desk
-      return desk?.isActive(this.#context.clock.now()) ?? false
-    },
-    serviceOf: server => this.#directory.get(server)?.entry.service ?? null,
-  }
-
-  #desks(): ServiceDesk[] {
-    return [...this.#services.values()].map(({ desk }) => desk)
-  }
-
-  #apply(news: DirectoryNews, now: Milliseconds): void {
-    const { entry } = news
-    this.#context.log.write(`server_${news.kind}`, {
-      server: entry.server,
-      service: entry.service,
-      role: entry.role,
-      zone: entry.zone,
-      isLeaving: entry.isLeaving,
-    })
-    const desk = this.#services.get(entry.service)?.desk
-    switch (news.kind) {
-      case 'appeared':
-        desk?.appeared(entry, now)
-        return
-      case 'changed':
-        desk?.changedEntry(entry, news.before, now)
-        return
-      case 'unlisted':
-        desk?.changed.raise()
-        return
-      case 'removed':
-        desk?.removed(entry.server)
-    }
-  }
-
-  #recordChanged(key: string, value: string | null, revision: number): void {
-    const name = readRecordName(key)
-    switch (name?.kind) {
-      case 'change':
-        this.#services.get(name.service)?.keeper.heardChange(value, revision)
-        return
-      case 'suspicion':
-        if (name.host === this.#context.settings.entryHost) return
-        this.#services.get(name.service)?.keeper.heardSuspicion(name.host, value)
-        return
-      case 'host': {
-        const record = value === null ? null : readHostRecord(value)
-        this.#fleet.heard(name.host, record)
-        this.#fleet.plan(this.#desks())
-        return
-      }
-      case undefined:
-    }
+    this.#services.tick(now, { wasStandingStill, isStopping: this.#isStopping })
   }
 }
--- a/packages/soak/src/promiseJudge.ts
+++ b/packages/soak/src/promiseJudge.ts
@@ -96,7 +96,8 @@
     for (const group of this.#groups.values()) {
       this.findings.push(...group.violations)
       for (const id of group.doubled) this.#find(`write ${id} stands twice`)
-      for (const { id } of group.primary.log) held.add(id)
+      for (const { id } of group.leader?.log ?? []) held.add(id)
+      if (group.leader === null) this.#find(`${group.service} has no primary in the end`)
     }
     for (const id of this.#acknowledgedIds.keys()) {
       if (!held.has(id)) this.#find(`acknowledged write ${id} is lost`)
--- a/packages/stand-ins/src/hostPlatform/memoryGroup.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryGroup.ts
@@ -81,11 +81,16 @@
   }
 
   get primary(): MemoryServer {
-    const primary = [...this.servers.values()].find(server => server.role === 'primary')
-    if (primary === undefined) throw new Error('the group has no primary')
+    const primary = this.leader
+    if (primary === null) throw new Error('the group has no primary')
     return primary
   }
 
+  /** Null between a step down and the next promotion. */
+  get leader(): MemoryServer | null {
+    return [...this.servers.values()].find(server => server.role === 'primary') ?? null
+  }
+
   server(id: BackendServerId): MemoryServer {
     const server = this.servers.get(id)
     if (server === undefined) throw new Error(`no server ${id}`)
@@ -132,9 +137,10 @@
     if (server.isDown) server.pausedFor = 0
     server.isDown = false
     if (server.role === 'primary') return
-    const primary = this.primary
-    server.log = [...primary.log]
-    server.term = primary.term
+    const { leader } = this
+    if (leader === null) return
+    server.log = [...leader.log]
+    server.term = leader.term
   }
 
   /** Usually the other lacks just the last writes; else it takes the whole log over. */
