--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -29,6 +29,8 @@
 const GRACE_SECONDS = 4
 export const BOUNDED_AGE_MILLISECONDS = 1500
 const SERVERS_EACH = 3
+/** For callers, readiness, and other hosts. */
+const PORTS_EACH = 3
 
 export type Guarantee = 'latest' | 'bounded' | 'own'
 export const GUARANTEES: readonly Guarantee[] = ['latest', 'bounded', 'own']
@@ -77,7 +79,11 @@
   async start(): Promise<void> {
     for (const group of this.groups) await this.#startGroup(group)
     this.configure()
-    for (let index = 0; index < this.plan.hosts; index += 1) await this.#addHost(index)
+    // All at once: a port drawn earlier is free still when the next are drawn, until its host listens.
+    const ports = await freePorts(this.plan.hosts * PORTS_EACH)
+    for (let index = 0; index < this.plan.hosts; index += 1) {
+      await this.#addHost(index, ports.slice(index * PORTS_EACH))
+    }
     const ready = await Promise.all(this.hosts.map(host => host.whenReady()))
     if (!ready.every(Boolean)) throw new Error('a host never became ready')
   }
@@ -175,7 +181,7 @@
     }
   }
 
-  async #addHost(index: number): Promise<void> {
+  async #addHost(index: number, ports: readonly number[]): Promise<void> {
     const name = `host-${String(index + 1)}`
     const zone = ZONES[index % ZONES.length] ?? ZONES[0]
     const serverPorts = await this.#serverPorts(name)
@@ -193,7 +199,7 @@
       targetZone: STORE,
       target: `${STORE} of ${name}`,
     })
-    const [callers = 0, readiness = 0, internal = 0] = await freePorts(3)
+    const [callers = 0, readiness = 0, internal = 0] = ports
     this.relay.target(name, callers)
     const link = { sourceZone: CALLERS, targetZone: name, target: name }
     this.callerPorts.set(name, await this.relay.open(link))
