--- a/packages/soak/src/hostProcess.ts
+++ b/packages/soak/src/hostProcess.ts
@@ -46,6 +46,13 @@
       stdio: ['ignore', log, log],
     })
     closeSync(log)
+    const child = this.#child
+    // A run that is broken off leaves no hosts behind, frozen ones neither.
+    const end = (): void => {
+      child.kill('SIGKILL')
+    }
+    process.once('exit', end)
+    child.once('exit', () => process.off('exit', end))
   }
 
   signal(name: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -20,10 +20,12 @@
   --kinds A,B    only these faults
   --program F    another build of the entry host's program
   --keep DIR     keep settings and logs of runs with findings there
-Each seed ends with one line of JSON. Exit code 1: a promise was broken. 2: bad options.`
+Each seed ends with one line of JSON. Exit code 1: a promise was broken. 2: bad options.
+130: broken off by a signal.`
 
 const EXIT_FOUND = 1
 const EXIT_BAD_OPTIONS = 2
+const EXIT_BROKEN_OFF = 130
 const PROGRAM = fileURLToPath(new URL('../../../host/dist/src/main.js', import.meta.url))
 
 const OPTIONS = {
@@ -95,6 +97,11 @@
   }
 }
 
+// The end of this process ends its hosts, if it comes by `exit`.
+for (const name of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(name, () => process.exit(EXIT_BROKEN_OFF))
+}
+
 const plan = readOptions()
 if ('seeds' in plan) await runSeeds(plan)
 else {
