--- a/packages/bench/src/soak/faults.ts
+++ b/packages/bench/src/soak/faults.ts
@@ -1,5 +1,6 @@
 /** The faults of a soak: each begins, lasts and is healed. */
 import type { RandomSource } from '@nutmegcourse/shared'
+import { pick } from '@nutmegcourse/stand-ins'
 import { agentOf, proxyOf, type Deployment } from '../deployment/deployment.js'
 import { pauseReplication } from '../deployment/serverOrders.js'
 
@@ -11,12 +12,6 @@
 
 type FaultMaker = (deployment: Deployment, random: RandomSource) => Fault
 
-function pick<Item>(items: readonly Item[], random: RandomSource): Item {
-  const item = items[Math.floor(random.next() * items.length)]
-  if (item === undefined) throw new Error('nothing to pick from')
-  return item
-}
-
 function killed(deployment: Deployment, id: string): Fault {
   return {
     name: `kill ${id}`,
--- a/packages/soak/src/faultPlan.ts
+++ b/packages/soak/src/faultPlan.ts
@@ -1,5 +1,6 @@
 /** What a run does to the fleet, drawn from a seed: the same seed and sizes give the same plan. */
 import type { RandomSource } from '@nutmegcourse/shared'
+import { pick } from '@nutmegcourse/stand-ins'
 
 export type Fault =
   /** SIGKILL; the process is started again when the fault ends. */
@@ -118,9 +119,3 @@
       return { kind }
   }
 }
-
-function pick<Item>(items: readonly Item[], random: RandomSource): Item {
-  const item = items[Math.floor(random.next() * items.length)]
-  if (item === undefined) throw new Error('nothing to pick from')
-  return item
-}
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -1,6 +1,7 @@
 /** One caller: opens sessions at random hosts, asks, and tells the judge what it was told. */
 import { setTimeout as delay } from 'node:timers/promises'
 import type { LogPosition, RandomSource } from '@nutmegcourse/shared'
+import { pick } from '@nutmegcourse/stand-ins'
 import { WireCaller, type WireAnswer } from '@nutmegcourse/platform/standIns'
 import type { PromiseJudge, ReadRule } from './promiseJudge.js'
 import {
@@ -195,9 +196,3 @@
       return { kind: guarantee, age: BOUNDED_AGE_MILLISECONDS }
   }
 }
-
-function pick<Item>(items: readonly Item[], random: RandomSource): Item {
-  const item = items[Math.floor(random.next() * items.length)]
-  if (item === undefined) throw new Error('nothing to pick from')
-  return item
-}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -2,6 +2,7 @@
 export * from './backendServer/backendServer.js'
 export * from './backendServer/backendServerSettings.js'
 export * from './hostList/hostListServer.js'
+export * from './pick.js'
 export * from './process/ports.js'
 export * from './relay/relay.js'
 export * from './store/storeServer.js'
