--- /dev/null
+++ b/packages/coordination/__tests__/failoverCoordinator.spec.ts
@@ -0,0 +1,55 @@
+import { describe, test } from 'node:test'
+import { expect } from 'earl'
+import type { FailoverEffect } from '@nutmegcourse/coordination'
+import { isAnnounced, isSwapped, play } from './failoverStory.js'
+
+describe('FailoverCore outlives its coordinator', () => {
+  /*
+   * The primary fails, the host that replaces it stops between two steps, and callers wait for
+   * ever; or it wakes later, goes on with its outdated change, and two primaries take writes.
+   */
+  const steps: readonly {
+    readonly name: string
+    readonly is: (effect: FailoverEffect) => boolean
+  }[] = [
+    { name: 'announcing the term', is: effect => isAnnounced(effect, 'fencing') },
+    { name: 'the swap that takes the term', is: effect => isSwapped(effect, 'fencing') },
+    { name: 'the first fence', is: effect => effect.kind === 'fence' },
+    { name: 'announcing the choice', is: effect => isAnnounced(effect, 'promoting') },
+    { name: 'the promotion', is: effect => effect.kind === 'promote' },
+    { name: 'announcing the new primary', is: effect => isAnnounced(effect, 'stable') },
+    { name: 'the first follow', is: effect => effect.kind === 'follow' },
+  ]
+  const endings = [
+    { ending: 'killed before', carriesOut: false, stop: 'kill' },
+    { ending: 'killed after', carriesOut: true, stop: 'kill' },
+    { ending: 'frozen before', carriesOut: false, stop: 'freeze' },
+    { ending: 'frozen after', carriesOut: true, stop: 'freeze' },
+  ] as const
+  for (const step of steps) {
+    for (const { ending, carriesOut, stop } of endings) {
+      test(`${ending} ${step.name}`, () => {
+        play({
+          name: step.name,
+          act: world => {
+            const stopped: string[] = []
+            world.intercept = (host, effect) => {
+              const name = world.hostName(host)
+              if (stopped.includes(name)) return stop === 'freeze'
+              if (stopped.length > 0 || !step.is(effect)) return true
+              stopped.push(name)
+              if (stop === 'kill') world.kill(name)
+              else world.network.freeze(name)
+              return carriesOut
+            }
+            world.kill('server-0')
+            world.runFor(3_000)
+            expect(stopped.length).toEqual(1)
+            for (const name of stopped) if (stop === 'freeze') world.network.thaw(name)
+          },
+          gapBelow: 1_500,
+        })
+      })
+    }
+  }
+})
