fix(host): a leaving server's time counts from when it may have begun, not from when this host heard of it

The host was cut from the store from 16.4 to 20.4 s, the server left at 19.36, the host heard at 21.24 (watch overdue at 19.37, then a pause) and gave it work until 5.5 s after that. Ruled out: gathering of changes (the host was not gathering), load. Change: what is heard after a failed watch or by a list may be as old as the last answer before; new work stops after 0.55 of the server's time (3.85 of 7 s) instead of 1.5 s before its end, for answers that a partition held up and statements that wait for a connection. A planned change takes 1.6 s. The check in serverDirectory.spec.ts (6,400 and 6,600 ms) is replaced by a stricter one (4,800 and 4,900). The new cases of storeFollower.spec.ts use a new argument, so they could not be red before.

--- /dev/null
+++ b/packages/host/__tests__/storeFollower.spec.ts
@@ -0,0 +1,133 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { err, ok } from 'neverthrow'
+import {
+  SeededRandom,
+  VirtualClock,
+  availabilityZoneId,
+  backendServerId,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
+import type {
+  DirectoryChange,
+  DirectoryEvents,
+  StoreFailure,
+  StoreLink,
+} from '@nutmegcourse/protocol'
+import type { HostContext } from '../src/hostContext.js'
+import { StoreFollower } from '../src/storeFollower.js'
+
+// One host is cut off from the store for four seconds. Meanwhile a backend server says that it leaves, which
+// the host hears two seconds late; it counted the server's time from then, and gave it new work after the
+// time was over, when the server may be gone and another stand at its address. What is heard
+// after a failure may have been so since the last answer before it.
+
+const LEAVING: DirectoryChange = {
+  kind: 'server',
+  entry: {
+    server: backendServerId('i-p'),
+    service: 'db-1',
+    host: '127.0.0.1',
+    port: 1,
+    zone: availabilityZoneId('z'),
+    slots: 3,
+    isLeaving: true,
+    role: 'primary',
+    startedAtUnixMilliseconds: 1,
+  },
+}
+
+type Answer = DirectoryEvents | StoreFailure
+
+/** What one call of the store gives, and how long it takes. */
+interface Step {
+  readonly call: 'list' | 'watch'
+  readonly takes: number
+  readonly answer: Answer
+}
+
+const EMPTY: Answer = { changes: [], revision: 1 }
+const CHANGE: Answer = { changes: [LEAVING], revision: 2 }
+const CUT: Answer = { kind: 'noAnswer', detail: 'cut off' }
+const GONE: Answer = { kind: 'historyGone' }
+
+const CASES: readonly (readonly [string, readonly Step[], number])[] = [
+  [
+    'a watch that waited: now',
+    [
+      { call: 'list', takes: 10, answer: EMPTY },
+      { call: 'watch', takes: 3000, answer: CHANGE },
+    ],
+    3010,
+  ],
+  [
+    'a watch after one that failed: when the store last answered',
+    [
+      { call: 'list', takes: 10, answer: EMPTY },
+      { call: 'watch', takes: 500, answer: EMPTY },
+      { call: 'watch', takes: 6500, answer: CUT },
+      { call: 'watch', takes: 10, answer: CHANGE },
+    ],
+    510,
+  ],
+  [
+    'a list after the history was gone: when the store last answered',
+    [
+      { call: 'list', takes: 10, answer: EMPTY },
+      { call: 'watch', takes: 500, answer: EMPTY },
+      { call: 'watch', takes: 4000, answer: GONE },
+      { call: 'list', takes: 10, answer: CHANGE },
+    ],
+    510,
+  ],
+  ['the first list: when it was asked for', [{ call: 'list', takes: 10, answer: CHANGE }], 0],
+]
+
+async function hearSince(steps: readonly Step[]): Promise<number> {
+  const clock = new VirtualClock()
+  const left = [...steps]
+  const next = (call: Step['call']): Promise<Answer> => {
+    const step = left.shift()
+    if (step === undefined) return new Promise(() => undefined)
+    expect(step.call).toEqual(call)
+    clock.advance(step.takes)
+    return Promise.resolve(step.answer)
+  }
+  const store = {
+    list: async () => {
+      const answer = await next('list')
+      return 'kind' in answer ? err(answer) : ok({ ...answer, next: null })
+    },
+    watch: async () => {
+      const answer = await next('watch')
+      return 'kind' in answer ? err(answer) : ok(answer)
+    },
+    close: () => undefined,
+  } as unknown as StoreLink
+  const context = {
+    clock,
+    random: new SeededRandom(1),
+    log: { write: () => undefined },
+  } as unknown as HostContext
+  return new Promise(resolve => {
+    const hear = (changes: readonly DirectoryChange[], since: Milliseconds): void => {
+      if (changes.includes(LEAVING)) resolve(since)
+    }
+    const follower = new StoreFollower(context, store, {
+      changed: (change, since) => {
+        hear([change], since)
+      },
+      listed: hear,
+      isUrgent: () => true,
+    })
+    void follower.run()
+  })
+}
+
+describe('a change of the store may be as old as', () => {
+  for (const [name, steps, since] of CASES) {
+    it(name, async () => {
+      expect(await hearSince(steps)).toEqual(since)
+    })
+  }
+})
--- a/packages/host/src/serviceBook.ts
+++ b/packages/host/src/serviceBook.ts
@@ -122,7 +122,7 @@
     for (const desk of this.#desks()) desk.close()
   }
 
-  listed(changes: readonly DirectoryChange[]): void {
+  listed(changes: readonly DirectoryChange[], since: Milliseconds): void {
     const now = this.#context.clock.now()
     const listed = new Set(
       changes.flatMap(change => (change.kind === 'server' ? [change.entry.server] : [])),
@@ -130,7 +130,7 @@
     const records = new Set(
       changes.flatMap(change => (change.kind === 'record' ? [change.key] : [])),
     )
-    for (const change of changes) this.changed(change)
+    for (const change of changes) this.changed(change, since)
     for (const news of this.#directory.keepOnly(listed, now)) this.#apply(news, now)
     this.#fleet.keepOnly(host => records.has(hostKey(host)))
     this.#fleet.plan(this.#desks())
@@ -139,14 +139,14 @@
     }
   }
 
-  changed(change: DirectoryChange): void {
+  changed(change: DirectoryChange, since: Milliseconds): void {
     const now = this.#context.clock.now()
     switch (change.kind) {
       case 'configuration':
         this.#configure(change.configuration)
         return
       case 'server': {
-        const news = this.#directory.list(change.entry, now)
+        const news = this.#directory.list(change.entry, since)
         if (news !== null) this.#apply(news, now)
         return
       }
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -5,13 +5,15 @@
  * @internal
  */
 import type { DirectoryChange, StoreFailure, StoreLink } from '@nutmegcourse/protocol'
+import type { Milliseconds } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
 import { rest } from './waiting.js'
 
 export interface StoreListener {
-  changed(change: DirectoryChange): void
+  /** It may have been made as early as `since`. */
+  changed(change: DirectoryChange, since: Milliseconds): void
   /** A whole list was read; what it did not name does not exist. */
-  listed(changes: readonly DirectoryChange[]): void
+  listed(changes: readonly DirectoryChange[], since: Milliseconds): void
   /** Whether callers wait while the next change is not heard of. */
   isUrgent(change: DirectoryChange): boolean
 }
@@ -44,6 +46,8 @@
   #revision: number | null = null
   #pause = SHORTEST_PAUSE_MILLISECONDS
   #isAway = false
+  /** As of when this host knows all that the store held; null before it does. */
+  #answeredAt: Milliseconds | null = null
   #isStopped = false
 
   constructor(context: HostContext, store: StoreLink, listener: StoreListener) {
@@ -67,6 +71,7 @@
   }
 
   async #list(): Promise<StoreFailure | null> {
+    const askedAt = this.#context.clock.now()
     const changes: DirectoryChange[] = []
     let next: string | null = null
     let revision: number | null = null
@@ -79,10 +84,22 @@
       next = page.value.next
     } while (next !== null)
     this.#revision = revision
-    this.#listener.listed(changes)
+    const since = this.#answeredAt ?? askedAt
+    this.#answeredAt = askedAt
+    this.#listener.listed(changes, since)
     return null
   }
 
+  /**
+   * The earliest time at which a change that is heard of now may have been made. A watch answers at once,
+   * but one that failed before may have missed it: a host that was cut off then gave a leaving server
+   * work for longer than it stays.
+   */
+  #notBefore(): Milliseconds {
+    const now = this.#context.clock.now()
+    return this.#isAway ? (this.#answeredAt ?? now) : now
+  }
+
   async #watch(revision: number): Promise<StoreFailure | null> {
     const limit = WATCH_MILLISECONDS + ANSWER_LIMIT_MILLISECONDS
     const events = await this.#store.watch(revision, WATCH_MILLISECONDS, limit)
@@ -90,8 +107,10 @@
     // An answer of an older state can not take back what is known.
     if (events.value.revision < revision) return null
     this.#revision = events.value.revision
-    for (const change of events.value.changes) this.#listener.changed(change)
     const { changes } = events.value
+    const since = this.#notBefore()
+    this.#answeredAt = this.#context.clock.now()
+    for (const change of changes) this.#listener.changed(change, since)
     if (changes.length > 0 && !changes.some(change => this.#listener.isUrgent(change)))
       await rest(GATHER_MILLISECONDS)
     return null
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -62,8 +62,8 @@
     directory.list(entry(), at(0))
     directory.list(entry({ isLeaving: true }), at(1000))
     directory.list(entry({ isLeaving: true, role: 'primary' }), at(4000))
-    expect(directory.mayTakeWork(A, at(6400))).toEqual(true)
-    expect(directory.mayTakeWork(A, at(6600))).toEqual(false)
+    expect(directory.mayTakeWork(A, at(4800))).toEqual(true)
+    expect(directory.mayTakeWork(A, at(4900))).toEqual(false)
   })
 
   // The store was away and let entries lapse; their servers live. Callers must not lose half of the
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -9,12 +9,17 @@
  */
 const GONE_GRACE_MILLISECONDS = 4000
 
-/** New work stops this long before a leaving server's time is over: the news of it took a while. */
-const DRAIN_MARGIN_MILLISECONDS = 1500
+/**
+ * The part of a leaving server's time in which this host still gives it new work, counted from the
+ * news. The rest is for what the news may have taken: a second in which changes gather, seconds in which the
+ * answer was held up by a partition; and for statements that wait here for a connection. A planned change of primary
+ * is done in about a quarter of the time.
+ */
+const DRAIN_PART_IN_USE = 0.55
 
 export interface KnownServer {
   readonly entry: BackendServerEntry
-  /** When this host heard that the server leaves; null while it stays. */
+  /** The earliest time at which the server may have said that it leaves; null while it stays. */
   readonly leavingSince: Milliseconds | null
   /** When this host heard that the entry was gone; null while it is listed. */
   readonly goneSince: Milliseconds | null
@@ -48,11 +53,11 @@
     return [...this.#servers.values()].filter(known => known.entry.service === service)
   }
 
-  /** The store lists the server. */
-  list(entry: BackendServerEntry, now: Milliseconds): DirectoryNews | null {
+  /** The store lists the server so, since `since` at the earliest. */
+  list(entry: BackendServerEntry, since: Milliseconds): DirectoryNews | null {
     const known = this.#servers.get(entry.server)
     const isSameLife = known !== undefined && isOneLife(known.entry, entry)
-    const leavingSince = entry.isLeaving ? ((isSameLife ? known.leavingSince : null) ?? now) : null
+    const leavingSince = entry.isLeaving ? ((isSameLife ? known.leavingSince : null) ?? since) : null
     this.#servers.set(entry.server, { entry, leavingSince, goneSince: null })
     if (!isSameLife) return { kind: 'appeared', entry }
     if (known.goneSince === null && isSameEntry(known.entry, entry)) return null
@@ -95,7 +100,7 @@
     if (known === undefined) return false
     const { leavingSince } = known
     if (leavingSince === null) return true
-    const last = this.#drainMilliseconds - DRAIN_MARGIN_MILLISECONDS
+    const last = this.#drainMilliseconds * DRAIN_PART_IN_USE
     return now < addMilliseconds(leavingSince, last)
   }
 }
