fix(soak): cuts at the very end of a planned stop are judged too; callers made in a function of their own

The end of a stopped host's connections reaches callers through the relay after the process has gone, when the check no longer took the stop for under way.

--- a/packages/soak/src/hostProcess.ts
+++ b/packages/soak/src/hostProcess.ts
@@ -7,6 +7,7 @@
 
 const READY_LIMIT_MILLISECONDS = 30_000
 const LOOK_AGAIN_MILLISECONDS = 50
+const LAST_BYTES_MILLISECONDS = 100
 
 export interface HostProcessPlan {
   readonly name: string
@@ -20,7 +21,7 @@
 export class HostProcess {
   readonly plan: HostProcessPlan
   #child: ChildProcess | null = null
-  /** Between the signal to stop and the end. */
+  /** From the signal to stop until callers have seen the end. */
   isStopping = false
 
   constructor(plan: HostProcessPlan) {
@@ -67,6 +68,8 @@
     this.isStopping = true
     child.kill('SIGTERM')
     await ended
+    // The end of its connections reaches callers through the relay a little later.
+    await delay(LAST_BYTES_MILLISECONDS)
     this.isStopping = false
   }
 
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -4,7 +4,7 @@
 import { FaultInjector } from './faultInjector.js'
 import { planFaults, type FaultKind } from './faultPlan.js'
 import { PromiseJudge } from './promiseJudge.js'
-import { SoakCaller } from './soakCaller.js'
+import { SoakCaller, type OnCut } from './soakCaller.js'
 import { SoakWorld } from './soakWorld.js'
 
 export interface SoakOptions {
@@ -51,23 +51,7 @@
   const injector = new FaultInjector(world, random)
   try {
     await world.start()
-    const callers = Array.from({ length: options.callers }, (_, index) => {
-      const seed = options.seed * 1000 + index
-      return new SoakCaller(
-        `c${String(index)}`,
-        world,
-        judge,
-        new SeededRandom(seed),
-        (host, id, owedFor) => {
-          const isPlanned = world.host(host).isStopping
-          const isTroubled = injector.wasTroubledSince(performance.now() - AFTERMATH_MILLISECONDS)
-          if (!isPlanned || isTroubled) return
-          if (owedFor < CROSSING_MILLISECONDS && !wasPassedOn(world, id)) return
-          const span = owedFor.toFixed(1)
-          judge.note(`${host} stopped as planned and cut ${id}, owed for ${span} ms`)
-        },
-      )
-    })
+    const callers = makeCallers(options, world, judge, injector)
     const running = callers.map(caller => caller.run())
     await injector.run(
       planFaults(
@@ -98,6 +82,25 @@
   }
 }
 
+function makeCallers(
+  options: SoakOptions,
+  world: SoakWorld,
+  judge: PromiseJudge,
+  injector: FaultInjector,
+): SoakCaller[] {
+  const onCut: OnCut = (host, id, owedFor) => {
+    const isPlanned = world.host(host).isStopping
+    const isTroubled = injector.wasTroubledSince(performance.now() - AFTERMATH_MILLISECONDS)
+    if (!isPlanned || isTroubled) return
+    if (owedFor < CROSSING_MILLISECONDS && !wasPassedOn(world, id)) return
+    judge.note(`${host} stopped as planned and cut ${id}, owed for ${owedFor.toFixed(1)} ms`)
+  }
+  return Array.from({ length: options.callers }, (_, index) => {
+    const random = new SeededRandom(options.seed * 1000 + index)
+    return new SoakCaller(`c${String(index)}`, world, judge, random, onCut)
+  })
+}
+
 const wasPassedOn = (world: SoakWorld, id: string): boolean =>
   world.groups.some(({ ran }) => ran.some(entry => entry.endsWith(`:${id}`)))
 
