--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -57,7 +57,9 @@
   list(entry: BackendServerEntry, since: Milliseconds): DirectoryNews | null {
     const known = this.#servers.get(entry.server)
     const isSameLife = known !== undefined && isOneLife(known.entry, entry)
-    const leavingSince = entry.isLeaving ? ((isSameLife ? known.leavingSince : null) ?? since) : null
+    const leavingSince = entry.isLeaving
+      ? ((isSameLife ? known.leavingSince : null) ?? since)
+      : null
     this.#servers.set(entry.server, { entry, leavingSince, goneSince: null })
     if (!isSameLife) return { kind: 'appeared', entry }
     if (known.goneSince === null && isSameEntry(known.entry, entry)) return null
