fix(host): a configuration that the store told nobody of is found half a second after the watch was cut

Cause: a store that is about to forget its history accepts a watch whose beginning is gone; it is silent to its end (5 s), after up to 1 s of gathering, and the configuration was 6.1 s late at two hosts of nine. Ruled out: a lost list. The spans of all news are one sum within the bound that the settings name; tests red first.

--- a/packages/host/__tests__/storeFollower.spec.ts
+++ b/packages/host/__tests__/storeFollower.spec.ts
@@ -107,6 +107,7 @@
   const context = {
     clock,
     random: new SeededRandom(1),
+    settings: { configurationMilliseconds: 4000 },
     log: { write: () => undefined },
   } as unknown as HostContext
   return new Promise(resolve => {
--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -75,6 +75,7 @@
     promotion: nowhere,
     serverHeartbeatMilliseconds: 1000,
     drainMilliseconds: 7000,
+    configurationMilliseconds: 4000,
     graceMilliseconds: grace,
   }
 }
--- /dev/null
+++ b/packages/host/src/newsBudget.ts
@@ -0,0 +1,92 @@
+/**
+ * How long news from the store may take to reach this host, in all. A configuration has to be in force
+ * everywhere within the time that the deployment's settings give; the spans below are its parts.
+ *
+ * @internal
+ */
+
+/** Spans in milliseconds. */
+export interface NewsBudget {
+  /** How long one watch waits for a change. A connection that went silent shows only after it. */
+  readonly watch: number
+  /**
+   * How long the first watch waits after a pause or a failure. The store may have forgotten what this host
+   * did not hear meanwhile, and says so only when a watch begins or ends.
+   */
+  readonly firstWatch: number
+  /** Beyond the wait, what the store's answer may take when it is slow. */
+  readonly answer: number
+  /** Other changes gather for so long after one that nobody waits for. */
+  readonly gather: number
+  /** Between two tries while the store is away; grows from the first to the second. */
+  readonly shortestPause: number
+  readonly longestPause: number
+}
+
+/** Each watch that ends is a call, so none ends sooner than this without need ... */
+const LONGEST_WATCH_MILLISECONDS = 5000
+/** ... and none is so short that hosts at rest would press the store: one call a second each. */
+const SHORTEST_WATCH_MILLISECONDS = 1000
+
+/** Nearly twice what a slow store takes (60 times its usual 4 ms) with a round trip past the link. */
+const ANSWER_MILLISECONDS = 500
+
+/** A round trip past the link, and the store's answer; longer would only delay what was missed. */
+const FIRST_WATCH_MILLISECONDS = 300
+
+/**
+ * Each change ends the watch of every host, and when many hosts or servers start that makes as many
+ * calls as changes times hosts. On a start of 65 hosts before 18 servers half a second saves two calls
+ * in three.
+ */
+const GATHER_MILLISECONDS = 1000
+
+/** Grows, so that a fleet does not press a store that returns. */
+const SHORTEST_PAUSE_MILLISECONDS = 100
+const LONGEST_PAUSE_MILLISECONDS = 800
+
+/** Pauses are drawn between half and one and a half times their span. */
+export const LONGEST_DRAW = 1.5
+
+/** A store that is about to forget its history tells nobody of changes for so long. */
+const DEAF_MILLISECONDS = 1000
+
+/** For the host's own work on what it heard. */
+const RESERVE_MILLISECONDS = 150
+
+/** `bound`: the time within which a new configuration must be in force, in milliseconds. */
+export function newsBudget(bound: number): NewsBudget {
+  const budget = {
+    watch: 0,
+    firstWatch: FIRST_WATCH_MILLISECONDS,
+    answer: ANSWER_MILLISECONDS,
+    gather: GATHER_MILLISECONDS,
+    shortestPause: SHORTEST_PAUSE_MILLISECONDS,
+    longestPause: LONGEST_PAUSE_MILLISECONDS,
+  }
+  const left = bound - waySinceSilence(budget) - RESERVE_MILLISECONDS
+  const watch = Math.min(Math.max(left, SHORTEST_WATCH_MILLISECONDS), LONGEST_WATCH_MILLISECONDS)
+  return { ...budget, watch }
+}
+
+/** The longest way of one change while the store is well. */
+export function longestWayOfNews(budget: NewsBudget): number {
+  return Math.max(wayPastSilence(budget), wayPastForgetting(budget)) + RESERVE_MILLISECONDS
+}
+
+/** The connection of a long watch had gone silent, or that of the brief one after a rest. */
+function wayPastSilence(budget: NewsBudget): number {
+  const silentWatch = Math.max(budget.watch, budget.gather + budget.firstWatch)
+  return silentWatch + waySinceSilence(budget)
+}
+
+/** From the end of a silent watch: its answer is overdue, and a new connection brings the news. */
+function waySinceSilence(budget: NewsBudget): number {
+  return budget.answer + budget.shortestPause * LONGEST_DRAW + budget.answer
+}
+
+/** The store told nobody of it, forgot it and cut the watch; the next one hears so, and a list follows. */
+function wayPastForgetting(budget: NewsBudget): number {
+  const lookedFor = budget.firstWatch + budget.answer
+  return DEAF_MILLISECONDS + budget.shortestPause * LONGEST_DRAW + lookedFor + budget.answer
+}
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -7,6 +7,7 @@
 import type { DirectoryChange, StoreFailure, StoreLink } from '@nutmegcourse/protocol'
 import type { Milliseconds } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
+import { newsBudget, type NewsBudget } from './newsBudget.js'
 import { rest } from './waiting.js'
 
 export interface StoreListener {
@@ -18,33 +19,23 @@
   isUrgent(change: DirectoryChange): boolean
 }
 
-/**
- * How long one watch waits. A connection that went silent shows only when the answer is overdue, and
- * a new configuration must be in force four seconds after it was accepted.
- */
-const WATCH_MILLISECONDS = 5000
-
-/** Beyond the wait, what the store's answer may take when it is slow. */
-const ANSWER_LIMIT_MILLISECONDS = 1500
-
-/** Between two tries while the store is away; grows, so that a fleet does not press a store that returns. */
-const SHORTEST_PAUSE_MILLISECONDS = 100
-const LONGEST_PAUSE_MILLISECONDS = 800
-
-/**
- * Each change ends the watch of every host, and when many hosts or servers start that makes as many
- * calls as changes times hosts. Where nothing urgent follows from a change the next ones may gather
- * for a while: on a start of 65 hosts before 18 servers half a second saves two calls in three. A
- * new configuration then comes into force a second later, of the four that it may take.
- */
-const GATHER_MILLISECONDS = 1000
+/** A list of thousands of routes takes longer than another answer, past a loaded link above all. */
+const LIST_LIMIT_MILLISECONDS = 1500
 
 export class StoreFollower {
   readonly #context: HostContext
   readonly #store: StoreLink
   readonly #listener: StoreListener
+  readonly #budget: NewsBudget
   #revision: number | null = null
-  #pause = SHORTEST_PAUSE_MILLISECONDS
+  #pause: number
+  /**
+   * The next watch follows at once on an answer. After a pause or a failure the store may accept a
+   * watch although it has forgotten what the watch must begin with; that one is silent to its end, and only then
+   * is the host told to list again. So it is brief: the host hears of a missed configuration half a second
+   * after its watch was cut, not up to six seconds.
+   */
+  #isContinuous = false
   #isAway = false
   /** As of when this host knows all that the store held; null before it does. */
   #answeredAt: Milliseconds | null = null
@@ -54,6 +45,8 @@
     this.#context = context
     this.#store = store
     this.#listener = listener
+    this.#budget = newsBudget(context.settings.configurationMilliseconds)
+    this.#pause = this.#budget.shortestPause
   }
 
   async run(): Promise<void> {
@@ -76,7 +69,7 @@
     let next: string | null = null
     let revision: number | null = null
     do {
-      const page = await this.#store.list(next, ANSWER_LIMIT_MILLISECONDS)
+      const page = await this.#store.list(next, LIST_LIMIT_MILLISECONDS)
       if (page.isErr()) return page.error
       changes.push(...page.value.changes)
       // Pages are no snapshot: what changed since the first one is heard of again by the watch.
@@ -84,6 +77,7 @@
       next = page.value.next
     } while (next !== null)
     this.#revision = revision
+    this.#isContinuous = true
     const since = this.#answeredAt ?? askedAt
     this.#answeredAt = askedAt
     this.#listener.listed(changes, since)
@@ -101,8 +95,10 @@
   }
 
   async #watch(revision: number): Promise<StoreFailure | null> {
-    const limit = WATCH_MILLISECONDS + ANSWER_LIMIT_MILLISECONDS
-    const events = await this.#store.watch(revision, WATCH_MILLISECONDS, limit)
+    const { watch, firstWatch, answer, gather } = this.#budget
+    const wait = this.#isContinuous ? watch : firstWatch
+    const events = await this.#store.watch(revision, wait, wait + answer)
+    this.#isContinuous = events.isOk()
     if (events.isErr()) return events.error
     // An answer of an older state can not take back what is known.
     if (events.value.revision < revision) return null
@@ -111,15 +107,17 @@
     const since = this.#notBefore()
     this.#answeredAt = this.#context.clock.now()
     for (const change of changes) this.#listener.changed(change, since)
-    if (changes.length > 0 && !changes.some(change => this.#listener.isUrgent(change)))
-      await rest(GATHER_MILLISECONDS)
+    if (changes.length > 0 && !changes.some(change => this.#listener.isUrgent(change))) {
+      await rest(gather)
+      this.#isContinuous = false
+    }
     return null
   }
 
   #reached(): void {
     if (this.#isAway) this.#context.log.write('store_back', { revision: this.#revision })
     this.#isAway = false
-    this.#pause = SHORTEST_PAUSE_MILLISECONDS
+    this.#pause = this.#budget.shortestPause
   }
 
   async #failed(failure: StoreFailure): Promise<void> {
@@ -131,6 +129,6 @@
     if (!this.#isAway) this.#context.log.write('store_lost', { ...failure })
     this.#isAway = true
     await rest(this.#pause * (0.5 + this.#context.random.next()))
-    this.#pause = Math.min(this.#pause * 2, LONGEST_PAUSE_MILLISECONDS)
+    this.#pause = Math.min(this.#pause * 2, this.#budget.longestPause)
   }
 }
--- a/packages/protocol/src/host/hostSettings.ts
+++ b/packages/protocol/src/host/hostSettings.ts
@@ -30,6 +30,8 @@
   readonly serverHeartbeatMilliseconds: number
   /** New work must have ended this long after a server said that it leaves. */
   readonly drainMilliseconds: number
+  /** A new configuration must be in force this long after the store took it. */
+  readonly configurationMilliseconds: number
   /** From the signal to stop until the process is killed. */
   readonly graceMilliseconds: number
 }
