--- a/packages/host/__tests__/hostLife.spec.ts
+++ b/packages/host/__tests__/hostLife.spec.ts
@@ -95,6 +95,39 @@
     })
   })
 
+  // A planned stop cut a statement that a server had run. The balancer still sent callers to the host after its idle
+  // sessions had been closed; nobody sent those away again, so they worked up to the end of the
+  // process, and what ran then was cut.
+  it('has answered everything when it has stopped, also to callers that came late', async () => {
+    await inScene(0, async scene => {
+      const made = scene.add('host-1', 2000)
+      await scene.ready()
+      scene.dialer.hooks.workMilliseconds = 120
+      const stopped = made.host.stop()
+      let owed = 0
+      let isOver = false
+      const work = async (): Promise<void> => {
+        while (!isOver) {
+          await wait(10)
+          const caller = new Caller(made.host)
+          if ((await caller.connect('own')) !== 'welcome') continue
+          while (!caller.isClosed && !isOver) {
+            owed += 1
+            await caller.tell('write 1')
+            owed -= 1
+          }
+        }
+      }
+      const workers = [work(), work()]
+      await stopped
+      const owedAtEnd = owed
+      isOver = true
+      await Promise.all(workers)
+      expect(owedAtEnd).toEqual(0)
+      expect(scene.group.acknowledged.length > 0).toEqual(true)
+    })
+  })
+
   // A caller rests inside a transaction and holds a scarce connection. After the configured time the
   // transaction is rolled back; the caller learns of it with its next statement and can go on.
   it('ends a transaction that rests too long', async () => {
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -30,6 +30,8 @@
 /** Where a database's callers are served; null when no route has the name. */
 export interface RouteLookup {
   find(database: string): { readonly route: Route; readonly desk: ServiceDesk } | null
+  /** False once this host is about to end. */
+  readonly takesSessions: boolean
   /** False until the first configuration is known. */
   readonly isKnown: boolean
   readonly idleTransactionMilliseconds: number
@@ -134,6 +136,10 @@
   }
 
   async #welcome(database: string): Promise<void> {
+    if (!this.#routes.takesSessions) {
+      this.#refuseSession('tooManyCallers', 'this host is stopping')
+      return
+    }
     if (!this.#routes.isKnown) await this.#routes.whenKnown(WELCOME_LIMIT_MILLISECONDS)
     if (this.#isOver) return
     if (!this.#routes.isKnown) {
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -46,7 +46,12 @@
 /** Idle callers are sent away over this long after the signal to stop, so that they do not all reconnect at once. */
 const CLOSING_SPAN_SHARE = 0.25
 
-/** Open transactions get this part of the grace to end. */
+/**
+ * Open transactions get this part of the grace to end. From then on no session is taken, and those
+ * that came after the idle ones were closed are sent away too: a balancer may go on sending callers, and
+ * who worked on to the end of the process had a statement cut that a server had run. The other half is
+ * longer than a statement may take.
+ */
 const TRANSACTION_GRACE_SHARE = 0.5
 
 /** The process ends before it is killed. */
@@ -69,6 +74,7 @@
   #timer: NodeJS.Timeout | null = null
   #lastTick = Number.NEGATIVE_INFINITY
   #isStopping = false
+  #takesSessions = true
   #isClosed = false
 
   constructor(
@@ -103,6 +109,10 @@
     return this.#services.isKnown
   }
 
+  get takesSessions(): boolean {
+    return this.#takesSessions
+  }
+
   get idleTransactionMilliseconds(): number {
     return this.#services.idleTransactionMilliseconds
   }
@@ -161,7 +171,11 @@
     while (this.#isWorking && clock.now() - startedAt < grace * TRANSACTION_GRACE_SHARE) {
       await rest(TICK_MILLISECONDS)
     }
-    for (const session of this.#sessions) session.abortTransaction()
+    this.#takesSessions = false
+    for (const session of this.#sessions) {
+      session.abortTransaction()
+      session.closeWhenIdle()
+    }
     while (this.#isWorking && clock.now() - startedAt < grace - EXIT_RESERVE_MILLISECONDS) {
       await rest(TICK_MILLISECONDS)
     }
