refactor(state): a replica is asked by how far it says its log has come

Ruled out by the load test: the old memory lets 29 of 1,000 reads through, the new one no fewer than that would need.

--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -37,6 +37,8 @@
       readonly mishap: Mishap
       /** What the connection is worth afterwards; null when it can not be used again. */
       readonly status: SessionStatus | null
+      /** Where the server's log ends, if it said so with a refusal. */
+      readonly position: LogPosition | null
     }
 
 export interface AttemptPlan {
@@ -53,11 +55,11 @@
   readonly deadline: Milliseconds
 }
 
-const mishap = (what: Mishap, status: SessionStatus | null): AttemptOutcome => ({
-  kind: 'mishap',
-  mishap: what,
-  status,
-})
+const mishap = (
+  what: Mishap,
+  status: SessionStatus | null,
+  position: LogPosition | null = null,
+): AttemptOutcome => ({ kind: 'mishap', mishap: what, status, position })
 
 /** Runs the statement with the session's values in force. All of it leaves in one packet. */
 export async function attempt(
@@ -141,7 +143,7 @@
   if (reply.isErr()) return mishap({ kind: 'lost', failure: reply.error.kind }, null)
   const { rows, outcome, status, position } = reply.value
   if (outcome.kind === 'refused') {
-    return mishap({ kind: 'refused', refusal: outcome.refusal }, status)
+    return mishap({ kind: 'refused', refusal: outcome.refusal }, status, position)
   }
   const { signature } = outcome
   // Without a signature this is the answer to something else: the statement's own was lost.
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -5,7 +5,7 @@
  */
 import type { Milliseconds } from '@nutmegcourse/shared'
 import type { BackendAddress, BackendServerEntry } from '@nutmegcourse/protocol'
-import { BehindMemory, LatencyEstimate } from '@nutmegcourse/state'
+import { LatencyEstimate, ReplicaProgress } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { ServerPool } from './serverPool.js'
 
@@ -23,7 +23,7 @@
 export class BackendServerState {
   readonly pool: ServerPool
   readonly latency: LatencyEstimate
-  readonly behind = new BehindMemory()
+  readonly progress = new ReplicaProgress()
   readonly distance: Distance
   readonly #context: HostContext
   #entry: BackendServerEntry
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -115,10 +115,10 @@
 
   /** What an answer tells of how far the server has come. */
   noteReach(server: BackendServerState, after: LogPosition | null, outcome: AttemptOutcome): void {
-    if (after === null) return
-    if (outcome.kind === 'answered') server.behind.noteServed()
-    else if (outcome.mishap.kind === 'refused' && outcome.mishap.refusal === 'behind') {
-      server.behind.noteBehind(after, this.#context.clock.now())
+    if (outcome.position !== null) server.progress.noteReached(outcome.position)
+    if (after === null || outcome.kind === 'answered') return
+    if (outcome.mishap.kind === 'refused' && outcome.mishap.refusal === 'behind') {
+      server.progress.noteLacked(after, this.#context.clock.now())
     }
   }
 
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -200,7 +200,7 @@
         server: entry.server,
         isPrimary: server === primary,
         stays: known.leavingSince === null && known.goneSince === null && pool.refusals === 0,
-        isBehind: need !== null && server.behind.expectsBehind(need, now),
+        isBehind: need !== null && server.progress.expectsBehind(need, now),
         silentMilliseconds: server.silentFor(now),
         expectedMilliseconds: server.latency.at(now),
         inFlight: pool.busy + pool.waiting,
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -207,6 +207,7 @@
       return { kind: 'notTried', server }
     }
     const after = need.kind === 'position' ? need.position : null
+    if (after !== null) server.progress.noteAsked(after, sentAt)
     const outcome = await this.#access.attemptSingle(request, server, link, after, after === null)
     this.#access.noteReach(server, after, outcome)
     if (outcome.kind === 'answered') return { kind: 'answered', result: answered(outcome) }
@@ -250,6 +251,7 @@
       return lostMishap(server)
     }
     const after = need?.kind === 'position' ? need.position : null
+    if (after !== null) server.progress.noteAsked(after, sentAt)
     // The statement waits for this answer: behind a refused BEGIN it would run by itself.
     const begun = await runOwn(
       this.#context,
@@ -264,13 +266,14 @@
     if (begun.outcome.kind === 'refused') {
       this.endTransaction(transaction, begun.status)
       const { refusal } = begun.outcome
-      if (refusal === 'behind' && after !== null) server.behind.noteBehind(after, clock.now())
-      this.#access.learn(request, server, { kind: 'refused', refusal }, sentAt)
       const outcome = {
         kind: 'mishap',
         mishap: { kind: 'refused', refusal },
         status: begun.status,
+        position: begun.position,
       } as const
+      this.#access.noteReach(server, after, outcome)
+      this.#access.learn(request, server, outcome.mishap, sentAt)
       return { kind: 'mishap', outcome, server }
     }
     if (atPrimary) desk.provedToLead(server.entry.server, sentAt, begun.position)
@@ -352,6 +355,7 @@
     kind: 'mishap',
     mishap: { kind: 'lost', failure: 'connectionLost' },
     status: null,
+    position: null,
   } as const
   return { kind: 'mishap', outcome, server }
 }
--- a/packages/state/src/synchronous/index.ts
+++ b/packages/state/src/synchronous/index.ts
@@ -1,4 +1,4 @@
-export { BehindMemory } from './behindMemory.js'
+export { ReplicaProgress } from './replicaProgress.js'
 export * from './freshnessBounds.js'
 export { LatencyEstimate } from './latencyEstimate.js'
 export * from './leadership.js'
