--- a/packages/state/__tests__/synchronous/placement.spec.ts
+++ b/packages/state/__tests__/synchronous/placement.spec.ts
@@ -4,6 +4,7 @@
 import {
   LatencyEstimate,
   WaitingLine,
+  connectionHolders,
   connectionsToOpen,
   poolLimits,
   rankForRead,
@@ -76,6 +77,23 @@
     }
   }
 
+  // Nine hosts that each borrowed up to 0.4 of a limit of 22 had 2,000 connections a day reset, and the near
+  // ones left a far zone one connection each, with half of its callers refused.
+  const fleets: readonly (readonly [number, number, number])[] = [
+    [22, 9, 3],
+    [23, 9, 3],
+    [34, 6, 6],
+    [41, 65, 6],
+    [58, 69, 8],
+    [274, 91, 41],
+  ]
+  for (const [limit, hosts, holders] of fleets) {
+    it(`${limit} connections, ${hosts} hosts: ${holders} hold them, together no more than there are`, () => {
+      expect(connectionHolders(limit, hosts)).toEqual(holders)
+      expect(poolLimits(limit, holders).burst * holders <= limit).toEqual(true)
+    })
+  }
+
   it('opens for those who wait, up to the burst, and for warmth up to the share', () => {
     const limits = { share: 2, burst: 5 }
     const state = { size: 2, opening: 0, idle: 0, waiting: 9 }
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -31,20 +31,34 @@
  */
 const BURST_PART = 0.4
 
+/**
+ * What hosts may hold together while work waits. Without this bound nine hosts that each borrowed up to 0.4 of
+ * one limit had 2,000 connections a day reset; the near ones won those that came free, and a far zone was
+ * left with one each. The rest is for orders to the server, and for hosts that do not know of each other yet.
+ */
+const USED_PART = 0.9
+
+/**
+ * Where a host's share would be less, fewer hosts hold more each: transactions keep connections through their
+ * pauses, so with a single one everything else of that host waits for each transaction to end.
+ */
+const LEAST_SHARE = 2
+
 /** What a host needs to each server to serve others as well: transactions hold them through pauses. */
 const CONNECTIONS_PER_HOLDER = 3
 
 /** How many of the hosts may hold connections to one service's servers. */
 export function connectionHolders(connectionLimit: number, hosts: number): number {
   const kept = connectionLimit * KEPT_PART
-  if (kept >= hosts) return Math.max(hosts, 1)
+  if (kept >= hosts * LEAST_SHARE) return Math.max(hosts, 1)
   return Math.max(1, Math.floor(kept / CONNECTIONS_PER_HOLDER))
 }
 
 export function poolLimits(connectionLimit: number, hosts: number): PoolLimits {
   if (!Number.isFinite(connectionLimit)) return { share: 8, burst: 32 }
   const share = Math.max(1, Math.floor((connectionLimit * KEPT_PART) / Math.max(hosts, 1)))
-  return { share, burst: Math.max(share, Math.floor(connectionLimit * BURST_PART)) }
+  const part = Math.min(BURST_PART, USED_PART / Math.max(hosts, 1))
+  return { share, burst: Math.max(share, Math.floor(connectionLimit * part)) }
 }
 
 /** How many connections to open now. */
