feat(host): hosts beside the owners say whether a primary lives; writes that can not be confirmed are not sent

Cause: with three owners a split left one outside, which waited 2.5 s lest it be cut off itself. Cause: a primary cut off from its replicas let every write wait; each held one of six connections for a second, reads were refused (414 in 2.5 s), writers heard 'unknown'; and callers waited 300 ms for hosts behind the cut, again each second.

--- a/packages/host/__tests__/changeOfPrimary.spec.ts
+++ b/packages/host/__tests__/changeOfPrimary.spec.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { StoreConnection } from '@nutmegcourse/stand-ins'
+import { freePorts } from './support/freePorts.js'
 import { A, B, P, inScene, type Caller, type Scene, type SceneHost } from './support/scene.js'
 
 const eventsOf = (hosts: readonly SceneHost[], event: string): number =>
@@ -92,6 +93,26 @@
     }
   })
 
+  // A primary, two of its three owners and four other hosts are split from the store and the replicas. The third owner alone finds it
+  // silent; that it might itself be cut off made it wait for seconds, though two hosts beside it knew no
+  // better and were never asked. They are, and say so.
+  it('is not waited for when the other owners are cut off with the primary', async () => {
+    const options = { connectionLimit: 22, relayPorts: await freePorts(9) }
+    await inScene(9, splitOff, options)
+    async function splitOff(scene: Scene, hosts: readonly SceneHost[]): Promise<void> {
+      const isOwner = ({ host }: SceneHost): boolean => host.find('own')?.desk.isOwned === true
+      await scene.until(() => hosts.filter(isOwner).length === 3, 'three hosts own the service')
+      const [left] = hosts.filter(isOwner)
+      const others = hosts.filter(each => !isOwner(each))
+      const outside = new Set([left, ...others.slice(0, 2)])
+      for (const each of hosts) {
+        if (outside.has(each)) scene.cutOff(each, P)
+        else each.store.mood = 'silent'
+      }
+      await scene.until(() => scene.group.promotions > 0, 'another server leads', 2000)
+    }
+  })
+
   // The primary goes dark in the busiest minute. New statements keep coming for it; each of them made a
   // host take the server for one that had just been given work, and none asked whether it lives. Callers
   // were refused for seconds, until the store dropped the server's entry.
--- a/packages/host/__tests__/relay.spec.ts
+++ b/packages/host/__tests__/relay.spec.ts
@@ -1,23 +1,11 @@
-import { createServer } from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import { freePorts } from './support/freePorts.js'
 import { P, inScene, type Scene, type SceneHost } from './support/scene.js'
 
 /** Too few connections for three hosts, so that one of them holds them all. */
 const FEW_CONNECTIONS = 5
 
-async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  const ports: number[] = []
-  for (const server of servers) {
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    const address = server.address()
-    if (typeof address === 'object' && address !== null) ports.push(address.port)
-  }
-  for (const server of servers) await new Promise(resolve => server.close(resolve))
-  return ports
-}
-
 async function inCrowd(
   story: (scene: Scene, owner: SceneHost, other: SceneHost) => Promise<void>,
 ): Promise<void> {
--- /dev/null
+++ b/packages/host/__tests__/relayPeer.spec.ts
@@ -0,0 +1,39 @@
+import { createServer } from 'node:net'
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { SystemClock } from '@nutmegcourse/shared'
+import { JsonRpcConnection } from '@nutmegcourse/transport'
+import type { HostContext } from '../src/hostContext.js'
+import { RelayPeer } from '../src/relayPeer.js'
+import { RELAY_METHODS } from '../src/relayMessages.js'
+import { freePorts } from './support/freePorts.js'
+
+const wait = (span: number): Promise<void> => new Promise(resolve => setTimeout(resolve, span))
+
+// Another host is cut off. Each second some callers were handed to it all the same, to find out, and waited for a
+// connection that did not come. Now only the host itself finds out, beside them.
+describe('a host that can not be reached', () => {
+  it('is given nothing until it is reached again, which is found out without callers', async () => {
+    const [port = 0] = await freePorts(1)
+    const context = {
+      clock: new SystemClock(),
+      log: { write: () => undefined },
+    } as unknown as HostContext
+    const peer = new RelayPeer(context, 'host-2', { host: '127.0.0.1', port })
+    const deadline = context.clock.now()
+    expect(await peer.call(RELAY_METHODS.single, {}, deadline)).toEqual({ kind: 'notSent' })
+    expect(peer.isUp).toEqual(false)
+    const server = createServer(socket => {
+      new JsonRpcConnection(socket, {})
+    })
+    await new Promise<void>(resolve => server.listen(port, '127.0.0.1', resolve))
+    const limit = performance.now() + 3000
+    while (!peer.isUp && performance.now() < limit) {
+      peer.tick(context.clock.now())
+      await wait(25)
+    }
+    expect(peer.isUp).toEqual(true)
+    peer.close()
+    server.close()
+  })
+})
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -5,7 +5,7 @@
  */
 import type { Milliseconds } from '@nutmegcourse/shared'
 import type { BackendAddress, BackendServerEntry } from '@nutmegcourse/protocol'
-import { LatencyEstimate, ReplicaProgress } from '@nutmegcourse/state'
+import { LatencyEstimate, ReplicaProgress, WriteConfirmation } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { ServerPool } from './serverPool.js'
 
@@ -24,6 +24,7 @@
   readonly pool: ServerPool
   readonly latency: LatencyEstimate
   readonly progress = new ReplicaProgress()
+  readonly writes = new WriteConfirmation()
   readonly distance: Distance
   readonly #context: HostContext
   #entry: BackendServerEntry
@@ -58,6 +59,11 @@
     return addressOf(this.#entry)
   }
 
+  /** Whether a write that is sent now is likely to be confirmed. */
+  mayWrite(now: Milliseconds): boolean {
+    return this.writes.mayWrite(this.latency.at(now), now)
+  }
+
   /** When it last gave a sign of life. */
   get heardAt(): number {
     return Math.max(this.pool.lastHeardAt, this.#touchedAt)
@@ -65,7 +71,8 @@
 
   /** Whether a question or a statement waits for it. */
   get owesAnswer(): boolean {
-    return this.#probeSentAt !== null || this.pool.busy > 0 || this.pool.waiting > 0
+    const isAsked = this.#probeSentAt !== null || this.#touchStartedAt !== null
+    return isAsked || this.pool.busy > 0 || this.pool.waiting > 0
   }
 
   /** How long it has owed a sign of life; 0 when it owes none. */
@@ -97,6 +104,12 @@
     if (this.owesAnswer && now - quietSince > TOUCH_AFTER_MILLISECONDS) this.#touch(now)
   }
 
+  /** Another host finds it silent: it is asked, unless it gave a sign of life just now. */
+  askForLife(now: Milliseconds): void {
+    const isQuiet = now - this.heardAt > TOUCH_AFTER_MILLISECONDS
+    if (this.#touchStartedAt === null && isQuiet) this.#touch(now)
+  }
+
   /** Forgets open questions: after a standstill of this host they say nothing of the server. */
   forgetQuestions(): void {
     this.#probeSentAt = null
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -16,12 +16,19 @@
 const AROUND_PEERS = 6
 const AROUND_PAUSE_MILLISECONDS = 150
 
+/**
+ * How many hosts at least are asked for their view of a primary that an owner finds silent. A cut that leaves a third of nine
+ * hosts outside leaves three that can agree; with three owners alone it left one, which waited for
+ * seconds lest it be the one that is cut off.
+ */
+const LEAST_OBSERVERS = 9
+
 export class HostFleet implements OwnerBook {
   readonly #context: HostContext
   readonly #hosts = new Map<string, HostRecord>()
   readonly #peers = new Map<string, RelayPeer>()
-  /** By service: who holds connections to its servers and watches its primary. */
-  readonly #owners = new Map<string, readonly string[]>()
+  /** By service: who says whether its primary lives. The owners, and others where they are few. */
+  readonly #observers = new Map<string, readonly string[]>()
   /** By service: whom this host asks to run statements, in order. */
   readonly #order = new Map<string, readonly string[]>()
   readonly #aroundPausedUntil = new Map<string, Milliseconds>()
@@ -30,8 +37,8 @@
     this.#context = context
   }
 
-  ownersOf(service: string): readonly string[] {
-    return this.#owners.get(service) ?? []
+  observersOf(service: string): readonly string[] {
+    return this.#observers.get(service) ?? []
   }
 
   /**
@@ -57,7 +64,12 @@
     for (const desk of desks) {
       const holders = connectionHolders(desk.configuration.connectionLimit, this.#hosts.size)
       const plan = planOwners(desk.name, this.#hosts, holders)
-      this.#owners.set(desk.name, plan.owners)
+      const { owners: observers } = planOwners(
+        desk.name,
+        this.#hosts,
+        Math.max(holders, LEAST_OBSERVERS),
+      )
+      this.#observers.set(desk.name, observers)
       this.#order.set(
         desk.name,
         ownersFrom(plan, entryHost, { zone, region, relay: null, weight: 1 }),
@@ -65,6 +77,7 @@
       desk.holders = holders
       // Before this host is listed itself it serves by itself: it knows too little to rely on others.
       desk.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
+      desk.isObserved = desk.isOwned || observers.includes(entryHost)
     }
   }
 
@@ -72,7 +85,7 @@
     const now = this.#context.clock.now()
     if (desk.isOwned && (!atPrimary || desk.reachesPrimary(now))) return null
     const order = this.#order.get(desk.name) ?? []
-    const peers = order.flatMap(host => this.#peer(host) ?? []).filter(peer => peer.isUp(now))
+    const peers = order.flatMap(host => this.#peer(host) ?? []).filter(peer => peer.isUp)
     if (desk.isOwned) return this.#aroundCut(desk, peers, now)
     if (peers.length > 0) return peers
     desk.standIn(now)
@@ -101,7 +114,11 @@
   }
 
   tick(now: Milliseconds): void {
-    for (const peer of this.#peers.values()) peer.tick(now)
+    for (const [host, peer] of this.#peers) {
+      const isGone = !this.#hosts.has(host) && !peer.isUp && !peer.isOwedAnswers
+      if (isGone) this.#dropPeer(host)
+      else peer.tick(now)
+    }
   }
 
   close(): void {
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -141,17 +141,19 @@
     const known = this.#directory.get(primary.entry.server)
     const leavingSince = known?.leavingSince ?? null
     if (leavingSince !== null && now >= addMilliseconds(leavingSince, turn)) return 'leaving'
+    const { server } = primary.entry
+    const isAccused = this.#suspicion.isAccused(server, now)
+    if (isAccused) primary.askForLife(now)
     const signs = {
-      primary: primary.entry.server,
+      primary: server,
       silentMilliseconds: primary.silentFor(now),
       refusals: primary.pool.refusals,
       logGrewAgo: now - this.#desk.logGrewAt,
       reachedThroughOthersAgo: now - this.#desk.reachedThroughOthersAt,
     }
     const advice = this.#suspicion.advise(signs, this.#observers().length, rank, now)
-    const { server } = primary.entry
     if (advice !== 'trust') this.#castVote({ primary: server, reaches: false }, now)
-    else if (this.#suspicion.isAccused(server, now) && this.#desk.reachesPrimary(now)) {
+    else if (isAccused && this.#desk.reachesPrimary(now) && this.#desk.hasHeardPrimary(now)) {
       this.#castVote({ primary: server, reaches: true }, now)
     } else this.#withdrawVote()
     return advice === 'act' ? 'silent' : null
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -3,7 +3,7 @@
  *
  * @internal
  */
-import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostAddress } from '@nutmegcourse/protocol'
 import { openJsonRpc, type JsonRpcConnection } from '@nutmegcourse/transport'
 import type { HostContext } from './hostContext.js'
@@ -12,7 +12,10 @@
 /** A host of the fleet takes a connection within a round trip, past the link in tens of milliseconds. */
 const CONNECT_LIMIT_MILLISECONDS = 300
 
-/** After a failure the next hosts in order are used for so long. */
+/**
+ * After a failure the next hosts in order are used, and this one is tried again at such intervals, in the background:
+ * else each second some callers would wait for a connection that does not come.
+ */
 const PAUSE_MILLISECONDS = 1000
 
 /** With answers owed and no byte for this long, the host is asked whether it lives, ... */
@@ -36,7 +39,8 @@
   readonly #address: HostAddress
   #connection: JsonRpcConnection | null = null
   #opening: Promise<JsonRpcConnection | null> | null = null
-  #downUntil = milliseconds(0)
+  /** When to try again after a failure; null while nothing speaks against it. */
+  #retryAt: Milliseconds | null = null
   #owed = 0
   #isAsking = false
   #heardBytes = 0
@@ -56,8 +60,9 @@
     return this.#address.host === host && this.#address.port === port
   }
 
-  isUp(now: Milliseconds): boolean {
-    return now >= this.#downUntil
+  /** Whether statements may be handed to it. */
+  get isUp(): boolean {
+    return this.#retryAt === null
   }
 
   async call(method: string, params: unknown, deadline: Milliseconds): Promise<RelayOutcome> {
@@ -86,6 +91,7 @@
   }
 
   tick(now: Milliseconds): void {
+    if (this.#retryAt !== null && now >= this.#retryAt) void this.#connect()
     const connection = this.#connection
     if (connection === null || this.#owed === 0 || this.#isAsking) return
     const { received } = connection.traffic
@@ -123,12 +129,13 @@
       return null
     }
     this.#connection = opened.value
+    this.#retryAt = null
     this.#heardBytes = 0
     return opened.value
   }
 
   #failed(why: string): void {
-    this.#downUntil = addMilliseconds(this.#context.clock.now(), PAUSE_MILLISECONDS)
+    this.#retryAt = addMilliseconds(this.#context.clock.now(), PAUSE_MILLISECONDS)
     this.#context.log.write('relay_lost', { host: this.name, why })
   }
 }
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -112,7 +112,7 @@
     let last: Relayed = { outcome: { kind: 'notSent' }, peer: null }
     for (const peer of peers) {
       if (this.#isOver(request)) break
-      if (!peer.isUp(this.#context.clock.now())) continue
+      if (!peer.isUp) continue
       const outcome = await peer.call(method, message(), request.deadline)
       last = { outcome, peer }
       if (outcome.kind === 'answered') {
--- a/packages/host/src/serviceBook.ts
+++ b/packages/host/src/serviceBook.ts
@@ -117,9 +117,8 @@
         const keepWarm = isActive && this.#directory.mayTakeWork(server.entry.server, now)
         server.pool.tick(now, keepWarm)
       }
-      if (!isActive) continue
-      probe.tick(now)
-      if (!isStopping && desk.isOwned) keeper.tick(now)
+      if (isActive) probe.tick(now)
+      if (!isStopping && desk.isObserved) keeper.tick(now)
     }
   }
 
@@ -188,7 +187,7 @@
     const desk = new ServiceDesk(this.#context, this.#directory, service)
     const { store, promotion } = this.#ports
     const keeper = new PrimaryKeeper(this.#context, desk, this.#directory, store, promotion, () =>
-      this.#fleet.ownersOf(service.name),
+      this.#fleet.observersOf(service.name),
     )
     const probe = new PrimaryProbe(this.#context, desk)
     this.#services.set(service.name, { desk, probe, keeper })
@@ -199,7 +198,7 @@
   readonly #interest: ServiceInterest = {
     worksWith: service => {
       const desk = this.#services.get(service)?.desk
-      return desk?.isActive(this.#context.clock.now()) ?? false
+      return desk !== undefined && (desk.isObserved || desk.isActive(this.#context.clock.now()))
     },
     serviceOf: server => this.#directory.get(server)?.entry.service ?? null,
   }
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -33,6 +33,9 @@
 /** How long a host keeps what it needs to serve in an owner's place after it last did. */
 const STAND_IN_MILLISECONDS = 5000
 
+/** A little longer than the longest time between two questions to a primary. */
+const HEARD_LATELY_MILLISECONDS = 700
+
 export class ServiceDesk {
   readonly name: string
   readonly bounds = new FreshnessBounds()
@@ -50,6 +53,8 @@
   reachedThroughOthersAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   /** This host is one of them. */
   isOwned = true
+  /** This host says whether the primary lives when another one finds it silent. */
+  isObserved = true
   readonly #leadership = new Leadership()
   readonly #servers = new Map<BackendServerId, BackendServerState>()
   #configuration: ServiceConfiguration
@@ -114,6 +119,12 @@
     return primary.silentFor(now) <= SILENCE_LIMIT_MILLISECONDS
   }
 
+  /** Whether the primary gave this host a sign of life just now. Not to find it silent is not enough. */
+  hasHeardPrimary(now: Milliseconds): boolean {
+    const primary = this.writablePrimary(now)
+    return primary !== null && now - primary.heardAt <= HEARD_LATELY_MILLISECONDS
+  }
+
   /** Whether requests wait here because no primary is known, which the store's next change may name. */
   isAwaitingPrimary(now: Milliseconds): boolean {
     return this.changed.isAwaited && this.writablePrimary(now) === null
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -39,8 +39,11 @@
 const HEDGE_LEAST_MILLISECONDS = 120
 const HEDGE_TIMEOUT_SHARE = 0.4
 
-/** Why there is no connection. */
-type NoAccess = Exclude<Access, { kind: 'connected' }>
+/** The primary's writes wait for replicas that it does not reach. */
+const UNCONFIRMED = { kind: 'unconfirmed' } as const
+
+/** Why there is no connection, or none is asked for. */
+type NoAccess = Exclude<Access, { kind: 'connected' }> | typeof UNCONFIRMED
 
 type ReadOutcome =
   /** The server gave no connection, or nothing tells yet how fresh the read must be. */
@@ -97,9 +100,20 @@
   ): Promise<BegunTransaction<LocalTransaction>> {
     const isCommit = request.statement.body.kind === 'commit'
     const place: StatementPlace = isCommit ? 'commit' : 'withinTransaction'
+    const isWritten = isCommit && transaction.hasWritten
+    if (isWritten && !transaction.server.mayWrite(this.#context.clock.now())) {
+      // Rolled back, nothing of it is kept; sent, its outcome would be unknown.
+      this.endTransaction(transaction, 'open')
+      return { result: refused(request, 'aborted', UNCONFIRMED), transaction: null }
+    }
     for (;;) {
       const sentAt = this.#context.clock.now()
+      const write = isWritten ? transaction.server.writes.sent(sentAt) : null
       const outcome = await this.#attemptInside(request, transaction)
+      if (write !== null) {
+        const isConfirmed = outcome.kind === 'answered'
+        transaction.server.writes.ended(write, isConfirmed, this.#context.clock.now())
+      }
       if (outcome.kind === 'answered') {
         return this.#transactionAnswered(request, transaction, outcome, isCommit)
       }
@@ -142,6 +156,9 @@
     while (!this.#access.isOver(request)) {
       const server = await this.#access.awaitPrimary(request)
       if (server === null) continue
+      if (!server.mayWrite(this.#context.clock.now())) {
+        return refused(request, 'notRun', UNCONFIRMED)
+      }
       const access = await this.#access.acquire(request, server, request.deadline)
       if (access.kind !== 'connected') {
         const result = this.#withoutAccess(request, 'singleWrite', last, access)
@@ -150,7 +167,9 @@
       }
       const { link } = access
       const sentAt = this.#context.clock.now()
+      const write = server.writes.sent(sentAt)
       const outcome = await this.#access.attemptSingle(request, server, link, null, false)
+      server.writes.ended(write, outcome.kind === 'answered', this.#context.clock.now())
       if (outcome.kind === 'answered') {
         this.#noteOwnWrite(request, outcome.position)
         request.desk.provedToLead(server.entry.server, sentAt, outcome.position)
@@ -259,6 +278,9 @@
       ? await this.#access.awaitPrimary(request)
       : await this.#access.awaitReader(request, excluded)
     if (server === null) return null
+    if (request.isWrite && !server.mayWrite(clock.now())) {
+      return { kind: 'notTried', access: UNCONFIRMED }
+    }
     const limit = atPrimary
       ? request.deadline
       : earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
@@ -274,7 +296,7 @@
       server.pool.release(link)
       return null
     }
-    const transaction: LocalTransaction = { kind: 'local', desk, server, link }
+    const transaction: LocalTransaction = { kind: 'local', desk, server, link, hasWritten: false }
     if (!(await adoptValues(this.#context, link, session.values, request.deadline))) {
       server.pool.discard(link)
       return lostMishap(server)
@@ -335,6 +357,7 @@
     request: StatementRequest,
     transaction: LocalTransaction,
   ): Promise<AttemptOutcome> {
+    if (request.isWrite) transaction.hasWritten = true
     return attempt(this.#context, transaction.link, {
       session: request.session.values,
       statement: request.statement,
@@ -382,7 +405,8 @@
         return null
       case 'tooLate':
         return this.#refusal(request, place, last)
-      case 'overloaded': {
+      case 'overloaded':
+      case 'unconfirmed': {
         // An earlier try may have run; then "not run" would not be true.
         const mayHaveRun = last.kind === 'lost' || last.kind === 'overdue'
         if (mayHaveRun) return this.#refusal(request, place, last)
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -45,6 +45,8 @@
   readonly desk: ServiceDesk
   readonly server: BackendServerState
   readonly link: PooledLink
+  /** Its commit has to be confirmed by a replica. */
+  hasWritten: boolean
 }
 
 /** A transaction that another entry host runs for this one. */
@@ -85,9 +87,23 @@
   return { answer: { kind: 'rows', rows, signature }, position }
 }
 
-/** When to come back after a line that was too long: once those who wait in it are served. */
-const retryAfter = (last: Mishap): number =>
-  last.kind === 'overloaded' ? Math.ceil(last.waitMilliseconds) : RETRY_AFTER_MILLISECONDS
+/** A primary that is cut off from its replicas is replaced, or reaches them again, in a second at the earliest. */
+const UNCONFIRMED_RETRY_AFTER_MILLISECONDS = 1000
+
+function retryAfter(last: Mishap): number {
+  switch (last.kind) {
+    // Once those who wait in the line are served.
+    case 'overloaded':
+      return Math.ceil(last.waitMilliseconds)
+    case 'unconfirmed':
+      return UNCONFIRMED_RETRY_AFTER_MILLISECONDS
+    case 'notSent':
+    case 'refused':
+    case 'lost':
+    case 'overdue':
+      return RETRY_AFTER_MILLISECONDS
+  }
+}
 
 /** A refusal that says why, and when to come back if nothing ran. */
 export function refused(
--- a/packages/state/__tests__/synchronous/statementFate.spec.ts
+++ b/packages/state/__tests__/synchronous/statementFate.spec.ts
@@ -13,6 +13,7 @@
 const MISHAPS: readonly Mishap[] = [
   { kind: 'notSent' },
   { kind: 'overloaded', waitMilliseconds: 500 },
+  { kind: 'unconfirmed' },
   { kind: 'refused', refusal: 'busy' },
   { kind: 'refused', refusal: 'behind' },
   { kind: 'refused', refusal: 'notPrimary' },
@@ -46,6 +47,7 @@
 const TABLE: Readonly<Record<string, readonly string[]>> = {
   notSent: ['r:notRun', 'r:notRun', 'r:notRun', 'aborted', 'aborted'],
   overloaded: ['notRun', 'notRun', 'notRun', 'aborted', 'aborted'],
+  unconfirmed: ['notRun', 'notRun', 'notRun', 'aborted', 'aborted'],
   busy: ['r:notRun', 'r:notRun', 'r:notRun', 'h:aborted', 'h:aborted'],
   behind: ['r:notRun', 'r:notRun', 'r:notRun', 'aborted', 'aborted'],
   notPrimary: ['r:notRun', 'r:notRun', 'r:notRun', 'aborted', 'aborted'],
--- a/packages/state/src/synchronous/statementFate.ts
+++ b/packages/state/src/synchronous/statementFate.ts
@@ -22,6 +22,8 @@
   | { readonly kind: 'notSent' }
   /** It would have waited too long for a connection, and was not let into the line. */
   | { readonly kind: 'overloaded'; readonly waitMilliseconds: number }
+  /** It was not sent: the primary's writes are not confirmed, as when it is cut off from its replicas. */
+  | { readonly kind: 'unconfirmed' }
   | { readonly kind: 'refused'; readonly refusal: BackendRefusal }
   /** It was sent, and the connection failed before the answer. */
   | { readonly kind: 'lost'; readonly failure: LinkFailure['kind'] }
@@ -46,6 +48,7 @@
         ? answer('aborted')
         : retry('notRun')
     case 'overloaded':
+    case 'unconfirmed':
       return answer(place === 'withinTransaction' || place === 'commit' ? 'aborted' : 'notRun')
     case 'refused':
       return fateOfRefused(place, mishap.refusal, isOpen)
