--- a/packages/host/__tests__/statements.spec.ts
+++ b/packages/host/__tests__/statements.spec.ts
@@ -123,6 +123,19 @@
     )
   })
 
+  // A caller complains that an answer came late. The line of its statement says where the time went.
+  it('says where the time of a late answer went', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      const caller = await scene.caller(host, 'latest')
+      await caller.tell('write 1')
+      scene.dialer.hooks.workMilliseconds = 700
+      expect(await caller.tell('write 2', 'late')).toEqual('done')
+      const line = host.lines.find(({ event }) => event === 'statement_late')
+      expect([line?.fields.request, line?.fields.tries]).toEqual(['late', 1])
+    })
+  })
+
   // A foreman sets a value on his session; another caller that gets the same connection afterwards
   // must not find it, and he must find it on whatever connection he gets next.
   it('keeps session values with their session', async () => {
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -19,12 +19,13 @@
 import type { RemoteStatement } from './attempt.js'
 import type { HostContext } from './hostContext.js'
 import type { ServiceDesk } from './serviceDesk.js'
-import type {
-  RunningTransaction,
-  SessionState,
-  StatementRequest,
-  StatementResult,
-  Runner,
+import {
+  StatementTiming,
+  type RunningTransaction,
+  type SessionState,
+  type StatementRequest,
+  type StatementResult,
+  type Runner,
 } from './statements.js'
 
 /** Where a database's callers are served; null when no route has the name. */
@@ -266,6 +267,7 @@
     const request = this.#requestFor(statement, place)
     const result = await this.#run(request)
     this.#logRefusal(request, result)
+    this.#logLate(request, result)
     return result
   }
 
@@ -290,6 +292,7 @@
       isWrite: this.#isWrite(statement),
       arrivedAt,
       deadline: addMilliseconds(arrivedAt, place.route.statementTimeoutMilliseconds),
+      timing: new StatementTiming(),
     }
   }
 
@@ -352,7 +355,25 @@
     this.#context.metrics.statement(statement.body.kind, outcome, took)
   }
 
-  #logRefusal(request: StatementRequest, { answer }: StatementResult): void {
+  /** What a caller complains of besides refusals. Where the statement ran at another host, that one knows more. */
+  #logLate(request: StatementRequest, { answer }: StatementResult): void {
+    const took = this.#context.clock.now() - request.arrivedAt
+    if (answer.kind === 'refused' || took <= request.route.latencyTargetMilliseconds) return
+    const { newsMilliseconds, connectionMilliseconds, tries } = request.timing
+    this.#context.log.write('statement_late', {
+      request: request.statement.id,
+      database: this.#database,
+      route: request.route.name,
+      statement: request.statement.body.kind,
+      primary: request.desk.primary?.entry.server ?? null,
+      newsMilliseconds: Math.round(newsMilliseconds),
+      connectionMilliseconds: Math.round(connectionMilliseconds),
+      tries,
+      tookMilliseconds: Math.round(took),
+    })
+  }
+
+  #logRefusal(request: StatementRequest, { answer, reason }: StatementResult): void {
     if (answer.kind !== 'refused') return
     this.#context.log.write('statement_refused', {
       request: request.statement.id,
@@ -362,6 +383,7 @@
       write: request.isWrite,
       primary: request.desk.primary?.entry.server ?? null,
       refusal: answer.refusal,
+      reason: reason ?? answer.refusal,
       detail: answer.detail,
       tookMilliseconds: Math.round(this.#context.clock.now() - request.arrivedAt),
     })
--- a/packages/host/src/decisionLog.ts
+++ b/packages/host/src/decisionLog.ts
@@ -40,7 +40,8 @@
   }
 
   write(event: EventName, fields: LogFields = {}): void {
-    this.#metrics.event(event)
+    const { reason } = fields
+    this.#metrics.event(event, typeof reason === 'string' ? reason : undefined)
     const budget = this.#budgetOf(event)
     const second = Math.floor(performance.now() / SECOND)
     if (budget.second !== second) {
--- a/packages/host/src/hostMetrics.ts
+++ b/packages/host/src/hostMetrics.ts
@@ -11,7 +11,7 @@
 const MICROSECONDS = 1000
 
 export class HostMetrics {
-  readonly #events = new Map<EventName, number>()
+  readonly #events = new Map<string, number>()
   readonly #statements = new Map<string, number>()
   readonly #latencies = new Map<string, RecordableHistogram>()
   readonly #gauges = new Map<string, () => number>()
@@ -21,9 +21,10 @@
     this.#gauges.set(name, read)
   }
 
-  /** Each event counts, also when its line was left out. */
-  event(event: EventName): void {
-    this.#events.set(event, (this.#events.get(event) ?? 0) + 1)
+  /** Each event counts, also when its line was left out, and apart by its reason if it gives one. */
+  event(event: EventName, reason?: string): void {
+    const labels = reason === undefined ? `event="${event}"` : `event="${event}",reason="${reason}"`
+    this.#events.set(labels, (this.#events.get(labels) ?? 0) + 1)
   }
 
   /** A statement was answered: labels are the kind and the outcome, whose numbers are bounded. */
@@ -47,8 +48,8 @@
     for (const [name, read] of this.#gauges) {
       lines.push(`nutmegcourse_${name} ${String(read())}`)
     }
-    for (const [event, count] of this.#events) {
-      lines.push(`nutmegcourse_events_total{event="${event}"} ${String(count)}`)
+    for (const [labels, count] of this.#events) {
+      lines.push(`nutmegcourse_events_total{${labels}} ${String(count)}`)
     }
     for (const [labels, count] of this.#statements) {
       lines.push(`nutmegcourse_statements_total{${labels}} ${String(count)}`)
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -9,7 +9,7 @@
 import { SessionValues, type PreparedStatement } from '@nutmegcourse/state'
 import type { RemoteStatement } from './attempt.js'
 import type { ServiceDesk } from './serviceDesk.js'
-import type { SessionState, StatementRequest } from './statements.js'
+import { StatementTiming, type SessionState, type StatementRequest } from './statements.js'
 
 export const RELAY_METHODS = {
   single: 'single',
@@ -58,6 +58,8 @@
       readonly kind: 'answered'
       readonly answer: CallerAnswer
       readonly position: PositionMessage | null
+      /** Why it was refused, in one word. */
+      readonly reason?: string
       /** The session's own position afterwards. */
       readonly own: PositionMessage | null
       /** The transaction that goes on at this host. */
@@ -102,6 +104,7 @@
     isWrite: message.isWrite,
     arrivedAt: now,
     deadline: addMilliseconds(now, message.remaining),
+    timing: new StatementTiming(),
   }
 }
 
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -132,7 +132,9 @@
 
   #take(request: StatementRequest, message: Answered): StatementResult {
     request.session.ownPosition = readPosition(message.own)
-    return { answer: message.answer, position: readPosition(message.position) }
+    const position = readPosition(message.position)
+    const { answer, reason } = message
+    return reason === undefined ? { answer, position } : { answer, position, reason }
   }
 
   #takeTransaction(
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -91,11 +91,13 @@
   ): Promise<Access> {
     const { priority, latencyTargetMilliseconds } = request.route
     const lastStart = this.#lastStart(request, server)
+    const askedAt = this.#context.clock.now()
     const acquired = await server.pool.acquire(request.session.values, {
       priority,
       deadline: earlier(limit, lastStart),
       patienceMilliseconds: latencyTargetMilliseconds * PATIENCE_SHARE,
     })
+    request.timing.connectionMilliseconds += this.#context.clock.now() - askedAt
     if ('link' in acquired) return { kind: 'connected', link: acquired.link }
     if (acquired.failure === 'overloaded') {
       return { kind: 'overloaded', waitMilliseconds: this.jitter(acquired.waitMilliseconds) }
@@ -172,6 +174,7 @@
       request: request.statement.id,
       route: request.route.name,
       server: entry.server,
+      reason: reasonOf(what),
       ...what,
       tookMilliseconds: Math.round(this.#context.clock.now() - sentAt),
     })
@@ -199,6 +202,7 @@
   ): Promise<AttemptOutcome> {
     const { clock } = this.#context
     const sentAt = clock.now()
+    request.timing.tries += 1
     const outcome = await attempt(this.#context, link, {
       session: request.session.values,
       statement: request.statement,
@@ -216,10 +220,11 @@
     return outcome
   }
 
-  /** Begins on one server and runs the first statement; null when no server was ready. */
   async #awaitNews(request: StatementRequest): Promise<void> {
-    const left = request.deadline - this.#context.clock.now()
+    const askedAt = this.#context.clock.now()
+    const left = request.deadline - askedAt
     await request.desk.changed.wait(Math.min(left, LOOK_AGAIN_MILLISECONDS))
+    request.timing.newsMilliseconds += this.#context.clock.now() - askedAt
   }
 
   /** Whether the time of the statement is over. */
@@ -232,3 +237,18 @@
     return span * (0.5 + this.#context.random.next())
   }
 }
+
+/** What went wrong, in one word. */
+function reasonOf(what: Mishap): string {
+  switch (what.kind) {
+    case 'refused':
+      return what.refusal
+    case 'lost':
+      return what.failure
+    case 'notSent':
+    case 'overdue':
+    case 'overloaded':
+    case 'unconfirmed':
+      return what.kind
+  }
+}
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -20,6 +20,14 @@
   ownPosition: LogPosition | null
 }
 
+/** Where the time of one statement went at this host, and in how many tries. */
+export class StatementTiming {
+  /** Waiting for a primary, or for a bound on how fresh a read must be. */
+  newsMilliseconds = 0
+  connectionMilliseconds = 0
+  tries = 0
+}
+
 export interface StatementRequest {
   readonly desk: ServiceDesk
   readonly route: Route
@@ -28,6 +36,7 @@
   readonly isWrite: boolean
   readonly arrivedAt: Milliseconds
   readonly deadline: Milliseconds
+  readonly timing: StatementTiming
 }
 
 /** Whether only the primary can run it. `readOnly`: it begins a transaction that only reads. */
@@ -37,6 +46,8 @@
 export interface StatementResult {
   readonly answer: CallerAnswer
   readonly position: LogPosition | null
+  /** Why it was refused, in one word. */
+  readonly reason?: string
 }
 
 /** A transaction that has begun on a connection of this host. */
@@ -121,5 +132,5 @@
   const why = last.kind === 'refused' ? last.refusal : last.kind
   const advice = refusal === 'notRun' ? ` retry_after_ms=${String(retryAfter(last))}` : ''
   const detail = `${request.route.name}: ${why}${advice}`
-  return { answer: { kind: 'refused', refusal, detail }, position: null }
+  return { answer: { kind: 'refused', refusal, detail }, position: null, reason: why }
 }
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -227,6 +227,7 @@
     transaction: LocalTransaction,
   ): Promise<AttemptOutcome> {
     if (request.isWrite) transaction.hasWritten = true
+    request.timing.tries += 1
     return attempt(this.#context, transaction.link, {
       session: request.session.values,
       statement: request.statement,
