--- a/packages/host/__tests__/changeOfPrimary.spec.ts
+++ b/packages/host/__tests__/changeOfPrimary.spec.ts
@@ -93,9 +93,10 @@
     }
   })
 
-  // A primary, two of its three owners and four other hosts are split from the store and the replicas. The third owner alone finds it
-  // silent; that it might itself be cut off made it wait for seconds, though two hosts beside it knew no
-  // better and were never asked. They are, and say so.
+  // A primary, two of its three owners and four other hosts are split from the store and the
+  // replicas. The third owner alone finds it silent; that it might itself be cut off made it wait
+  // for seconds, though two hosts beside it knew no better and were never asked. They are, and say
+  // so.
   it('is not waited for when the other owners are cut off with the primary', async () => {
     const options = { connectionLimit: 22, relayPorts: await freePorts(9) }
     await inScene(9, splitOff, options)
--- a/packages/host/__tests__/hostLife.spec.ts
+++ b/packages/host/__tests__/hostLife.spec.ts
@@ -95,9 +95,9 @@
     })
   })
 
-  // A planned stop cut a statement that a server had run. The balancer still sent callers to the host after its idle
-  // sessions had been closed; nobody sent those away again, so they worked up to the end of the
-  // process, and what ran then was cut.
+  // A planned stop cut a statement that a server had run. The balancer still sent callers to the
+  // host after its idle sessions had been closed; nobody sent those away again, so they worked up
+  // to the end of the process, and what ran then was cut.
   it('has answered everything when it has stopped, also to callers that came late', async () => {
     await inScene(0, async scene => {
       const made = scene.add('host-1', 2000)
--- a/packages/host/__tests__/newsBudget.spec.ts
+++ b/packages/host/__tests__/newsBudget.spec.ts
@@ -31,9 +31,10 @@
   })
 })
 
-// A new route is told to a host four seconds late, and its callers hear that there is no such database. The store was
-// about to forget its history: it told nobody of the change, cut all watches a second later, and accepted the next
-// watch of some hosts although the change that it had to begin with was gone. Such a watch is silent to its end.
+// A new route is told to a host four seconds late, and its callers hear that there is no such
+// database. The store was about to forget its history: it told nobody of the change, cut all
+// watches a second later, and accepted the next watch of some hosts although the change that it had
+// to begin with was gone. Such a watch is silent to its end.
 
 /** When the store does what, in milliseconds. */
 const CHANGE_AT = 1100
@@ -131,8 +132,9 @@
     expect(at - FORGETS_AT < 1000).toEqual(true)
   })
 
-  // All hosts start while the store is away; the servers' entries lapsed and come back one by one. After the first
-  // of them a host let the others gather, and its callers waited a second more for the primary.
+  // All hosts start while the store is away; the servers' entries lapsed and come back one by one.
+  // After the first of them a host let the others gather, and its callers waited a second more for
+  // the primary.
   it('is waited for without a rest while callers wait for it', async () => {
     const { waits } = await hear(1000, true)
     expect(waits[1]).toEqual(waits[0])
--- a/packages/host/__tests__/relay.spec.ts
+++ b/packages/host/__tests__/relay.spec.ts
@@ -51,9 +51,10 @@
 })
 
 describe('a service with fewer connections than hosts', () => {
-  // An owner registers again, because its lease had lapsed, or takes its record back, because it is to stop. It still runs what
-  // others handed to it; they closed their connections to it when they heard, and told their callers that
-  // the outcome of writes was unknown, 39 of them in one return from an outage of the store.
+  // An owner registers again, because its lease had lapsed, or takes its record back, because it is
+  // to stop. It still runs what others handed to it; they closed their connections to it when they
+  // heard, and told their callers that the outcome of writes was unknown, 39 of them in one return
+  // from an outage of the store.
   const news: readonly (readonly [string, (scene: Scene, owner: string) => void])[] = [
     [
       'registers again',
--- a/packages/host/__tests__/relayPeer.spec.ts
+++ b/packages/host/__tests__/relayPeer.spec.ts
@@ -10,8 +10,8 @@
 
 const wait = (span: number): Promise<void> => new Promise(resolve => setTimeout(resolve, span))
 
-// Another host is cut off. Each second some callers were handed to it all the same, to find out, and waited for a
-// connection that did not come. Now only the host itself finds out, beside them.
+// Another host is cut off. Each second some callers were handed to it all the same, to find out,
+// and waited for a connection that did not come. Now only the host itself finds out, beside them.
 describe('a host that can not be reached', () => {
   it('is given nothing until it is reached again, which is found out without callers', async () => {
     const [port = 0] = await freePorts(1)
--- a/packages/host/__tests__/statements.spec.ts
+++ b/packages/host/__tests__/statements.spec.ts
@@ -98,8 +98,9 @@
     })
   }
 
-  // A database gets more work than it can do, and all of it waited until its time was over. Who would wait for longer
-  // than a part of the latency target hears at once that nothing ran, and when to come back.
+  // A database gets more work than it can do, and all of it waited until its time was over. Who
+  // would wait for longer than a part of the latency target hears at once that nothing ran, and
+  // when to come back.
   it('refuses at once what would wait too long', async () => {
     await inScene(
       1,
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -355,7 +355,10 @@
     this.#context.metrics.statement(statement.body.kind, outcome, took)
   }
 
-  /** What a caller complains of besides refusals. Where the statement ran at another host, that one knows more. */
+  /**
+   * What a caller complains of besides refusals. Where the statement ran at another host, that one
+   * knows more.
+   */
   #logLate(request: StatementRequest, { answer }: StatementResult): void {
     const took = this.#context.clock.now() - request.arrivedAt
     if (answer.kind === 'refused' || took <= request.route.latencyTargetMilliseconds) return
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -1,4 +1,7 @@
-/** Every event that an entry host logs: when, and what its fields say. docs/LOGS.md is made from this table. */
+/**
+ * Every event that an entry host logs: when, and what its fields say. docs/LOGS.md is made from
+ * this table.
+ */
 
 interface EventDescription {
   readonly when: string
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -43,7 +43,10 @@
 /** A gap between two ticks that only a standstill of the process explains. */
 const STANDSTILL_MILLISECONDS = 250
 
-/** Idle callers are sent away over this long after the signal to stop, so that they do not all reconnect at once. */
+/**
+ * Idle callers are sent away over this long after the signal to stop, so that they do not all
+ * reconnect at once.
+ */
 const CLOSING_SPAN_SHARE = 0.25
 
 /**
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -17,9 +17,9 @@
 const AROUND_PAUSE_MILLISECONDS = 150
 
 /**
- * How many hosts at least are asked for their view of a primary that an owner finds silent. A cut that leaves a third of nine
- * hosts outside leaves three that can agree; with three owners alone it left one, which waited for
- * seconds lest it be the one that is cut off.
+ * How many hosts at least are asked for their view of a primary that an owner finds silent. A cut
+ * that leaves a third of nine hosts outside leaves three that can agree; with three owners alone it
+ * left one, which waited for seconds lest it be the one that is cut off.
  */
 const LEAST_OBSERVERS = 9
 
--- a/packages/host/src/newsBudget.ts
+++ b/packages/host/src/newsBudget.ts
@@ -31,8 +31,9 @@
 const SHORTEST_WATCH_MILLISECONDS = 1000
 
 /**
- * The part of the bound that an answer may take to begin. Of 4 s it is nearly twice what a slow store takes (60 times
- * its usual 4 ms) with a round trip past the link; larger fleets have longer bounds, and fuller links.
+ * The part of the bound that an answer may take to begin. Of 4 s it is nearly twice what a slow
+ * store takes (60 times its usual 4 ms) with a round trip past the link; larger fleets have longer
+ * bounds, and fuller links.
  */
 const ANSWER_SHARE = 1 / 8
 const LONGEST_ANSWER_MILLISECONDS = 1500
@@ -52,12 +53,16 @@
 const LONGEST_PAUSE_MILLISECONDS = 800
 
 /**
- * A host that started while the store was away serves nobody until it has listed: after the store's return nine of
- * them came back within 0.2 to 0.9 s under the longer pause. Four calls a second each, of the store's 2,000.
+ * A host that started while the store was away serves nobody until it has listed: after the store's
+ * return nine of them came back within 0.2 to 0.9 s under the longer pause. Four calls a second
+ * each, of the store's 2,000.
  */
 const LONGEST_BLIND_PAUSE_MILLISECONDS = 250
 
-/** Pauses are drawn between half and one and a half times their span, so that hosts do not return together. */
+/**
+ * Pauses are drawn between half and one and a half times their span, so that hosts do not return
+ * together.
+ */
 const LONGEST_DRAW = 1.5
 
 /** A store that is about to forget its history tells nobody of changes for so long. */
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -159,7 +159,10 @@
     return advice === 'act' ? 'silent' : null
   }
 
-  /** This host's place among those that watch the service, other for each service so that the work is spread. */
+  /**
+   * This host's place among those that watch the service, other for each service so that the work
+   * is spread.
+   */
   #rank(): number {
     const service = stableHash(this.#desk.name)
     const weight = (host: string): number => mixHashes(stableHash(host), service)
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -13,8 +13,8 @@
 const CONNECT_LIMIT_MILLISECONDS = 300
 
 /**
- * After a failure the next hosts in order are used, and this one is tried again at such intervals, in the background:
- * else each second some callers would wait for a connection that does not come.
+ * After a failure the next hosts in order are used, and this one is tried again at such intervals,
+ * in the background: else each second some callers would wait for a connection that does not come.
  */
 const PAUSE_MILLISECONDS = 1000
 
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -25,14 +25,18 @@
 const LOOK_AGAIN_MILLISECONDS = 100
 
 /**
- * Work that would wait longer for a connection than this part of its latency target is refused at once. The rest of
- * the target is for the way, for running, and for the other statements of its operation; a caller that
- * hears at once can still be served in time elsewhere. On days on which one primary does the work of three
- * servers, 0.954 of all worth is served at a quarter, 0.948 at 0.4, 0.942 at 0.6 (means of four days each).
+ * Work that would wait longer for a connection than this part of its latency target is refused at
+ * once. The rest of the target is for the way, for running, and for the other statements of its
+ * operation; a caller that hears at once can still be served in time elsewhere. On days on which
+ * one primary does the work of three servers, 0.954 of all worth is served at a quarter, 0.948 at
+ * 0.4, 0.942 at 0.6 (means of four days each).
  */
 const PATIENCE_SHARE = 0.25
 
-/** However slow a server seems, a statement may begin in the first half of its time: an estimate may be wrong. */
+/**
+ * However slow a server seems, a statement may begin in the first half of its time: an estimate may
+ * be wrong.
+ */
 const LONGEST_RUN_SHARE = 0.5
 
 /** A read waits this long for a connection before it looks at other servers. */
@@ -68,7 +72,10 @@
     return null
   }
 
-  /** The best server for a read or a reading transaction; else null after some news, and all may be tried again. */
+  /**
+   * The best server for a read or a reading transaction; else null after some news, and all may be
+   * tried again.
+   */
   async awaitReader(
     request: StatementRequest,
     excluded: Set<BackendServerId>,
@@ -109,8 +116,9 @@
   }
 
   /**
-   * Until when the statement may begin at the server. One that begins later runs out of time there: its slot is
-   * wasted, and its connection closed and made anew (an overloaded primary lost 0.8 of its 3 slots so).
+   * Until when the statement may begin at the server. One that begins later runs out of time there:
+   * its slot is wasted, and its connection closed and made anew (an overloaded primary lost 0.8 of
+   * its 3 slots so).
    */
   #lastStart(request: StatementRequest, server: BackendServerState): Milliseconds {
     const { arrivedAt, deadline } = request
@@ -125,9 +133,10 @@
   }
 
   /**
-   * The server had no connection for this read. It is left out only where another one could serve, which
-   * is told; else the read keeps its place there, by its deadline. Reads that left out a busy primary
-   * while both replicas were seconds behind asked those in vain, 370 times a second, until their time was over.
+   * The server had no connection for this read. It is left out only where another one could serve,
+   * which is told; else the read keeps its place there, by its deadline. Reads that left out a busy
+   * primary while both replicas were seconds behind asked those in vain, 370 times a second, until
+   * their time was over.
    */
   passOver(
     request: StatementRequest,
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -105,7 +105,10 @@
   return { answer: { kind: 'rows', rows, signature }, position }
 }
 
-/** A primary that is cut off from its replicas is replaced, or reaches them again, in a second at the earliest. */
+/**
+ * A primary that is cut off from its replicas is replaced, or reaches them again, in a second at
+ * the earliest.
+ */
 const UNCONFIRMED_RETRY_AFTER_MILLISECONDS = 1000
 
 function retryAfter(last: Mishap): number {
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -22,8 +22,9 @@
 }
 
 /**
- * How long an answer may pause, and a list may keep this host waiting for its beginning: lost packets on a link that
- * other hosts fill hold one up for about a second. How long it takes in all has no limit.
+ * How long an answer may pause, and a list may keep this host waiting for its beginning: lost
+ * packets on a link that other hosts fill hold one up for about a second. How long it takes in all
+ * has no limit.
  */
 const PAUSE_LIMIT_MILLISECONDS = 1500
 const LIST_LIMIT = { begin: PAUSE_LIMIT_MILLISECONDS, pause: PAUSE_LIMIT_MILLISECONDS }
@@ -37,9 +38,9 @@
   #pause: number
   /**
    * The next watch follows at once on an answer. After a pause or a failure the store may accept a
-   * watch although it has forgotten what the watch must begin with; that one is silent to its end, and only then
-   * is the host told to list again. So it is brief: the host hears of a missed configuration half a second
-   * after its watch was cut, not up to six seconds.
+   * watch although it has forgotten what the watch must begin with; that one is silent to its end,
+   * and only then is the host told to list again. So it is brief: the host hears of a missed
+   * configuration half a second after its watch was cut, not up to six seconds.
    */
   #isContinuous = false
   #isAway = false
--- a/packages/protocol/src/host/storeLink.ts
+++ b/packages/protocol/src/host/storeLink.ts
@@ -49,8 +49,9 @@
   | { readonly kind: 'leaseGone' }
 
 /**
- * Limits of a call whose answer may be long, in milliseconds. There is none on the whole: where many hosts read
- * over one link, none would get an answer to its end in time, and all would ask again for ever.
+ * Limits of a call whose answer may be long, in milliseconds. There is none on the whole: where
+ * many hosts read over one link, none would get an answer to its end in time, and all would ask
+ * again for ever.
  */
 export interface LongAnswerLimit {
   /** Until the answer begins. */
--- a/packages/state/__tests__/synchronous/overload.spec.ts
+++ b/packages/state/__tests__/synchronous/overload.spec.ts
@@ -4,10 +4,10 @@
 import { SeededRandom, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import { ServiceEstimate, WaitingLine, forecastWait, type Waiter } from '../../src/index.js'
 
-// Both replicas of a database are seconds behind, so its primary alone serves what three servers served: a third more than its
-// slots can do. Callers then wait for their whole second, most of what begins is given up half done,
-// and they come back. The line must stay so short that what is let in is served in time, and who is
-// not let in hears so at once.
+// Both replicas of a database are seconds behind, so its primary alone serves what three servers
+// served: a third more than its slots can do. Callers then wait for their whole second, most of
+// what begins is given up half done, and they come back. The line must stay so short that what is
+// let in is served in time, and who is not let in hears so at once.
 
 const SLOTS = 3
 const CONNECTIONS = 18
--- a/packages/state/__tests__/synchronous/replicaProgress.spec.ts
+++ b/packages/state/__tests__/synchronous/replicaProgress.spec.ts
@@ -37,8 +37,9 @@
     })
   }
 
-  // Load: two routes read at 50 a second each, one needs data 1.5 s old, the other 2.5 s; the log grows by 20 a second and the
-  // replica is 9 s behind. What they ask in vain must not grow with the load.
+  // Load: two routes read at 50 a second each, one needs data 1.5 s old, the other 2.5 s; the log
+  // grows by 20 a second and the replica is 9 s behind. What they ask in vain must not grow with
+  // the load.
   it('is asked in vain at most three times a second, by however many routes', () => {
     const progress = new ReplicaProgress()
     const logAt = (time: number) => position(1000 + Math.floor(time / 50))
--- a/packages/state/__tests__/synchronous/writeConfirmation.spec.ts
+++ b/packages/state/__tests__/synchronous/writeConfirmation.spec.ts
@@ -56,8 +56,9 @@
     expect(confirmation.mayWrite(200, at(500))).toEqual(true)
   })
 
-  // Load: a primary loses its replicas at 0 ms and gets 20 writes a second with a second of time each. Without
-  // this each of them held a connection for a second and was told that its outcome is unknown.
+  // Load: a primary loses its replicas at 0 ms and gets 20 writes a second with a second of time
+  // each. Without this each of them held a connection for a second and was told that its outcome is
+  // unknown.
   it('lets a few writes find out, and the others go elsewhere', () => {
     const confirmation = new WriteConfirmation()
     const ends: { readonly at: number; readonly end: () => void }[] = []
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -32,9 +32,10 @@
 const BURST_PART = 0.4
 
 /**
- * What hosts may hold together while work waits. Without this bound nine hosts that each borrowed up to 0.4 of
- * one limit had 2,000 connections a day reset; the near ones won those that came free, and a far zone was
- * left with one each. The rest is for orders to the server, and for hosts that do not know of each other yet.
+ * What hosts may hold together while work waits. Without this bound nine hosts that each borrowed
+ * up to 0.4 of one limit had 2,000 connections a day reset; the near ones won those that came free,
+ * and a far zone was left with one each. The rest is for orders to the server, and for hosts that
+ * do not know of each other yet.
  */
 const USED_PART = 0.9
 
--- a/packages/state/src/synchronous/writeConfirmation.ts
+++ b/packages/state/src/synchronous/writeConfirmation.ts
@@ -1,7 +1,8 @@
 /**
- * Whether a primary still gets its writes confirmed. One that is cut off from its replicas goes on reading, and
- * lets every write wait: each holds a connection to the end of its time, reads find none, and its
- * caller hears that the outcome is unknown, where it could have been sent elsewhere unrun.
+ * Whether a primary still gets its writes confirmed. One that is cut off from its replicas goes on
+ * reading, and lets every write wait: each holds a connection to the end of its time, reads find
+ * none, and its caller hears that the outcome is unknown, where it could have been sent elsewhere
+ * unrun.
  */
 import { milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 
@@ -38,8 +39,8 @@
   }
 
   /**
-   * Whether a further write may be sent; while in doubt, one at a time finds out. `usual`: what a statement takes
-   * there, in milliseconds.
+   * Whether a further write may be sent; while in doubt, one at a time finds out. `usual`: what a
+   * statement takes there, in milliseconds.
    */
   mayWrite(usual: number, now: Milliseconds): boolean {
     if (this.#isStalled(usual, now)) this.#isInDoubt = true
