refactor: one copy each of what this change wrote again

Owners and observers are one rendezvous draw, not two. The host's own questions take connections by ServerPool.acquireFirst. One choice of a ready reader, which ranked the servers twice before. A write and a commit note their confirmation in one place. Host tests use the stand-ins' freePorts, not a second one.

--- a/packages/coordination/src/failoverChange.ts
+++ b/packages/coordination/src/failoverChange.ts
@@ -1,5 +1,11 @@
 /** This watcher's attempts at a change of primary: one at a time, spaced by a growing wait. */
-import { addMilliseconds, assertNever, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  assertNever,
+  drawnApart,
+  milliseconds,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { GroupRecord, PositionReport } from '@nutmegcourse/protocol'
 import { formatPosition, type BackendServerId } from '@nutmegcourse/shared'
 
@@ -143,7 +149,7 @@
     this.#failures += 1
     const wait = backOff(options.attemptRetryMilliseconds, this.#failures, GREATEST_RETRY_FACTOR)
     // Two that abandon for each other would otherwise try again at the same moment.
-    this.#retryAt = addMilliseconds(now, wait * (0.5 + random.next()))
+    this.#retryAt = addMilliseconds(now, drawnApart(wait, random))
     journal.note('abandoned', attempt.term, detail, now)
   }
 }
--- a/packages/host/__tests__/changeOfPrimary.spec.ts
+++ b/packages/host/__tests__/changeOfPrimary.spec.ts
@@ -1,7 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { StoreConnection } from '@nutmegcourse/stand-ins'
-import { freePorts } from './support/freePorts.js'
+import { StoreConnection, freePorts } from '@nutmegcourse/stand-ins'
 import { A, B, P, inScene, type Caller, type Scene, type SceneHost } from './support/scene.js'
 
 const eventsOf = (hosts: readonly SceneHost[], event: string): number =>
--- a/packages/host/__tests__/relay.spec.ts
+++ b/packages/host/__tests__/relay.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { freePorts } from './support/freePorts.js'
+import { freePorts } from '@nutmegcourse/stand-ins'
 import { P, inScene, type Scene, type SceneHost } from './support/scene.js'
 
 /** Too few connections for three hosts, so that one of them holds them all. */
--- a/packages/host/__tests__/relayPeer.spec.ts
+++ b/packages/host/__tests__/relayPeer.spec.ts
@@ -1,12 +1,12 @@
 import { createServer } from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import { freePorts } from '@nutmegcourse/stand-ins'
 import { SystemClock } from '@nutmegcourse/shared'
 import { JsonRpcConnection } from '@nutmegcourse/transport'
 import type { HostContext } from '../src/hostContext.js'
 import { RelayPeer } from '../src/relayPeer.js'
 import { RELAY_METHODS } from '../src/relayMessages.js'
-import { freePorts } from './support/freePorts.js'
 
 const wait = (span: number): Promise<void> => new Promise(resolve => setTimeout(resolve, span))
 
--- a/packages/host/src/groupControl.ts
+++ b/packages/host/src/groupControl.ts
@@ -9,7 +9,6 @@
 import { ok, type Result } from 'neverthrow'
 import type { BackendCommand, BackendLink, LinkFailure, ServerReport } from '@nutmegcourse/protocol'
 import type { GroupOrders } from '@nutmegcourse/coordination'
-import { SessionValues } from '@nutmegcourse/state'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
 import type { PooledLink } from './serverPool.js'
@@ -34,11 +33,6 @@
 /** A connection in use comes free within a few statements, unless transactions hold them all. */
 const FREE_CONNECTION_MILLISECONDS = 150
 
-/** Goes before all requests, beside the probes of the primary. */
-const HIGHEST_PRIORITY = -1
-
-const NO_SESSION = new SessionValues()
-
 /** How one try ended without a report. */
 type Failure =
   /** The server answers, and had no room for the order. */
@@ -124,11 +118,7 @@
     // A server that is silent gives none back; then a new connection tells more.
     if (server.silentFor(now) > 0) return null
     const limit = addMilliseconds(now, FREE_CONNECTION_MILLISECONDS)
-    const acquired = await server.pool.acquire(NO_SESSION, {
-      priority: HIGHEST_PRIORITY,
-      deadline: limit,
-      patienceMilliseconds: Number.POSITIVE_INFINITY,
-    })
+    const acquired = await server.pool.acquireFirst(limit)
     return 'link' in acquired ? acquired.link : null
   }
 }
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -63,12 +63,10 @@
     const { entryHost, zone, region } = this.#context.settings
     for (const desk of desks) {
       const holders = connectionHolders(desk.configuration.connectionLimit, this.#hosts.size)
-      const plan = planOwners(desk.name, this.#hosts, holders)
-      const { owners: observers } = planOwners(
-        desk.name,
-        this.#hosts,
-        Math.max(holders, LEAST_OBSERVERS),
-      )
+      const drawn = planOwners(desk.name, this.#hosts, Math.max(holders, LEAST_OBSERVERS))
+      // The first of one draw are what a draw of fewer gives.
+      const plan = { ...drawn, owners: drawn.owners.slice(0, holders) }
+      const { owners: observers } = drawn
       this.#observers.set(desk.name, observers)
       this.#order.set(
         desk.name,
--- a/packages/host/src/newsBudget.ts
+++ b/packages/host/src/newsBudget.ts
@@ -4,6 +4,7 @@
  *
  * @internal
  */
+import { LONGEST_DRAW } from '@nutmegcourse/shared'
 
 /** Spans in milliseconds. */
 export interface NewsBudget {
@@ -59,12 +60,6 @@
  */
 const LONGEST_BLIND_PAUSE_MILLISECONDS = 250
 
-/**
- * Pauses are drawn between half and one and a half times their span, so that hosts do not return
- * together.
- */
-const LONGEST_DRAW = 1.5
-
 /** A store that is about to forget its history tells nobody of changes for so long. */
 const DEAF_MILLISECONDS = 1000
 
--- a/packages/host/src/primaryProbe.ts
+++ b/packages/host/src/primaryProbe.ts
@@ -6,7 +6,6 @@
  */
 import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { ReadGuarantee } from '@nutmegcourse/protocol'
-import { SessionValues } from '@nutmegcourse/state'
 import { runOwn } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
@@ -26,11 +25,6 @@
 /** An answer takes a round trip; later than this the connection counts as broken. */
 const ANSWER_LIMIT_MILLISECONDS = 400
 
-/** Goes before all requests: it holds a connection for one round trip and no slot. */
-const HIGHEST_PRIORITY = -1
-
-const NO_SESSION = new SessionValues()
-
 export class PrimaryProbe {
   readonly #context: HostContext
   readonly #desk: ServiceDesk
@@ -73,11 +67,7 @@
   async #askOnce(server: BackendServerState): Promise<void> {
     const { clock } = this.#context
     const limit = addMilliseconds(clock.now(), ANSWER_LIMIT_MILLISECONDS)
-    const acquired = await server.pool.acquire(NO_SESSION, {
-      priority: HIGHEST_PRIORITY,
-      deadline: limit,
-      patienceMilliseconds: Number.POSITIVE_INFINITY,
-    })
+    const acquired = await server.pool.acquireFirst(limit)
     if ('failure' in acquired) return
     const { link } = acquired
     const askedAt = clock.now()
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -5,6 +5,7 @@
  * @internal
  */
 import {
+  drawnApart,
   milliseconds,
   type BackendServerId,
   type LogPosition,
@@ -143,14 +144,34 @@
     server: BackendServerState,
     excluded: Set<BackendServerId>,
   ): boolean {
+    if (this.otherReader(request, server, excluded) === null) return false
+    excluded.add(server.entry.server)
+    return true
+  }
+
+  /** Another server that could serve the read; one that lacks what it needs would be asked in vain. */
+  otherReader(
+    request: StatementRequest,
+    server: BackendServerState,
+    excluded: ReadonlySet<BackendServerId>,
+  ): BackendServerState | null {
     const { desk, route, session } = request
     const now = this.#context.clock.now()
     const need = desk.need(route.guarantee, session.ownPosition, now)
-    if (need.kind !== 'position') return false
-    const others = new Set([...excluded, server.entry.server])
-    if (!desk.hasReadyReader(need.position, others, now)) return false
-    excluded.add(server.entry.server)
-    return true
+    if (need.kind !== 'position') return null
+    return desk.chooseReadyReader(need.position, new Set([...excluded, server.entry.server]), now)
+  }
+
+  /** Runs a write, or the commit of writes, and notes whether the server confirmed it. */
+  async confirming(
+    server: BackendServerState,
+    run: () => Promise<AttemptOutcome>,
+  ): Promise<AttemptOutcome> {
+    const { clock } = this.#context
+    const write = server.writes.sent(clock.now())
+    const outcome = await run()
+    server.writes.ended(write, outcome.kind === 'answered', clock.now())
+    return outcome
   }
 
   /** Leaves the server out of this read's further tries; when none is left, all are tried again. */
@@ -244,7 +265,7 @@
 
   /** A span that differs from one host to the next, so that they do not come back together. */
   jitter(span: number): number {
-    return span * (0.5 + this.#context.random.next())
+    return drawnApart(span, this.#context.random)
   }
 }
 
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -3,17 +3,17 @@
  *
  * @internal
  */
-import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, drawnApart, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { BackendAddress, BackendLink, LinkFailure } from '@nutmegcourse/protocol'
 import {
   ConnectionValues,
   ServiceEstimate,
+  SessionValues,
   WaitingLine,
   connectionsToOpen,
   forecastWait,
   poolLimits,
   type PoolLimits,
-  type SessionValues,
   type Waiter,
 } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
@@ -67,6 +67,11 @@
 /** Connections that are kept although nothing needs them, so that the first request needs no handshake. */
 const WARM_CONNECTIONS = 1
 
+/** The priorities of requests begin at 0. */
+const HIGHEST_PRIORITY = -1
+
+const NO_SESSION = new SessionValues()
+
 const NOT_TAKEN = milliseconds(Number.NEGATIVE_INFINITY)
 
 export class ServerPool {
@@ -137,7 +142,7 @@
     if (this.busy === 0 && this.waiting === 0) this.#owesSince = this.#context.clock.now()
     const idle = this.#takeIdle(session)
     if (idle !== null) return Promise.resolve({ link: this.#taken(idle) })
-    const waitMilliseconds = this.forecastWait(terms)
+    const waitMilliseconds = this.#forecastWait(terms)
     if (waitMilliseconds > terms.patienceMilliseconds) {
       return Promise.resolve({ failure: 'overloaded', waitMilliseconds })
     }
@@ -145,7 +150,7 @@
   }
 
   /** How long work that comes now would wait for a connection. */
-  forecastWait(terms: AcquireTerms): number {
+  #forecastWait(terms: AcquireTerms): number {
     return forecastWait({
       ahead: this.#line.aheadOf(terms),
       connections: this.busy,
@@ -153,6 +158,15 @@
     })
   }
 
+  /** A connection for the host's own questions and orders: before all requests, and however long the line is. */
+  acquireFirst(deadline: Milliseconds): Promise<Acquired> {
+    return this.acquire(NO_SESSION, {
+      priority: HIGHEST_PRIORITY,
+      deadline,
+      patienceMilliseconds: Number.POSITIVE_INFINITY,
+    })
+  }
+
   #wait(session: SessionValues, { priority, deadline }: AcquireTerms): Promise<Acquired> {
     return new Promise(resolve => {
       const waiter: LinkWaiter = {
@@ -307,7 +321,7 @@
     if (failure.kind === 'connectionRefused') this.refusals += 1
     if (isFull) this.#fullAt = clock.now()
     const span = isFull ? FULL_PAUSE_MILLISECONDS : REFUSED_PAUSE_MILLISECONDS
-    this.#mayOpenAt = addMilliseconds(clock.now(), span * (0.5 + random.next()))
+    this.#mayOpenAt = addMilliseconds(clock.now(), drawnApart(span, random))
     log.write('connection_not_opened', {
       server: this.#address.server,
       service: this.#address.service,
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -206,17 +206,21 @@
     excluded: ReadonlySet<BackendServerId>,
     now: Milliseconds,
   ): BackendServerState | null {
-    const [best] = rankForRead(this.#candidates(need, excluded, now))
-    return best === undefined ? null : (this.#servers.get(best) ?? null)
+    return this.#best(this.#candidates(need, excluded, now))
   }
 
-  /** Whether a server that is not left out could serve such a read now, by all that is known of it. */
-  hasReadyReader(
+  /** The best server that could serve such a read now, by all that is known of it; null for none. */
+  chooseReadyReader(
     need: LogPosition | null,
     excluded: ReadonlySet<BackendServerId>,
     now: Milliseconds,
-  ): boolean {
-    return this.#candidates(need, excluded, now).some(isReadyForRead)
+  ): BackendServerState | null {
+    return this.#best(this.#candidates(need, excluded, now).filter(isReadyForRead))
+  }
+
+  #best(candidates: readonly ReadCandidate[]): BackendServerState | null {
+    const [best] = rankForRead(candidates)
+    return best === undefined ? null : (this.#servers.get(best) ?? null)
   }
 
   #candidates(
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -88,9 +88,9 @@
       }
       const { link } = access
       const sentAt = this.#context.clock.now()
-      const write = server.writes.sent(sentAt)
-      const outcome = await this.#access.attemptSingle(request, server, link, null, false)
-      server.writes.ended(write, outcome.kind === 'answered', this.#context.clock.now())
+      const outcome = await this.#access.confirming(server, () =>
+        this.#access.attemptSingle(request, server, link, null, false),
+      )
       if (outcome.kind === 'answered') {
         noteOwnWrite(request, outcome.position)
         request.desk.provedToLead(server.entry.server, sentAt, outcome.position)
@@ -139,7 +139,7 @@
     const early = await Promise.race([first, delay.over])
     delay.cancel()
     if (early !== undefined) return early
-    const second = this.#secondReader(request, new Set([...excluded, server.entry.server]))
+    const second = this.#access.otherReader(request, server, excluded)
     if (second === null) return first
     this.#context.log.write('read_hedged', {
       request: request.statement.id,
@@ -149,18 +149,6 @@
     return firstAnswered(first, this.#tryRead(request, second))
   }
 
-  /** Another server that could serve the read; one that lacks what it needs would only be asked in vain. */
-  #secondReader(
-    request: StatementRequest,
-    others: ReadonlySet<BackendServerId>,
-  ): BackendServerState | null {
-    const { desk, route, session } = request
-    const now = this.#context.clock.now()
-    const need = desk.need(route.guarantee, session.ownPosition, now)
-    if (need.kind !== 'position' || !desk.hasReadyReader(need.position, others, now)) return null
-    return desk.chooseReader(need.position, others, now)
-  }
-
   async #tryRead(request: StatementRequest, server: BackendServerState): Promise<ReadOutcome> {
     const { clock } = this.#context
     const limit = earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -5,7 +5,7 @@
  * @internal
  */
 import type { DirectoryChange, StoreFailure, StoreLink } from '@nutmegcourse/protocol'
-import type { Milliseconds } from '@nutmegcourse/shared'
+import { drawnApart, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
 import { newsBudget, type NewsBudget } from './newsBudget.js'
 import { rest } from './waiting.js'
@@ -147,7 +147,7 @@
     }
     if (!this.#isAway) this.#context.log.write('store_lost', { ...failure })
     this.#isAway = true
-    await rest(this.#pause * (0.5 + this.#context.random.next()))
+    await rest(drawnApart(this.#pause, this.#context.random))
     this.#pause = Math.min(this.#pause * 2, this.#longestPause)
   }
 
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -95,12 +95,8 @@
     }
     for (;;) {
       const sentAt = this.#context.clock.now()
-      const write = isWritten ? transaction.server.writes.sent(sentAt) : null
-      const outcome = await this.#attemptInside(request, transaction)
-      if (write !== null) {
-        const isConfirmed = outcome.kind === 'answered'
-        transaction.server.writes.ended(write, isConfirmed, this.#context.clock.now())
-      }
+      const run = (): Promise<AttemptOutcome> => this.#attemptInside(request, transaction)
+      const outcome = await (isWritten ? this.#access.confirming(transaction.server, run) : run())
       if (outcome.kind === 'answered') {
         return this.#transactionAnswered(request, transaction, outcome, isCommit)
       }
--- a/packages/shared/src/random.ts
+++ b/packages/shared/src/random.ts
@@ -4,6 +4,13 @@
   next(): number
 }
 
+/** The longest that `drawnApart` makes of a span, as a factor. */
+export const LONGEST_DRAW = 1.5
+
+/** A span between half and one and a half times as long, so that many who wait do not return together. */
+export const drawnApart = (span: number, random: RandomSource): number =>
+  span * (LONGEST_DRAW - 1 + random.next())
+
 /** Uniform numbers from a seed (mulberry32, public domain). */
 export class SeededRandom implements RandomSource {
   #state: number
