--- a/packages/host/__tests__/newsBudget.spec.ts
+++ b/packages/host/__tests__/newsBudget.spec.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { err, ok } from 'neverthrow'
-import { SeededRandom, VirtualClock } from '@nutmegcourse/shared'
+import { VirtualClock } from '@nutmegcourse/shared'
 import type {
   DirectoryChange,
   DirectoryEvents,
@@ -10,9 +10,9 @@
   StoreLink,
 } from '@nutmegcourse/protocol'
 import type { Result } from 'neverthrow'
-import type { HostContext } from '../src/hostContext.js'
 import { longestWayOfNews, newsBudget } from '../src/newsBudget.js'
 import { StoreFollower } from '../src/storeFollower.js'
+import { followerContext } from './support/followerContext.js'
 
 describe('how long news may take in all', () => {
   const bounds: readonly (readonly [number, string])[] = [
@@ -97,19 +97,13 @@
     watch: (revision: number, wait: number) => Promise.resolve(store.watch(revision, wait)),
     close: () => undefined,
   } as unknown as StoreLink
-  const context = {
-    clock,
-    random: new SeededRandom(1),
-    settings: { configurationMilliseconds: 4000 },
-    log: { write: () => undefined },
-  } as unknown as HostContext
   return new Promise(resolve => {
     const changed = (change: DirectoryChange): void => {
       if (change.kind !== 'configuration') return
       follower.stop()
       resolve({ at: clock.now(), waits: store.waits })
     }
-    const follower = new StoreFollower(context, link, {
+    const follower = new StoreFollower(followerContext(clock), link, {
       changed,
       listed: changes => {
         changes.forEach(changed)
--- a/packages/host/__tests__/storeFollower.spec.ts
+++ b/packages/host/__tests__/storeFollower.spec.ts
@@ -2,7 +2,6 @@
 import { expect } from 'earl'
 import { err, ok } from 'neverthrow'
 import {
-  SeededRandom,
   VirtualClock,
   availabilityZoneId,
   backendServerId,
@@ -14,8 +13,8 @@
   StoreFailure,
   StoreLink,
 } from '@nutmegcourse/protocol'
-import type { HostContext } from '../src/hostContext.js'
 import { StoreFollower } from '../src/storeFollower.js'
+import { followerContext } from './support/followerContext.js'
 
 // One host is cut off from the store for four seconds. Meanwhile a backend server says that it leaves, which
 // the host hears two seconds late; it counted the server's time from then, and gave it new work after the
@@ -104,17 +103,11 @@
     },
     close: () => undefined,
   } as unknown as StoreLink
-  const context = {
-    clock,
-    random: new SeededRandom(1),
-    settings: { configurationMilliseconds: 4000 },
-    log: { write: () => undefined },
-  } as unknown as HostContext
   return new Promise(resolve => {
     const hear = (changes: readonly DirectoryChange[], since: Milliseconds): void => {
       if (changes.includes(LEAVING)) resolve(since)
     }
-    const follower = new StoreFollower(context, store, {
+    const follower = new StoreFollower(followerContext(clock), store, {
       changed: (change, since) => {
         hear([change], since)
       },
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -19,6 +19,7 @@
 import type { RemoteStatement } from './attempt.js'
 import type { HostContext } from './hostContext.js'
 import type { ServiceDesk } from './serviceDesk.js'
+import { reportStatement } from './statementReport.js'
 import {
   StatementTiming,
   type RunningTransaction,
@@ -266,8 +267,7 @@
     if (place === null) return this.#fail(refusal('unknownDatabase', 'no such database'))
     const request = this.#requestFor(statement, place)
     const result = await this.#run(request)
-    this.#logRefusal(request, result)
-    this.#logLate(request, result)
+    reportStatement(this.#context, this.#database, request, result)
     return result
   }
 
@@ -354,43 +354,6 @@
     const took = this.#context.clock.now() - arrivedAt
     this.#context.metrics.statement(statement.body.kind, outcome, took)
   }
-
-  /**
-   * What a caller complains of besides refusals. Where the statement ran at another host, that one
-   * knows more.
-   */
-  #logLate(request: StatementRequest, { answer }: StatementResult): void {
-    const took = this.#context.clock.now() - request.arrivedAt
-    if (answer.kind === 'refused' || took <= request.route.latencyTargetMilliseconds) return
-    const { newsMilliseconds, connectionMilliseconds, tries } = request.timing
-    this.#context.log.write('statement_late', {
-      request: request.statement.id,
-      database: this.#database,
-      route: request.route.name,
-      statement: request.statement.body.kind,
-      primary: request.desk.primary?.entry.server ?? null,
-      newsMilliseconds: Math.round(newsMilliseconds),
-      connectionMilliseconds: Math.round(connectionMilliseconds),
-      tries,
-      tookMilliseconds: Math.round(took),
-    })
-  }
-
-  #logRefusal(request: StatementRequest, { answer, reason }: StatementResult): void {
-    if (answer.kind !== 'refused') return
-    this.#context.log.write('statement_refused', {
-      request: request.statement.id,
-      database: this.#database,
-      route: request.route.name,
-      statement: request.statement.body.kind,
-      write: request.isWrite,
-      primary: request.desk.primary?.entry.server ?? null,
-      refusal: answer.refusal,
-      reason: reason ?? answer.refusal,
-      detail: answer.detail,
-      tookMilliseconds: Math.round(this.#context.clock.now() - request.arrivedAt),
-    })
-  }
 }
 
 const ACKNOWLEDGED: StatementResult = { answer: { kind: 'acknowledged' }, position: null }
