feat(host): lines that say whom a planned stop cuts, who holds a service's connections, and how many this host has

A planned stop left no line between its signal and its end, so hypotheses about a cut statement could not be told apart; a refused connection did not say whether the host had others. stop_step says what is open after each step, session_cut what the end takes from whom and when that session was taken, owners_planned which hosts hold the connections, connection_not_opened how many are held here.

--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -73,6 +73,9 @@
   #isWorking = false
   #isOver = false
   #closesWhenIdle = false
+  /** The statement that is owed its answer. */
+  #current: { readonly statement: CallerStatement; readonly arrivedAt: Milliseconds } | null = null
+  readonly #takenAt: Milliseconds
   #idleTimer: NodeJS.Timeout | null = null
 
   constructor(
@@ -87,6 +90,7 @@
     this.#routes = routes
     this.#runner = runner
     this.#onEnd = onEnd
+    this.#takenAt = context.clock.now()
     link.listen(this)
   }
 
@@ -137,6 +141,21 @@
     this.#transaction = { kind: 'failed' }
   }
 
+  /** Says what the end of the process takes from this caller, if anything. */
+  reportCut(stoppingSince: Milliseconds): void {
+    if (!this.isBusy) return
+    const now = this.#context.clock.now()
+    const current = this.#current
+    this.#context.log.write('session_cut', {
+      request: current?.statement.id ?? null,
+      database: this.#database,
+      statement: current?.statement.body.kind ?? null,
+      transaction: this.#transaction.kind,
+      owedMilliseconds: current === null ? 0 : Math.round(now - current.arrivedAt),
+      takenMilliseconds: Math.round(this.#takenAt - stoppingSince),
+    })
+  }
+
   async #welcome(database: string): Promise<void> {
     if (!this.#routes.takesSessions) {
       this.#refuseSession('tooManyCallers', 'this host is stopping')
@@ -169,7 +188,9 @@
     this.#stopIdleTimer()
     for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
       const arrivedAt = this.#context.clock.now()
+      this.#current = { statement: next, arrivedAt }
       const { answer, position } = await this.#serve(next)
+      this.#current = null
       this.#count(next, answer, arrivedAt)
       if (this.#isOver) break
       this.#link.answer(answer, this.#status, position)
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -19,6 +19,27 @@
 export const EVENTS = {
   started: { when: 'The process starts.', fields: { settings: 'path of its settings file' } },
   stopping: { when: 'A signal to stop came.', fields: {} },
+  stop_step: {
+    when: 'A step of the planned stop is over.',
+    fields: {
+      step: 'restingClosed, transactionsOver or ended',
+      sessions: 'sessions that are open',
+      busySessions: 'of them, with a statement owed or a transaction open',
+      isRelaying: 'whether statements or transactions run here for other hosts',
+      elapsedMilliseconds: 'since the signal',
+    },
+  },
+  session_cut: {
+    when: 'The planned stop ends while a caller is owed an answer or has a transaction open.',
+    fields: {
+      request: 'id of the statement; null for none',
+      database: 'what the caller named',
+      statement: 'read, write, commit, execute or another kind; null for none',
+      transaction: 'none, declared, running or failed',
+      owedMilliseconds: 'since the statement came',
+      takenMilliseconds: 'when the session was taken, from the signal on; below 0: before it',
+    },
+  },
   stopped: { when: 'All work has ended, or the grace is nearly over.', fields: {} },
   reloaded: {
     when: 'A signal said that the settings file changed.',
@@ -56,6 +77,15 @@
     fields: SERVER_FIELDS,
   },
   server_removed: { when: 'A backend server is no longer used.', fields: SERVER_FIELDS },
+  owners_planned: {
+    when: 'Other hosts than before hold the connections to a service, by what this host knows.',
+    fields: {
+      service: 'the service',
+      hosts: 'hosts that are known to run',
+      owners: 'those that hold connections',
+      isOwned: 'whether this host does',
+    },
+  },
   primary_believed: {
     when: 'This host takes another server for the primary of a service, or none.',
     fields: {
@@ -161,6 +191,7 @@
       refusal: 'why it was rejected',
       detail: 'the server’s words',
       waiting: 'statements that wait for a connection there',
+      held: 'connections that this host has there',
     },
   },
   try_failed: {
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -1,6 +1,6 @@
 /** One entry host: takes callers, follows the store, and keeps the services it needs in order. */
 import { createServer, type Server, type Socket } from 'node:net'
-import type { Clock, RandomSource } from '@nutmegcourse/shared'
+import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
 import type {
   BackendDialer,
   CallerLink,
@@ -175,9 +175,11 @@
     const grace = settings.graceMilliseconds
     void this.#registration.withdraw()
     await this.#closeIdleSessions(grace * CLOSING_SPAN_SHARE)
+    this.#logStep('restingClosed', startedAt)
     while (this.#isWorking && clock.now() - startedAt < grace * TRANSACTION_GRACE_SHARE) {
       await rest(TICK_MILLISECONDS)
     }
+    this.#logStep('transactionsOver', startedAt)
     this.#takesSessions = false
     for (const session of this.#sessions) {
       session.abortTransaction()
@@ -186,9 +188,22 @@
     while (this.#isWorking && clock.now() - startedAt < grace - EXIT_RESERVE_MILLISECONDS) {
       await rest(TICK_MILLISECONDS)
     }
+    this.#logStep('ended', startedAt)
+    for (const session of this.#sessions) session.reportCut(startedAt)
     this.close()
   }
 
+  #logStep(step: string, startedAt: Milliseconds): void {
+    const { clock, log } = this.#context
+    log.write('stop_step', {
+      step,
+      sessions: this.#sessions.size,
+      busySessions: [...this.#sessions].filter(session => session.isBusy).length,
+      isRelaying: this.#relay.isWorking,
+      elapsedMilliseconds: Math.round(clock.now() - startedAt),
+    })
+  }
+
   get #isWorking(): boolean {
     return (
       this.#relay.isWorking ||
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -31,6 +31,8 @@
   readonly #observers = new Map<string, readonly string[]>()
   /** By service: whom this host asks to run statements, in order. */
   readonly #order = new Map<string, readonly string[]>()
+  /** By service: what the last line said. */
+  readonly #loggedOwners = new Map<string, string>()
   readonly #aroundPausedUntil = new Map<string, Milliseconds>()
 
   constructor(context: HostContext) {
@@ -76,9 +78,18 @@
       // Before this host is listed itself it serves by itself: it knows too little to rely on others.
       desk.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
       desk.isObserved = desk.isOwned || observers.includes(entryHost)
+      this.#logOwners(desk, plan.owners)
     }
   }
 
+  #logOwners({ name, isOwned }: ServiceDesk, owners: readonly string[]): void {
+    const plan = `${[...owners].sort().join(' ')} ${String(isOwned)}`
+    if (this.#loggedOwners.get(name) === plan) return
+    this.#loggedOwners.set(name, plan)
+    const { log } = this.#context
+    log.write('owners_planned', { service: name, hosts: this.#hosts.size, owners, isOwned })
+  }
+
   peersFor(desk: ServiceDesk, atPrimary: boolean): RelayPeer[] | null {
     const now = this.#context.clock.now()
     if (desk.isOwned && (!atPrimary || desk.reachesPrimary(now))) return null
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -327,6 +327,7 @@
       service: this.#address.service,
       ...failure,
       waiting: this.#line.size,
+      held: this.#all.size,
     })
     if (isFull && this.#all.size > 0) return
     this.withdrawWaiting(isFull ? 'full' : 'unreachable')
