fix(host): a caller whose transaction the host ended hears that nothing is kept, not that it asked wrongly

Cause: a transaction that the host ends by itself (idle limit, planned stop) was held as one whose failure the caller had been told. "Malformed" promises nothing, so a caller may not repeat. Hypotheses ruled out by the texts told: lost answers (INDOUBT), time limits (TIMEOUT): none of either. Now the first statement after such an end is told "aborted", which is true (it was rolled back), and only later ones are malformed. Test red before (malformed, malformed, done, done).

--- a/packages/host/__tests__/hostLife.spec.ts
+++ b/packages/host/__tests__/hostLife.spec.ts
@@ -145,6 +145,25 @@
     })
   })
 
+  // The same, and the caller asks for something else before the commit. It was told "malformed", which
+  // says nothing of what is kept: the first it heard of the end of its transaction was no promise.
+  it('tells a caller whose transaction it ended that nothing is kept, once', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      scene.store.configure({ ...CONFIGURATION, version: 2, idleTransactionMilliseconds: 100 })
+      await scene.until(() => host.host.idleTransactionMilliseconds === 100, 'it is in force')
+      const caller = await scene.caller(host, 'own')
+      await caller.tell('begin')
+      await caller.tell('write 1')
+      await wait(200)
+      const told: string[] = []
+      for (const text of ['write 2', 'read 1', 'rollback', 'write 3'])
+        told.push(await caller.tell(text))
+      expect(told).toEqual(['aborted', 'malformed', 'done', 'done'])
+      expect(scene.group.acknowledged.length).toEqual(1)
+    })
+  })
+
   // Entries of servers lapse while the store is away, and are back a moment later. Nobody may be
   // refused meanwhile; one that stays away is left alone.
   it('keeps servers whose entries lapse for a moment', async () => {
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -56,8 +56,11 @@
       readonly route: Route
       readonly transaction: RunningTransaction
     }
-  /** It is gone; the caller has yet to end it. */
-  | { readonly kind: 'failed' }
+  /** It is gone; the caller has yet to end it. `isTold`: it knows. */
+  | { readonly kind: 'failed'; readonly isTold: boolean }
+
+const TOLD: TransactionState = { kind: 'failed', isTold: true }
+const NOT_TOLD: TransactionState = { kind: 'failed', isTold: false }
 
 export class CallerSession implements CallerEvents {
   readonly #context: HostContext
@@ -138,7 +141,7 @@
   abortTransaction(): void {
     if (this.#isWorking || this.#transaction.kind !== 'running') return
     this.#dropTransaction()
-    this.#transaction = { kind: 'failed' }
+    this.#transaction = NOT_TOLD
   }
 
   /** Says what the end of the process takes from this caller, if anything. */
@@ -236,7 +239,9 @@
 
   async #serve(statement: CallerStatement): Promise<StatementResult> {
     const { body } = statement
-    if (this.#transaction.kind === 'failed') return this.#serveFailed(statement)
+    if (this.#transaction.kind === 'failed') {
+      return this.#serveFailed(statement, this.#transaction.isTold)
+    }
     switch (body.kind) {
       case 'malformed':
         return refusal('malformed', body.detail)
@@ -264,10 +269,15 @@
     }
   }
 
-  /** Ending it rolls back; that is no commit, and the caller is told so. */
-  #serveFailed(statement: CallerStatement): StatementResult {
+  /**
+   * Ending it rolls back; that is no commit, and the caller is told so. So is one that does not know
+   * yet that this host ended its transaction: "malformed" says nothing of what is kept.
+   */
+  #serveFailed(statement: CallerStatement, isTold: boolean): StatementResult {
     const { kind } = statement.body
     if (kind !== 'rollback' && kind !== 'commit') {
+      this.#transaction = TOLD
+      if (!isTold) return refusal('aborted', 'the transaction was rolled back')
       return refusal('malformed', 'the transaction has failed and must be ended')
     }
     this.#transaction = { kind: 'none' }
@@ -352,14 +362,14 @@
       return
     }
     const isEnded = request.statement.body.kind === 'commit'
-    this.#transaction = isEnded ? { kind: 'none' } : { kind: 'failed' }
+    this.#transaction = isEnded ? { kind: 'none' } : TOLD
   }
 
   /** Inside a transaction a refused statement ends it. */
   #fail(result: StatementResult): StatementResult {
     if (this.#transaction.kind === 'none') return result
     this.#dropTransaction()
-    this.#transaction = { kind: 'failed' }
+    this.#transaction = TOLD
     return result
   }
 
