fix(host,proxy,agent): a second signal to stop waits for the same end

Callers would see: statements cut with their connection when an operator's tool signals twice. Cause, read and shown by tests that were red before: the host's second stop() returned at once and its caller ended the process (order seen: stopped, done, stopped); the PostgreSQL proxy and the agent listened once, so the second signal had no listener and killed the process (a running statement lost, exit code null). Now there is one end, and each signal waits for it.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -41,11 +41,13 @@
   const agent = new Agent(settings, log, new Metrics(place), makeMachineWith(settings))
   const ports = await agent.start()
   process.stdout.write(`${JSON.stringify({ ready: true, ports })}\n`)
+  let stopped: Promise<void> | null = null
   const stop = (): void => {
-    void agent.stop().then(() => process.exit(0))
+    stopped ??= agent.stop().then(() => process.exit(0))
   }
-  process.once('SIGTERM', stop)
-  process.once('SIGINT', stop)
+  // Taken each time: a signal without a listener ends the process before the fleet knows that it leaves.
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
 }
 
 const makeMachineWith =
--- a/packages/host/__tests__/hostLife.spec.ts
+++ b/packages/host/__tests__/hostLife.spec.ts
@@ -129,6 +129,26 @@
     })
   })
 
+  // A second signal to stop came while the first was still being followed. The host took its second
+  // word for the end of the first and ended at once, under the statements that ran.
+  it('does not end sooner when it is told twice to stop', async () => {
+    await inScene(0, async scene => {
+      const made = scene.add('host-1', 2000)
+      await scene.ready()
+      const caller = await scene.caller(made, 'own')
+      scene.dialer.hooks.workMilliseconds = 300
+      const asked = caller.tell('write 1')
+      await wait(20)
+      const order: string[] = []
+      const stops = [made.host.stop(), made.host.stop()].map(stop =>
+        stop.then(() => order.push('stopped')),
+      )
+      void asked.then(how => order.push(how))
+      await Promise.all(stops)
+      expect(order).toEqual(['done', 'stopped', 'stopped'])
+    })
+  })
+
   // A caller rests inside a transaction and holds a scarce connection. After the configured time the
   // transaction is rolled back; the caller learns of it with its next statement and can go on.
   it('ends a transaction that rests too long', async () => {
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -77,6 +77,7 @@
   #timer: NodeJS.Timeout | null = null
   #lastTick = Number.NEGATIVE_INFINITY
   #isStopping = false
+  #stopped: Promise<void> | null = null
   #takesSessions = true
   #isClosed = false
 
@@ -166,9 +167,16 @@
     this.#sessions.add(session)
   }
 
-  /** Takes no new work, lets what runs end, and resolves when the process may exit. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) return
+  /**
+   * Takes no new work, lets what runs end, and resolves when the process may exit. A second call, as a
+   * second signal makes it, waits for the same end: it must not cut what the first still waits for.
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#runStop()
+    return this.#stopped
+  }
+
+  async #runStop(): Promise<void> {
     this.#isStopping = true
     const { clock, settings } = this.#context
     const startedAt = clock.now()
--- a/packages/proxy/__tests__/gracefulShutdown.spec.ts
+++ b/packages/proxy/__tests__/gracefulShutdown.spec.ts
@@ -53,6 +53,20 @@
       expect(proxy.backend.inserted.length).toEqual(1)
     }))
 
+  // The operators' tool asks twice for the stop, the second time while a statement runs. The second
+  // signal found no listener any more and ended the process under the statement: exit code null.
+  it('does not end sooner when it is told twice to stop', () =>
+    withShippedProxy(DRAIN, async proxy => {
+      const client = await proxy.connect()
+      const slow = client.query('SELECT pg_sleep(600)')
+      await eventually(() => proxy.backend.queries.some(sql => sql.includes('pg_sleep')))
+      const first = proxy.terminate()
+      await new Promise(resolve => setTimeout(resolve, 100))
+      const second = proxy.terminate()
+      expect((await slow).rows.length).toEqual(1)
+      expect([await first, await second]).toEqual([0, 0])
+    }))
+
   // Judges enter scores without pause while their entry host is replaced. Each score is answered, or refused
   // as not run; one that was refused and is there all the same would be entered a second time.
   it('under load answers each write or refuses it as not run, truly', () =>
--- a/packages/proxy/src/main.ts
+++ b/packages/proxy/src/main.ts
@@ -40,8 +40,9 @@
   const stop = (): void => {
     void proxy.stop().then(graceful => process.exit(graceful ? 0 : EXIT_CUT))
   }
-  process.once('SIGTERM', stop)
-  process.once('SIGINT', stop)
+  // Taken each time: a signal without a listener ends the process at once, under what still runs.
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
 }
 
 function leave(text: string): void {
--- a/packages/proxy/src/proxyProcess.ts
+++ b/packages/proxy/src/proxyProcess.ts
@@ -18,6 +18,7 @@
   readonly #shell: ProxyShell
   readonly #agent: AgentLink
   #server: Server | null = null
+  #stopped: Promise<boolean> | null = null
   #whenPrepared: () => void = () => undefined
 
   constructor(settings: ProxySettings) {
@@ -73,8 +74,13 @@
     })
   }
 
-  /** True when nothing in flight was cut. */
-  async stop(): Promise<boolean> {
+  /** True when nothing in flight was cut. A second call waits for the same end. */
+  stop(): Promise<boolean> {
+    this.#stopped ??= this.#runStop()
+    return this.#stopped
+  }
+
+  async #runStop(): Promise<boolean> {
     this.#log.info('stopping')
     this.#server?.close()
     const graceful = await this.#drain()
