fix(host): a host that stops tells the others, and ends what it holds open for them in time

Callers saw, at a host that hands statements on: "outcome unknown" to a commit when the host that ran it stopped as planned. Cause, each shown by a test that was red before: (1) transactions of other hosts' callers had no end before the process's own, which cut what ran then; (2) others went on handing statements to a stopping host until the store told them, with the store away until its end, and what was on its way then was lost.

--- a/packages/host/__tests__/relay.spec.ts
+++ b/packages/host/__tests__/relay.spec.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { freePorts } from '@nutmegcourse/stand-ins'
-import { P, inScene, type Scene, type SceneHost } from './support/scene.js'
+import { P, inScene, type Caller, type Scene, type SceneHost } from './support/scene.js'
 
 /** Too few connections for three hosts, so that one of them holds them all. */
 const FEW_CONNECTIONS = 5
@@ -166,4 +166,45 @@
       await stopped
     })
   })
+
+  // An owner stops while another host's caller has a transaction open there, longer than an owner gives
+  // its own callers'. Nobody ended it in time: the end of the owner's process came under whatever ran
+  // then, and of a commit the caller heard that its outcome is unknown.
+  it('hears that nothing is kept when its owner stops under a long transaction', async () => {
+    await inCrowd(async (scene, owner, other) => {
+      const caller = await scene.caller(other, 'own')
+      await caller.tell('begin')
+      await caller.tell('write 1')
+      const stopped = owner.host.stop()
+      await new Promise(resolve => setTimeout(resolve, 560))
+      scene.dialer.hooks.workMilliseconds = 120
+      expect(await caller.tell('commit')).toEqual('aborted')
+      await stopped
+      expect(scene.group.acknowledged).toEqual([])
+    })
+  })
+
+  // An owner stops while the store is away, so that the others do not hear of it there. They went on
+  // handing it statements, which it declined, up to the end of its process; those that were on their
+  // way then were told as writes of unknown outcome.
+  it('hands nothing more to an owner that stops, also without the store', async () => {
+    await inCrowd(async (scene, owner, other) => {
+      const callers = await Promise.all([1, 2, 3, 4].map(() => scene.caller(other, 'own')))
+      for (const caller of callers) await caller.tell('write 0')
+      for (const { store } of scene.hosts) store.mood = 'silent'
+      const before = other.lines.length
+      const stopped = owner.host.stop()
+      let isOver = false
+      void stopped.then(() => (isOver = true))
+      const told = new Set<string>()
+      const goesOn = (): boolean => !isOver
+      const work = async (caller: Caller): Promise<void> => {
+        while (goesOn()) told.add(await caller.tell('write 1'))
+      }
+      await Promise.all(callers.map(work))
+      expect([...told]).toEqual(['done'])
+      const declined = other.lines.slice(before).filter(({ event }) => event === 'relay_failed')
+      expect(declined.length <= callers.length).toEqual(true)
+    })
+  })
 })
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -182,6 +182,7 @@
     const startedAt = clock.now()
     const grace = settings.graceMilliseconds
     void this.#registration.withdraw()
+    this.#relay.leave()
     await this.#closeIdleSessions(grace * CLOSING_SPAN_SHARE)
     this.#logStep('restingClosed', startedAt)
     while (this.#isWorking && clock.now() - startedAt < grace * TRANSACTION_GRACE_SHARE) {
@@ -193,6 +194,7 @@
       session.abortTransaction()
       session.closeWhenIdle()
     }
+    this.#relay.endTransactions()
     while (this.#isWorking && clock.now() - startedAt < grace - EXIT_RESERVE_MILLISECONDS) {
       await rest(TICK_MILLISECONDS)
     }
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -124,7 +124,7 @@
 
   tick(now: Milliseconds): void {
     for (const [host, peer] of this.#peers) {
-      const isGone = !this.#hosts.has(host) && !peer.isUp && !peer.isOwedAnswers
+      const isGone = !this.#hosts.has(host) && peer.isLost && !peer.isOwedAnswers
       if (isGone) this.#dropPeer(host)
       else peer.tick(now)
     }
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -41,6 +41,8 @@
   #opening: Promise<JsonRpcConnection | null> | null = null
   /** When to try again after a failure; null while nothing speaks against it. */
   #retryAt: Milliseconds | null = null
+  /** It said that it stops; until its connection ends it still runs what it was handed. */
+  #isLeaving = false
   #owed = 0
   #isAsking = false
   #heardBytes = 0
@@ -60,9 +62,14 @@
     return this.#address.host === host && this.#address.port === port
   }
 
-  /** Whether statements may be handed to it. */
+  /** Whether new work may be handed to it. */
   get isUp(): boolean {
-    return this.#retryAt === null
+    return this.#retryAt === null && !this.#isLeaving
+  }
+
+  /** Whether it could not be reached when it was last tried. */
+  get isLost(): boolean {
+    return this.#retryAt !== null
   }
 
   async call(method: string, params: unknown, deadline: Milliseconds): Promise<RelayOutcome> {
@@ -91,6 +98,7 @@
   }
 
   tick(now: Milliseconds): void {
+    if (this.#isLeaving && this.#connection?.closed === true) this.#hasLeft(now)
     if (this.#retryAt !== null && now >= this.#retryAt) void this.#connect()
     const connection = this.#connection
     if (connection === null || this.#owed === 0 || this.#isAsking) return
@@ -123,7 +131,11 @@
 
   async #open(): Promise<JsonRpcConnection | null> {
     const { host, port } = this.#address
-    const opened = await openJsonRpc(host, port, {}, CONNECT_LIMIT_MILLISECONDS)
+    const leaving = (): void => {
+      this.#isLeaving = true
+    }
+    const handlers = { [RELAY_METHODS.leaving]: leaving }
+    const opened = await openJsonRpc(host, port, handlers, CONNECT_LIMIT_MILLISECONDS)
     if (opened.isErr()) {
       this.#failed(opened.error.kind)
       return null
@@ -134,6 +146,12 @@
     return opened.value
   }
 
+  /** Its process has ended; the next one may take its place. */
+  #hasLeft(now: Milliseconds): void {
+    this.#isLeaving = false
+    this.#retryAt = addMilliseconds(now, PAUSE_MILLISECONDS)
+  }
+
   #failed(why: string): void {
     this.#retryAt = addMilliseconds(this.#context.clock.now(), PAUSE_MILLISECONDS)
     this.#context.log.write('relay_lost', { host: this.name, why })
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -45,6 +45,7 @@
   readonly #desks: RelayDesks
   #server: Server | null = null
   readonly #sessions = new Set<RelaySession>()
+  #isLeaving = false
 
   constructor(context: HostContext, runner: StatementRunner, desks: RelayDesks) {
     this.#context = context
@@ -67,6 +68,17 @@
     this.#server.listen({ host, port })
   }
 
+  /** Tells other hosts to hand nothing more to this one. What they sent before is declined unrun. */
+  leave(): void {
+    this.#isLeaving = true
+    for (const session of this.#sessions) session.leave()
+  }
+
+  /** Ends the transactions that are open for other hosts as soon as no statement runs in them. */
+  endTransactions(): void {
+    for (const session of this.#sessions) session.endTransactions()
+  }
+
   close(): void {
     this.#server?.close()
     for (const session of this.#sessions) session.close()
@@ -75,6 +87,7 @@
   #accept(socket: Socket): void {
     const session = new RelaySession(this.#context, this.#runner, this.#desks, socket)
     this.#sessions.add(session)
+    if (this.#isLeaving) session.leave()
     session.onClose(() => {
       this.#sessions.delete(session)
     })
@@ -89,6 +102,7 @@
   readonly #connection: JsonRpcConnection
   readonly #held = new Map<number, HeldTransaction>()
   #running = 0
+  #endsTransactions = false
   #lastTransaction = 0
 
   constructor(context: HostContext, runner: StatementRunner, desks: RelayDesks, socket: Socket) {
@@ -118,6 +132,15 @@
     this.#connection.onClose(listener)
   }
 
+  leave(): void {
+    if (!this.#connection.closed) this.#connection.notify(RELAY_METHODS.leaving, {})
+  }
+
+  endTransactions(): void {
+    this.#endsTransactions = true
+    for (const id of [...this.#held.keys()]) this.#end(id)
+  }
+
   close(): void {
     this.#connection.close()
   }
@@ -166,9 +189,16 @@
     return !desk.reachesPrimary(this.#context.clock.now())
   }
 
-  /** Null when there is nothing to hold, or nobody left to end it. */
+  /**
+   * Null when there is nothing to hold, or nobody left to end it. One that this host ends keeps its
+   * number: what is asked in it next is declined, and the caller hears that nothing is kept.
+   */
   #hold(id: number, transaction: LocalTransaction | null): number | null {
     if (transaction === null) return null
+    if (this.#endsTransactions) {
+      this.#runner.endTransaction(transaction, 'open')
+      return id
+    }
     if (this.#connection.closed) {
       this.#runner.endTransaction(transaction, 'open')
       return null
