fix(host): a planned stop lets brief transactions end, ends the others behind the statement that runs, and sends late callers away as they work

Cause: sessions taken while a host stopped worked on to half of the grace, where all open transactions were ended at once, though the host had as long again; and one in which a statement ran at that moment was passed over and went on to the process's end. Ruled out: the idle limit (2,000 ms; they were a few ms old), servers that refused (none logged a try_failed). Now: sessions taken while a host stops end behind their first statement or transaction; transactions end when what is left of the grace is what the slowest route gives a statement (half of the grace at least), behind the statement that runs. Who was answered in the last 200 ms is sent away behind its next answer, not on its way to ask. The stop is a module of its own. Two stories, red before.

--- a/packages/host/__tests__/hostLife.spec.ts
+++ b/packages/host/__tests__/hostLife.spec.ts
@@ -95,9 +95,10 @@
     })
   })
 
-  // A planned stop cut a statement that a server had run. The balancer still sent callers to the
-  // host after its idle sessions had been closed; nobody sent those away again, so they worked up
-  // to the end of the process, and what ran then was cut.
+  // A planned stop cut statements that servers had run. Callers went on reaching the host after it had
+  // sent those away that it had; nobody sent the new ones away, so they worked up to the end of the
+  // process. The lines showed it: of 26 cut sessions all were taken 2,279 to 3,593 ms after the signal,
+  // sent away were those of the first 1,000 ms, and none was owed for longer than 54 ms.
   it('has answered everything when it has stopped, also to callers that came late', async () => {
     await inScene(0, async scene => {
       const made = scene.add('host-1', 2000)
@@ -129,6 +130,46 @@
     })
   })
 
+  // A caller came to the stopping host and began a transaction a moment before half of the grace was
+  // over. It was rolled back then, under its commit, although the host lived on for as long again:
+  // "the transaction was rolled back" to commits owed for 16 to 21 ms, amid nothing but planned work.
+  it('lets a transaction end that began while it stopped', async () => {
+    await inScene(0, async scene => {
+      const made = scene.add('host-1', 4000)
+      await scene.ready()
+      const busy = await scene.caller(made, 'own')
+      await busy.tell('begin')
+      const stopped = made.host.stop()
+      await wait(1900)
+      const late = await scene.caller(made, 'own')
+      const told = [await late.tell('begin'), await late.tell('write 1')]
+      await wait(300)
+      expect([...told, await late.tell('commit')]).toEqual(['done', 'done', 'done'])
+      await busy.tell('rollback')
+      await stopped
+      expect(late.isClosed).toEqual(true)
+    })
+  })
+
+  // The time of transactions is over while a statement runs in one. It was passed over then, went on to
+  // the end of the process, and its commit was cut there.
+  it('ends a transaction behind the statement that ran when its time was over', async () => {
+    await inScene(0, async scene => {
+      const made = scene.add('host-1', 2000)
+      await scene.ready()
+      const caller = await scene.caller(made, 'own')
+      await caller.tell('begin')
+      await caller.tell('write 1')
+      scene.dialer.hooks.workMilliseconds = 400
+      const stopped = made.host.stop()
+      await wait(800)
+      const told = [await caller.tell('write 2'), await caller.tell('commit')]
+      expect(told).toEqual(['done', 'aborted'])
+      await stopped
+      expect(scene.group.acknowledged).toEqual([])
+    })
+  })
+
   // A second signal to stop came while the first was still being followed. The host took its second
   // word for the end of the first and ended at once, under the statements that ran.
   it('does not end sooner when it is told twice to stop', async () => {
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -18,6 +18,7 @@
 import { SessionValues } from '@nutmegcourse/state'
 import type { RemoteStatement } from './attempt.js'
 import type { HostContext } from './hostContext.js'
+import type { SessionIntake } from './plannedStop.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import { reportStatement } from './statementReport.js'
 import {
@@ -32,8 +33,7 @@
 /** Where a database's callers are served; null when no route has the name. */
 export interface RouteLookup {
   find(database: string): { readonly route: Route; readonly desk: ServiceDesk } | null
-  /** False once this host is about to end. */
-  readonly takesSessions: boolean
+  readonly intake: SessionIntake
   /** False until the first configuration is known. */
   readonly isKnown: boolean
   readonly idleTransactionMilliseconds: number
@@ -44,6 +44,8 @@
 /** A caller gives up when its session is not taken within two seconds; this leaves it time to hear why. */
 const WELCOME_LIMIT_MILLISECONDS = 1500
 
+const STOPPING = 'this host is stopping'
+
 /** Statements that one caller may send ahead of their answers. */
 const QUEUE_LIMIT = 64
 
@@ -59,6 +61,14 @@
   /** It is gone; the caller has yet to end it. `isTold`: it knows. */
   | { readonly kind: 'failed'; readonly isTold: boolean }
 
+/** When a session that has to end does so. */
+type Closing =
+  | 'no'
+  /** Behind the next answer, as soon as no transaction is open. */
+  | 'afterWork'
+  /** As soon as nothing is owed and no transaction is open. */
+  | 'whenIdle'
+
 const TOLD: TransactionState = { kind: 'failed', isTold: true }
 const NOT_TOLD: TransactionState = { kind: 'failed', isTold: false }
 
@@ -75,7 +85,9 @@
   #isWelcome = false
   #isWorking = false
   #isOver = false
-  #closesWhenIdle = false
+  #closing: Closing = 'no'
+  #endsTransaction = false
+  #restingSince: Milliseconds
   /** The statement that is owed its answer. */
   #current: { readonly statement: CallerStatement; readonly arrivedAt: Milliseconds } | null = null
   readonly #takenAt: Milliseconds
@@ -94,6 +106,7 @@
     this.#runner = runner
     this.#onEnd = onEnd
     this.#takenAt = context.clock.now()
+    this.#restingSince = this.#takenAt
     link.listen(this)
   }
 
@@ -102,6 +115,11 @@
     return this.#isWorking || this.#queue.length > 0 || this.#transaction.kind !== 'none'
   }
 
+  /** When it was last answered, or taken. */
+  get restingSince(): Milliseconds {
+    return this.#restingSince
+  }
+
   started(database: string): void {
     if (this.#database !== null) {
       this.#refuseSession('malformed', 'the session has begun already')
@@ -131,22 +149,33 @@
     this.#onEnd(this)
   }
 
+  /** Ends the session behind its next answer, or when its transaction is over. */
+  closeAfterWork(): void {
+    if (this.#closing === 'no') this.#closing = 'afterWork'
+  }
+
   /** Ends the session now if it rests, else as soon as it does. */
   closeWhenIdle(): void {
-    this.#closesWhenIdle = true
+    this.#closing = 'whenIdle'
     this.#closeIfIdle()
   }
 
-  /** Ends an open transaction that rests between two statements; nothing of it is kept. */
-  abortTransaction(): void {
-    if (this.#isWorking || this.#transaction.kind !== 'running') return
-    this.#dropTransaction()
-    this.#transaction = NOT_TOLD
+  /**
+   * Ends an open transaction as soon as no statement runs in it; nothing of it is kept. One in which a
+   * statement ran when the time of transactions was over went on to the end of the process, which
+   * cut it.
+   */
+  endTransactionWhenIdle(): void {
+    this.#endsTransaction = true
+    if (!this.#isWorking) this.#endTransaction()
+  }
+
+  /** The process ends; what is taken from the caller is logged. */
+  endNow(stoppingSince: Milliseconds): void {
+    if (this.isBusy) this.#logCut(stoppingSince)
   }
 
-  /** Says what the end of the process takes from this caller, if anything. */
-  reportCut(stoppingSince: Milliseconds): void {
-    if (!this.isBusy) return
+  #logCut(stoppingSince: Milliseconds): void {
     const now = this.#context.clock.now()
     const current = this.#current
     this.#context.log.write('session_cut', {
@@ -160,10 +189,12 @@
   }
 
   async #welcome(database: string): Promise<void> {
-    if (!this.#routes.takesSessions) {
-      this.#refuseSession('tooManyCallers', 'this host is stopping')
+    const { intake } = this.#routes
+    if (intake === 'none') {
+      this.#refuseSession('tooManyCallers', STOPPING)
       return
     }
+    if (intake === 'brief') this.closeAfterWork()
     if (!this.#routes.isKnown) await this.#routes.whenKnown(WELCOME_LIMIT_MILLISECONDS)
     if (this.#isOver) return
     if (!this.#routes.isKnown) {
@@ -177,7 +208,7 @@
     this.#isWelcome = true
     this.#link.welcome()
     if (this.#queue.length > 0) void this.#work()
-    else this.#closeIfIdle()
+    else if (this.#closing === 'whenIdle') this.#closeIfIdle()
   }
 
   #refuseSession(refusal: CallerRefusal, detail: string): void {
@@ -199,27 +230,36 @@
       this.#link.answer(answer, this.#status, position)
     }
     this.#isWorking = false
+    this.#restingSince = this.#context.clock.now()
     if (this.#isOver) this.#dropTransaction()
     else this.#afterWork()
   }
 
   #afterWork(): void {
-    this.#closeIfIdle()
+    if (this.#endsTransaction) this.#endTransaction()
+    if (this.#closing !== 'no') this.#closeIfIdle()
     if (this.#isOver || this.#transaction.kind !== 'running') return
     const limit = this.#routes.idleTransactionMilliseconds
     if (!Number.isFinite(limit)) return
     this.#idleTimer = setTimeout(() => {
       this.#context.log.write('idle_transaction_ended', { database: this.#database, limit })
-      this.abortTransaction()
+      this.#endTransaction()
     }, limit)
   }
 
   #closeIfIdle(): void {
-    if (!this.#closesWhenIdle || this.#isOver || this.isBusy) return
+    if (this.#isOver || this.isBusy) return
     this.#link.close()
     this.ended()
   }
 
+  #endTransaction(): void {
+    const { kind } = this.#transaction
+    if (kind !== 'running' && kind !== 'declared') return
+    this.#dropTransaction()
+    this.#transaction = NOT_TOLD
+  }
+
   #stopIdleTimer(): void {
     if (this.#idleTimer !== null) clearTimeout(this.#idleTimer)
     this.#idleTimer = null
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -22,7 +22,7 @@
   stop_step: {
     when: 'A step of the planned stop is over.',
     fields: {
-      step: 'restingClosed, transactionsOver or ended',
+      step: 'restingClosed, intakeClosed, transactionsEnded or ended',
       sessions: 'sessions that are open',
       busySessions: 'of them, with a statement owed or a transaction open',
       isRelaying: 'whether statements or transactions run here for other hosts',
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -1,6 +1,6 @@
 /** One entry host: takes callers, follows the store, and keeps the services it needs in order. */
 import { createServer, type Server, type Socket } from 'node:net'
-import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
+import type { Clock, RandomSource } from '@nutmegcourse/shared'
 import type {
   BackendDialer,
   CallerLink,
@@ -14,13 +14,13 @@
 import { HostFleet } from './hostFleet.js'
 import type { HostMetrics } from './hostMetrics.js'
 import { HostRegistration } from './hostRegistration.js'
+import { PlannedStop, type SessionIntake, type StoppingHost } from './plannedStop.js'
 import { RelayServer, type RelayDesks } from './relayServer.js'
 import { RelayingRunner } from './relayingRunner.js'
 import { ServiceBook } from './serviceBook.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import { StatementRunner } from './statementRunner.js'
 import { StoreFollower } from './storeFollower.js'
-import { rest } from './waiting.js'
 
 /** What an entry host reaches the world through. */
 export interface EntryHostPorts {
@@ -43,27 +43,10 @@
 /** A gap between two ticks that only a standstill of the process explains. */
 const STANDSTILL_MILLISECONDS = 250
 
-/**
- * Idle callers are sent away over this long after the signal to stop, so that they do not all
- * reconnect at once.
- */
-const CLOSING_SPAN_SHARE = 0.25
-
-/**
- * Open transactions get this part of the grace to end. From then on no session is taken, and those
- * that came after the idle ones were closed are sent away too: a balancer may go on sending callers, and
- * who worked on to the end of the process had a statement cut that a server had run. The other half is
- * longer than a statement may take.
- */
-const TRANSACTION_GRACE_SHARE = 0.5
-
-/** The process ends before it is killed. */
-const EXIT_RESERVE_MILLISECONDS = 400
-
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024
 
-export class EntryHost implements RouteLookup, RelayDesks {
+export class EntryHost implements RouteLookup, RelayDesks, StoppingHost {
   readonly #context: HostContext
   readonly #ports: EntryHostPorts
   readonly #fleet: HostFleet
@@ -76,9 +59,8 @@
   #server: Server | null = null
   #timer: NodeJS.Timeout | null = null
   #lastTick = Number.NEGATIVE_INFINITY
-  #isStopping = false
+  #stopping: PlannedStop | null = null
   #stopped: Promise<void> | null = null
-  #takesSessions = true
   #isClosed = false
 
   constructor(
@@ -102,23 +84,39 @@
 
   /** Whether new callers are welcome: it can tell where their work goes. */
   get isReady(): boolean {
-    return !this.#isStopping && this.#services.isServable
+    return this.#stopping === null && this.#services.isServable
   }
 
   get name(): string {
     return this.#context.settings.entryHost
   }
 
-  get sessionCount(): number {
-    return this.#sessions.size
-  }
-
   get isKnown(): boolean {
     return this.#services.isKnown
   }
 
-  get takesSessions(): boolean {
-    return this.#takesSessions
+  get intake(): SessionIntake {
+    return this.#stopping?.intake ?? 'lasting'
+  }
+
+  get sessions(): ReadonlySet<CallerSession> {
+    return this.#sessions
+  }
+
+  get isRelaying(): boolean {
+    return this.#relay.isWorking
+  }
+
+  get isChangingPrimary(): boolean {
+    return this.#services.isChanging
+  }
+
+  get longestStatementMilliseconds(): number {
+    return this.#services.longestStatementMilliseconds
+  }
+
+  endRelayedTransactions(): void {
+    this.#relay.endTransactions()
   }
 
   get idleTransactionMilliseconds(): number {
@@ -134,7 +132,7 @@
   }
 
   serve(service: string): ServiceDesk | null {
-    if (this.#isStopping) return null
+    if (this.#stopping !== null) return null
     const desk = this.#services.desk(service) ?? null
     if (desk !== null && !desk.isOwned) desk.standIn(this.#context.clock.now())
     return desk
@@ -177,68 +175,13 @@
   }
 
   async #runStop(): Promise<void> {
-    this.#isStopping = true
-    const { clock, settings } = this.#context
-    const startedAt = clock.now()
-    const grace = settings.graceMilliseconds
+    this.#stopping = new PlannedStop(this.#context, this)
     void this.#registration.withdraw()
     this.#relay.leave()
-    await this.#closeIdleSessions(grace * CLOSING_SPAN_SHARE)
-    this.#logStep('restingClosed', startedAt)
-    while (this.#isWorking && clock.now() - startedAt < grace * TRANSACTION_GRACE_SHARE) {
-      await rest(TICK_MILLISECONDS)
-    }
-    this.#logStep('transactionsOver', startedAt)
-    this.#takesSessions = false
-    for (const session of this.#sessions) {
-      session.abortTransaction()
-      session.closeWhenIdle()
-    }
-    this.#relay.endTransactions()
-    while (this.#isWorking && clock.now() - startedAt < grace - EXIT_RESERVE_MILLISECONDS) {
-      await rest(TICK_MILLISECONDS)
-    }
-    this.#logStep('ended', startedAt)
-    for (const session of this.#sessions) session.reportCut(startedAt)
+    await this.#stopping.run()
     this.close()
   }
 
-  #logStep(step: string, startedAt: Milliseconds): void {
-    const { clock, log } = this.#context
-    log.write('stop_step', {
-      step,
-      sessions: this.#sessions.size,
-      busySessions: [...this.#sessions].filter(session => session.isBusy).length,
-      isRelaying: this.#relay.isWorking,
-      elapsedMilliseconds: Math.round(clock.now() - startedAt),
-    })
-  }
-
-  get #isWorking(): boolean {
-    return (
-      this.#relay.isWorking ||
-      [...this.#sessions].some(session => session.isBusy) ||
-      this.#services.isChanging
-    )
-  }
-
-  /** The balancer still sends callers until it has seen twice that the host is not ready. */
-  async #closeIdleSessions(span: number): Promise<void> {
-    const { clock } = this.#context
-    const startedAt = clock.now()
-    for (;;) {
-      const elapsed = clock.now() - startedAt
-      const remaining = Math.max(0, span - elapsed)
-      const sessions = [...this.#sessions]
-      const steps = Math.max(1, Math.ceil(remaining / TICK_MILLISECONDS))
-      const now = Math.ceil(sessions.length / steps)
-      for (const session of sessions.slice(0, now)) session.closeWhenIdle()
-      if (remaining === 0) break
-      await rest(TICK_MILLISECONDS)
-    }
-    for (const session of this.#sessions) session.closeWhenIdle()
-  }
-
   /** Drops everything at once, as the end of the process would. */
   close(): void {
     this.#isClosed = true
@@ -268,6 +211,6 @@
     const wasStandingStill = now - this.#lastTick > STANDSTILL_MILLISECONDS
     this.#lastTick = now
     this.#fleet.tick(now)
-    this.#services.tick(now, { wasStandingStill, isStopping: this.#isStopping })
+    this.#services.tick(now, { wasStandingStill, isStopping: this.#stopping !== null })
   }
 }
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -50,7 +50,7 @@
     new SystemClock(),
     new SystemRandom(),
   )
-  metrics.gauge('sessions', () => host.sessionCount)
+  metrics.gauge('sessions', () => host.sessions.size)
   const notListening = (what: string, isVital: boolean) => (error: Error) => {
     log.write('not_listening', { what, detail: error.message })
     if (isVital) process.exit(EXIT_NOT_LISTENING)
--- /dev/null
+++ b/packages/host/src/plannedStop.ts
@@ -0,0 +1,152 @@
+/**
+ * The planned stop of an entry host: in which order it lets go of its callers, and of what it runs
+ * for other hosts, so that the end of the process takes nothing from anybody.
+ *
+ * @internal
+ */
+import type { Milliseconds } from '@nutmegcourse/shared'
+import type { CallerSession } from './callerSession.js'
+import type { HostContext } from './hostContext.js'
+import { rest } from './waiting.js'
+
+/** For how long this host takes new sessions. */
+export type SessionIntake =
+  | 'lasting'
+  /** For one statement or transaction. */
+  | 'brief'
+  | 'none'
+
+/** What the stop lets go of. */
+export interface StoppingHost {
+  readonly sessions: ReadonlySet<CallerSession>
+  /** Statements that run, and transactions that are open, for other hosts. */
+  readonly isRelaying: boolean
+  /** This host changes the primary of some service. */
+  readonly isChangingPrimary: boolean
+  readonly longestStatementMilliseconds: number
+  /** Ends those of other hosts as soon as no statement runs in them. */
+  endRelayedTransactions(): void
+}
+
+type StopStep = 'restingClosed' | 'intakeClosed' | 'transactionsEnded' | 'ended'
+
+/** How often the stop looks at what still runs. */
+const LOOK_AGAIN_MILLISECONDS = 25
+
+/** Resting callers are sent away over this part, so that they do not all reconnect at once. */
+const CLOSING_SPAN_SHARE = 0.25
+
+/** A caller that was answered so lately is about to ask again, and is sent away behind that answer. */
+const ACTIVE_REST_MILLISECONDS = 200
+
+/**
+ * From this part on no session is taken. A balancer may go on sending callers; who worked on to the
+ * end of the process had a statement cut that a server had run.
+ */
+const INTAKE_SHARE = 0.5
+
+/** Transactions that were open at the signal have this part at least. */
+const LEAST_TRANSACTION_SHARE = 0.5
+
+/** The process ends before it is killed. */
+const EXIT_RESERVE_MILLISECONDS = 400
+
+export class PlannedStop {
+  readonly #context: HostContext
+  readonly #host: StoppingHost
+  readonly #startedAt: Milliseconds
+  readonly #grace: number
+  #intake: SessionIntake = 'brief'
+
+  constructor(context: HostContext, host: StoppingHost) {
+    this.#context = context
+    this.#host = host
+    this.#startedAt = context.clock.now()
+    this.#grace = context.settings.graceMilliseconds
+  }
+
+  get intake(): SessionIntake {
+    return this.#intake
+  }
+
+  /** Resolves when the process may end. */
+  async run(): Promise<void> {
+    for (const session of this.#host.sessions) session.closeAfterWork()
+    await this.#closeRested()
+    this.#log('restingClosed')
+    while (this.#isNeeded && this.#elapsed < this.#grace * INTAKE_SHARE) {
+      for (const session of this.#rested) session.closeWhenIdle()
+      await rest(LOOK_AGAIN_MILLISECONDS)
+    }
+    this.#intake = 'none'
+    for (const session of this.#host.sessions) session.closeWhenIdle()
+    this.#log('intakeClosed')
+    await this.#untilQuiet(this.#transactionsEndAfter)
+    for (const session of this.#host.sessions) session.endTransactionWhenIdle()
+    this.#host.endRelayedTransactions()
+    this.#log('transactionsEnded')
+    await this.#untilQuiet(this.#grace - EXIT_RESERVE_MILLISECONDS)
+    this.#log('ended')
+    for (const session of this.#host.sessions) session.endNow(this.#startedAt)
+  }
+
+  /**
+   * Late enough that brief transactions end by themselves, and so early that a statement which began
+   * just before is answered before the process ends. Ended at half of the grace, transactions that
+   * callers had begun milliseconds ago were rolled back.
+   */
+  get #transactionsEndAfter(): number {
+    const { longestStatementMilliseconds } = this.#host
+    const latest = this.#grace - EXIT_RESERVE_MILLISECONDS - longestStatementMilliseconds
+    return Math.max(this.#grace * LEAST_TRANSACTION_SHARE, latest)
+  }
+
+  get #elapsed(): number {
+    return this.#context.clock.now() - this.#startedAt
+  }
+
+  get #isWorking(): boolean {
+    const { isRelaying, isChangingPrimary, sessions } = this.#host
+    return isRelaying || isChangingPrimary || [...sessions].some(session => session.isBusy)
+  }
+
+  get #isNeeded(): boolean {
+    return this.#isWorking || this.#host.sessions.size > 0
+  }
+
+  async #untilQuiet(limit: number): Promise<void> {
+    while (this.#isWorking && this.#elapsed < limit) await rest(LOOK_AGAIN_MILLISECONDS)
+  }
+
+  /** Who works is sent away behind an answer; the others one after the other, over a part of the grace. */
+  async #closeRested(): Promise<void> {
+    const span = this.#grace * CLOSING_SPAN_SHARE
+    for (let left = span; left > 0; left = span - this.#elapsed) {
+      const rested = this.#rested
+      const steps = Math.ceil(left / LOOK_AGAIN_MILLISECONDS)
+      for (const session of rested.slice(0, Math.ceil(rested.length / steps))) {
+        session.closeWhenIdle()
+      }
+      await rest(LOOK_AGAIN_MILLISECONDS)
+    }
+  }
+
+  /** Those that are not about to ask, the longest rest first. */
+  get #rested(): CallerSession[] {
+    const before = this.#context.clock.now() - ACTIVE_REST_MILLISECONDS
+    return [...this.#host.sessions]
+      .filter(({ restingSince }) => restingSince < before)
+      .sort((left, right) => left.restingSince - right.restingSince)
+  }
+
+  #log(step: StopStep): void {
+    const { sessions, isRelaying } = this.#host
+    this.#context.log.write('stop_step', {
+      step,
+      sessions: sessions.size,
+      busySessions: [...sessions].filter(session => session.isBusy).length,
+      isRelaying,
+      elapsedMilliseconds: Math.round(this.#elapsed),
+    })
+  }
+}
--- a/packages/host/src/serviceBook.ts
+++ b/packages/host/src/serviceBook.ts
@@ -70,6 +70,12 @@
     return this.#configuration.current?.idleTransactionMilliseconds ?? Number.POSITIVE_INFINITY
   }
 
+  /** What the slowest route gives one statement. */
+  get longestStatementMilliseconds(): number {
+    const routes = this.#configuration.current?.routes ?? []
+    return Math.max(0, ...routes.map(route => route.statementTimeoutMilliseconds))
+  }
+
   /** Whether this host changes the primary of some service. */
   get isChanging(): boolean {
     return [...this.#services.values()].some(({ keeper }) => keeper.isChanging)
