fix(host): the forecast of a wait counts the connections that are being opened

Cause: the forecast divided the line by the connections that are in use; those that the same line had opened did not count, though each takes 1 ms there and 12 to 27 ms on the users' sites. At a full server they still do not, since it turns them away. Test red before: 3 of 6 refused.

--- a/packages/host/__tests__/statements.spec.ts
+++ b/packages/host/__tests__/statements.spec.ts
@@ -260,4 +260,17 @@
       expect(await caller.tell('write 1')).toEqual('done')
     })
   })
+
+  // Six callers ask at once where one connection is open and the others are being opened. The forecast
+  // counted on the open one alone and refused half of them as too long a wait; all are served by the rest.
+  it('counts on the connections that it is opening', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      scene.dialer.hooks.workMilliseconds = 60
+      const callers = await Promise.all([1, 2, 3, 4, 5, 6].map(() => scene.caller(host, 'own')))
+      for (let count = 0; count < 5; count += 1) await callers[0]?.tell('write 1')
+      const told = await Promise.all(callers.map(caller => caller.tell('write 2')))
+      expect(told.filter(how => how !== 'done')).toEqual([])
+    })
+  })
 })
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -157,7 +157,7 @@
       this.#deniedMilliseconds,
       forecastWait({
         ahead: this.#line.aheadOf(terms),
-        connections: this.busy,
+        connections: this.busy + (this.#wasFull() ? 0 : this.#opening),
         holdMilliseconds: this.#holds.at(this.#context.clock.now()),
       }),
     )
