fix(host,coordination): hosts that serve in an owner's place share its connections, one in each zone

Cause, from the new lines: owners_planned names host-7 alone on all nine; it was killed twice, last 1.7 s before the end of the faults. connection_not_opened: hosts 3, 4, 9 and the owner itself hold 0 connections and are told "full" until 5 s after its death; the others hold the 12. Each host in an owner's place reckoned as the only holder (5 each) and kept its share idle for 5 s; and the two of a zone asked each other, so both did. Ruled out: a lost record of the owner (all plans agree), a leak of silenced connections (none was silenced at that server). Now they reckon with one such host in each zone, the first of a zone's draw asks nobody but owners, and what no owner took, and may be run again, is run here. Test red before: a zone without connections. The test of an owner that stops without the store got 4 ms of work a statement: with none its callers, now served here, never let the test's own timers run.

--- a/packages/coordination/src/synchronous/serviceOwners.ts
+++ b/packages/coordination/src/synchronous/serviceOwners.ts
@@ -49,8 +49,9 @@
 }
 
 /**
- * Whom a host asks, in order: owners in its zone, in its region, past the link; then any host of its
- * zone, which serves in an owner's place when none can be reached.
+ * Whom a host asks, in order: owners in its zone, in its region, past the link; then the hosts of its
+ * zone that come before it in the draw, which serve in an owner's place when none can be reached. The
+ * first of them asks nobody: asking each other, all of a zone took connections in the owner's place.
  */
 export function ownersFrom(plan: OwnerPlan, self: string, place: HostRecord): string[] {
   const { owners, hosts, service } = plan
@@ -63,7 +64,9 @@
   const substitutes = ranked(service, hosts).filter(
     host => !owners.includes(host) && distance(host) === 0,
   )
-  return [...near, ...substitutes].filter(host => host !== self)
+  const own = substitutes.indexOf(self)
+  const before = own < 0 ? substitutes : substitutes.slice(0, own)
+  return [...near.filter(host => host !== self), ...before]
 }
 
 function ranked(service: string, hosts: ReadonlyMap<string, HostRecord>): string[] {
--- a/packages/host/__tests__/relay.spec.ts
+++ b/packages/host/__tests__/relay.spec.ts
@@ -191,6 +191,7 @@
     await inCrowd(async (scene, owner, other) => {
       const callers = await Promise.all([1, 2, 3, 4].map(() => scene.caller(other, 'own')))
       for (const caller of callers) await caller.tell('write 0')
+      scene.dialer.hooks.workMilliseconds = 4
       for (const { store } of scene.hosts) store.mood = 'silent'
       const before = other.lines.length
       const stopped = owner.host.stop()
@@ -207,4 +208,36 @@
       expect(declined.length <= callers.length).toEqual(true)
     })
   })
+
+  // The only owner dies. In each availability zone a host serves in its place, each as if it alone held
+  // connections: the first two took nearly all, the third zone was told "not run", and so was everybody when
+  // the owner was back, for the 5 s for which those kept what they no longer used.
+  it('is served in every zone when its owner is gone', async () => {
+    const zones = ['a', 'b', 'c', 'a', 'b', 'c']
+    const options = { connectionLimit: 12, relayPorts: await freePorts(zones.length), zones }
+    await inScene(
+      zones.length,
+      async (scene, hosts) => {
+        const owners = () => hosts.filter(({ host }) => host.find('own')?.desk.isOwned === true)
+        await scene.until(() => owners().length === 1, 'one host owns the service')
+        const others = hosts.filter(host => !owners().includes(host))
+        const homes = others.flatMap(host => [host, host, host, host])
+        const callers = await Promise.all(homes.map(home => scene.caller(home, 'own')))
+        scene.dialer.hooks.workMilliseconds = 30
+        owners()[0]?.host.close()
+        const settledAt = performance.now() + 700
+        const told = new Set<string>()
+        const work = async (caller: Caller): Promise<void> => {
+          while (performance.now() < settledAt + 800) {
+            const askedAt = performance.now()
+            const how = await caller.tell('write 1')
+            if (askedAt > settledAt) told.add(how)
+          }
+        }
+        await Promise.all(callers.map(work))
+        expect([...told]).toEqual(['done'])
+      },
+      options,
+    )
+  })
 })
--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -52,8 +52,13 @@
   idleTransactionMilliseconds: 3000,
 }
 
-function settingsOf(host: string, grace: number, relayPort: number | null): HostSettings {
-  const zone = availabilityZoneId('zone-1')
+function settingsOf(
+  host: string,
+  grace: number,
+  relayPort: number | null,
+  zoneName: string,
+): HostSettings {
+  const zone = availabilityZoneId(zoneName)
   const region = regionId('region-1')
   const nowhere = { host: '127.0.0.1', port: 0 }
   return {
@@ -193,10 +198,15 @@
   readonly connectionLimit?: number
   /** Where the hosts run statements for each other, in their order. */
   readonly relayPorts?: readonly number[]
+  /** The availability zone of each host, in their order; without, all are in one. */
+  readonly zones?: readonly string[]
 }
 
+const ONLY_ZONE = 'zone-1'
+
 export class Scene {
   readonly #relayPorts: number[]
+  readonly #zones: string[]
   readonly store = new MemoryStore()
   readonly group: MemoryGroup
   readonly dialer: MemoryDialer
@@ -206,6 +216,7 @@
   constructor(options: SceneOptions = {}) {
     const { promotionMilliseconds = 50, connectionLimit = 25 } = options
     this.#relayPorts = [...(options.relayPorts ?? [])]
+    this.#zones = [...(options.zones ?? [])]
     this.group = new MemoryGroup({
       service: SERVICE,
       servers: [P, A, B],
@@ -224,7 +235,7 @@
       service: SERVICE,
       host: '127.0.0.1',
       port: 1,
-      zone: availabilityZoneId('zone-1'),
+      zone: availabilityZoneId(ONLY_ZONE),
       slots: 3,
       isLeaving: given.isLeaving ?? false,
       role: this.group.server(server).role,
@@ -247,7 +258,7 @@
     dialer.hooks = this.dialer.hooks
     dialer.links = this.dialer.links
     const host = new EntryHost(
-      settingsOf(name, grace, this.#relayPorts.shift() ?? null),
+      settingsOf(name, grace, this.#relayPorts.shift() ?? null, this.#zones.shift() ?? ONLY_ZONE),
       {
         dialer,
         store,
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -74,14 +74,23 @@
         desk.name,
         ownersFrom(plan, entryHost, { zone, region, relay: null, weight: 1 }),
       )
-      desk.holders = holders
       // Before this host is listed itself it serves by itself: it knows too little to rely on others.
       desk.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
+      desk.holders = desk.isOwned ? holders : Math.max(holders, this.#substitutes)
       desk.isObserved = desk.isOwned || observers.includes(entryHost)
       this.#logOwners(desk, plan.owners)
     }
   }
 
+  /**
+   * Hosts that may serve in an owner's place at once: one in each availability zone. Each as if it were the
+   * only holder, three took 5 of 12 connections each, so that other zones got none, and neither did the
+   * owner when it was back, until those had rested for seconds.
+   */
+  get #substitutes(): number {
+    return new Set([...this.#hosts.values()].map(({ zone }) => zone)).size
+  }
+
   #logOwners({ name, isOwned }: ServiceDesk, owners: readonly string[]): void {
     const plan = `${[...owners].sort().join(' ')} ${String(isOwned)}`
     if (this.#loggedOwners.get(name) === plan) return
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -58,7 +58,9 @@
     const message = (): unknown => writeRequest(request, this.#context.clock.now())
     const { outcome } = await this.#ask(request, peers, place, RELAY_METHODS.single, message)
     if (outcome.kind === 'answered') return this.#take(request, outcome.message)
-    if (outcome.kind === 'notSent' && !this.#isOver(request)) return this.#local.single(request)
+    if (this.#mayRunHere(request, place, outcome)) {
+      return this.#inPlaceOfOwners(request).single(request)
+    }
     return this.#fail(request, place, outcome)
   }
 
@@ -75,8 +77,8 @@
     if (outcome.kind === 'answered' && peer !== null) {
       return this.#takeTransaction(request, peer, outcome.message)
     }
-    if (outcome.kind === 'notSent' && !this.#isOver(request)) {
-      return this.#local.begin(request, readOnly)
+    if (this.#mayRunHere(request, place, outcome)) {
+      return this.#inPlaceOfOwners(request).begin(request, readOnly)
     }
     return { result: this.#fail(request, place, outcome), transaction: null }
   }
@@ -101,6 +103,17 @@
     else transaction.peer.end(transaction.id)
   }
 
+  /** Whether running it once more, at this host, can do no harm. */
+  #mayRunHere(request: StatementRequest, place: StatementPlace, outcome: RelayOutcome): boolean {
+    return !this.#isOver(request) && fateOf(place, mishapOf(outcome), false).kind === 'retry'
+  }
+
+  /** None of the owners took it: this host keeps what it needs to serve by itself for a while. */
+  #inPlaceOfOwners({ desk }: StatementRequest): StatementRunner {
+    if (!desk.isOwned) desk.standIn(this.#context.clock.now())
+    return this.#local
+  }
+
   /** Asks one owner after the other, as long as asking again can do no harm. */
   async #ask(
     request: StatementRequest,
