fix(host): a host that lost power while it stopped is used again; a long denial is told as a second at most

A host that says that it stops and then loses power never ends its connection: its next life at the same address was handed nothing. No process outlives its grace, so its connection is given up then (test). The time since a full server's first refusal was kept over pauses and told as advice when to come back, 10 s and more; it begins anew after a second without a refusal, and counts for a second at most.

--- a/packages/host/__tests__/relayPeer.spec.ts
+++ b/packages/host/__tests__/relayPeer.spec.ts
@@ -37,3 +37,38 @@
     server.close()
   })
 })
+
+// Another host says that it stops, and loses power before its connection ends. The connection stays open
+// here for good; the host's next life, at the same address, was never handed anything again.
+describe('a host that said that it stops', () => {
+  it('is used again once its process must have ended, though its connection never does', async () => {
+    const [port = 0] = await freePorts(1)
+    const context = {
+      clock: new SystemClock(),
+      log: { write: () => undefined },
+      settings: { graceMilliseconds: 300 },
+    } as unknown as HostContext
+    const taken: JsonRpcConnection[] = []
+    const server = createServer(socket => {
+      taken.push(new JsonRpcConnection(socket, { [RELAY_METHODS.ping]: () => true }))
+    })
+    await new Promise<void>(resolve => server.listen(port, '127.0.0.1', resolve))
+    const peer = new RelayPeer(context, 'host-2', { host: '127.0.0.1', port })
+    await peer.call(RELAY_METHODS.ping, {}, context.clock.now())
+    taken[0]?.notify(RELAY_METHODS.leaving, {})
+    const until = async (isUp: boolean): Promise<number> => {
+      const startedAt = performance.now()
+      while (peer.isUp !== isUp && performance.now() < startedAt + 3000) {
+        peer.tick(context.clock.now())
+        await wait(25)
+      }
+      return performance.now() - startedAt
+    }
+    await until(false)
+    expect([peer.isUp, peer.isLost]).toEqual([false, false])
+    const span = await until(true)
+    expect([peer.isUp, span > 250, taken.length]).toEqual([true, true, 2])
+    peer.close()
+    server.close()
+  })
+})
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -41,8 +41,8 @@
   #opening: Promise<JsonRpcConnection | null> | null = null
   /** When to try again after a failure; null while nothing speaks against it. */
   #retryAt: Milliseconds | null = null
-  /** It said that it stops; until its connection ends it still runs what it was handed. */
-  #isLeaving = false
+  /** Since when it stops, as it said; until its connection ends it still runs what it was handed. */
+  #leavingSince: Milliseconds | null = null
   #owed = 0
   #isAsking = false
   #heardBytes = 0
@@ -64,7 +64,7 @@
 
   /** Whether new work may be handed to it. */
   get isUp(): boolean {
-    return this.#retryAt === null && !this.#isLeaving
+    return this.#retryAt === null && this.#leavingSince === null
   }
 
   /** Whether it could not be reached when it was last tried. */
@@ -98,7 +98,7 @@
   }
 
   tick(now: Milliseconds): void {
-    if (this.#isLeaving && this.#connection?.closed === true) this.#hasLeft(now)
+    this.#noteItsEnd(now)
     if (this.#retryAt !== null && now >= this.#retryAt) void this.#connect()
     const connection = this.#connection
     if (connection === null || this.#owed === 0 || this.#isAsking) return
@@ -132,7 +132,7 @@
   async #open(): Promise<JsonRpcConnection | null> {
     const { host, port } = this.#address
     const leaving = (): void => {
-      this.#isLeaving = true
+      this.#leavingSince = this.#context.clock.now()
     }
     const handlers = { [RELAY_METHODS.leaving]: leaving }
     const opened = await openJsonRpc(host, port, handlers, CONNECT_LIMIT_MILLISECONDS)
@@ -146,9 +146,17 @@
     return opened.value
   }
 
-  /** Its process has ended; the next one may take its place. */
-  #hasLeft(now: Milliseconds): void {
-    this.#isLeaving = false
+  /**
+   * Once its process has ended the next one may take its place. One that lost power while it stopped never
+   * closes its connection, and would not be used again; no process outlives its grace.
+   */
+  #noteItsEnd(now: Milliseconds): void {
+    if (this.#leavingSince === null || this.#connection === null) return
+    const { graceMilliseconds } = this.#context.settings
+    const isOver = now >= addMilliseconds(this.#leavingSince, graceMilliseconds)
+    if (!this.#connection.closed && !isOver) return
+    this.#connection.close()
+    this.#leavingSince = null
     this.#retryAt = addMilliseconds(now, PAUSE_MILLISECONDS)
   }
 
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -58,6 +58,9 @@
 /** For so long after such a refusal this host asks for no more than one at a time. */
 const FULL_CAUTION_MILLISECONDS = 1000
 
+/** The wait that is forecast, and told, where no connection has come for longer; hosts give theirs back sooner. */
+const LONGEST_DENIAL_MILLISECONDS = 1000
+
 /** After a refused connection. A server that starts again is found within this time. */
 const REFUSED_PAUSE_MILLISECONDS = 80
 
@@ -169,7 +172,8 @@
    */
   get #deniedMilliseconds(): number {
     if (this.#deniedSince === null || !this.#wasFull()) return 0
-    return this.#context.clock.now() - this.#deniedSince
+    const denied = this.#context.clock.now() - this.#deniedSince
+    return Math.min(denied, LONGEST_DENIAL_MILLISECONDS)
   }
 
   /** A connection for the host's own questions and orders: before all requests, and however long the line is. */
@@ -334,8 +338,7 @@
     const { log, clock, random } = this.#context
     const isFull = failure.kind === 'rejected' && failure.refusal === 'tooManyConnections'
     if (failure.kind === 'connectionRefused') this.refusals += 1
-    if (isFull) this.#fullAt = clock.now()
-    if (isFull && this.#all.size === 0) this.#deniedSince ??= clock.now()
+    if (isFull) this.#noteFull(clock.now())
     const span = isFull ? FULL_PAUSE_MILLISECONDS : REFUSED_PAUSE_MILLISECONDS
     this.#mayOpenAt = addMilliseconds(clock.now(), drawnApart(span, random))
     log.write('connection_not_opened', {
@@ -349,6 +352,12 @@
     this.withdrawWaiting(isFull ? 'full' : 'unreachable')
   }
 
+  #noteFull(now: Milliseconds): void {
+    if (!this.#wasFull()) this.#deniedSince = null
+    if (this.#all.size === 0) this.#deniedSince ??= now
+    this.#fullAt = now
+  }
+
   #closeSurplus(now: Milliseconds, keepWarm: boolean): void {
     const { share } = this.#limits()
     const keep = keepWarm ? share : 0
