fix(state,host): a host's own standstill is not taken for a primary that confirms nothing

Cause: a host that stood still finds its writes in flight as old as its standstill, with their answers unread, and holds writes back as at a primary without replicas. Shown by a test that stops the process for 0.4 s (red before: aborted). Now the time that counts begins after a gap between two looks at the servers that only a standstill explains; the limit is the host's, one copy.

--- a/packages/host/__tests__/statements.spec.ts
+++ b/packages/host/__tests__/statements.spec.ts
@@ -273,4 +273,24 @@
       expect(told.filter(how => how !== 'done')).toEqual([])
     })
   })
+
+  // The host's process stands still for 0.4 s under a write, as on a machine that is too busy. It took its
+  // own standstill for a primary that confirms nothing, and rolled back the commit that came next, unasked:
+  // "ABORTED unconfirmed" to a commit owed for 333 ms, of which the host had taken 0.
+  it('does not take its own standstill for a primary without replicas', async () => {
+    await inScene(1, async (scene, [host]) => {
+      if (host === undefined) return
+      const [caller, other] = [await scene.caller(host, 'own'), await scene.caller(host, 'own')]
+      await caller.tell('begin')
+      await caller.tell('write 1')
+      // It has looked at its servers by now.
+      await new Promise(resolve => setTimeout(resolve, 150))
+      scene.dialer.hooks.workMilliseconds = 100
+      const asked = other.tell('write 2')
+      await new Promise(resolve => setTimeout(resolve, 20))
+      const until = performance.now() + 400
+      while (performance.now() < until);
+      expect([await caller.tell('commit'), await asked]).toEqual(['done', 'done'])
+    })
+  })
 })
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -8,6 +8,7 @@
   PromotionPort,
   StoreLink,
 } from '@nutmegcourse/protocol'
+import { STANDSTILL_MILLISECONDS } from '@nutmegcourse/state'
 import { CallerSession, type RouteLookup } from './callerSession.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { HostContext } from './hostContext.js'
@@ -40,9 +41,6 @@
  */
 const REST_TICK_MILLISECONDS = 100
 
-/** A gap between two ticks that only a standstill of the process explains. */
-const STANDSTILL_MILLISECONDS = 250
-
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024
 
--- a/packages/host/src/serviceBook.ts
+++ b/packages/host/src/serviceBook.ts
@@ -119,6 +119,7 @@
       for (const server of desk.servers) {
         // What was asked before a standstill was answered while nobody looked.
         if (wasStandingStill) server.forgetQuestions()
+        server.writes.noteTick(now)
         server.watchLife(now)
         const keepWarm = isActive && this.#directory.mayTakeWork(server.entry.server, now)
         server.pool.tick(now, keepWarm)
--- a/packages/state/src/synchronous/index.ts
+++ b/packages/state/src/synchronous/index.ts
@@ -8,4 +8,9 @@
 export * from './sessionValues.js'
 export * from './statementFate.js'
 export * from './waitingLine.js'
-export { WriteConfirmation, type OpenWrite, type WriteEnd } from './writeConfirmation.js'
+export {
+  STANDSTILL_MILLISECONDS,
+  WriteConfirmation,
+  type OpenWrite,
+  type WriteEnd,
+} from './writeConfirmation.js'
--- a/packages/state/src/synchronous/writeConfirmation.ts
+++ b/packages/state/src/synchronous/writeConfirmation.ts
@@ -19,6 +19,9 @@
  */
 const PROBE_SPACING_MILLISECONDS = 250
 
+/** The host looks at its servers more often than this; a longer gap is a standstill of its own process. */
+export const STANDSTILL_MILLISECONDS = 250
+
 /** A single one may have run out of time by itself. */
 const UNCONFIRMED_IN_ROW = 2
 
@@ -40,6 +43,9 @@
   readonly #open = new Set<OpenWrite>()
   #confirmedAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   #unconfirmedInRow = 0
+  #tickedAt: Milliseconds | null = null
+  /** The end of this host's last standstill: how long a write waited before says nothing of the server. */
+  #countsFrom: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   #lastSentAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   /** A write was not confirmed in time, and none has been since. */
   #isInDoubt = false
@@ -51,6 +57,12 @@
     return write
   }
 
+  /** The host looked at its servers. */
+  noteTick(now: Milliseconds): void {
+    this.#noteStandstill(now)
+    this.#tickedAt = now
+  }
+
   ended(write: OpenWrite, end: WriteEnd, now: Milliseconds): void {
     this.#open.delete(write)
     switch (end) {
@@ -80,10 +92,22 @@
     return this.#open.size === 0 && now - this.#lastSentAt >= PROBE_SPACING_MILLISECONDS
   }
 
+  /**
+   * A host that stood still finds its writes as old as its standstill, and answers to them unread. It took
+   * that for a primary without replicas and rolled back the commits that came next.
+   */
+  #noteStandstill(now: Milliseconds): void {
+    if (this.#tickedAt === null || now - this.#tickedAt <= STANDSTILL_MILLISECONDS) return
+    this.#countsFrom = now
+    this.#tickedAt = now
+  }
+
   #isStalled(usual: number, now: Milliseconds): boolean {
+    this.#noteStandstill(now)
     const patience = Math.max(LEAST_PATIENCE_MILLISECONDS, usual * PATIENCE_FACTOR)
     for (const { sentAt } of this.#open) {
-      if (this.#confirmedAt < sentAt && now - sentAt > patience) return true
+      const waited = now - Math.max(sentAt, this.#countsFrom)
+      if (this.#confirmedAt < sentAt && waited > patience) return true
     }
     return false
   }
