--- a/packages/host/__tests__/statements.spec.ts
+++ b/packages/host/__tests__/statements.spec.ts
@@ -276,7 +276,7 @@
 
   // The host's process stands still for 0.4 s under a write, as on a machine that is too busy. It took its
   // own standstill for a primary that confirms nothing, and rolled back the commit that came next, unasked:
-  // "ABORTED unconfirmed" to a commit owed for 333 ms, of which the host had taken 0.
+  // "aborted: unconfirmed" to a commit owed for 333 ms, of which the host had taken 0.
   it('does not take its own standstill for a primary without replicas', async () => {
     await inScene(1, async (scene, [host]) => {
       if (host === undefined) return
--- a/packages/soak/__tests__/promiseJudge.spec.ts
+++ b/packages/soak/__tests__/promiseJudge.spec.ts
@@ -142,21 +142,21 @@
   [
     'an unknown outcome amid planned work',
     bench => {
-      told(bench, { kind: 'unknown', detail: 'INDOUBT r: lost' })
+      told(bench, { kind: 'unknown', detail: 'r: lost' })
     },
-    ['host-1 told w1 "INDOUBT r: lost" amid planned work, owed for 2.0 ms'],
+    ['host-1 told w1 "r: lost" amid planned work, owed for 2.0 ms'],
   ],
   [
     'a transaction that planned work rolled back',
     bench => {
-      told(bench, { kind: 'notRun', detail: 'ABORTED r: gone' })
+      told(bench, { kind: 'notRun', detail: 'r: gone', isRolledBack: true })
     },
-    ['host-1 rolled w1 back amid planned work: "ABORTED r: gone", owed for 2.0 ms'],
+    ['host-1 rolled w1 back amid planned work: "r: gone", owed for 2.0 ms'],
   ],
   [
     'nothing in a refusal that may be repeated at once',
     bench => {
-      told(bench, { kind: 'notRun', detail: 'TOOMANY this host is stopping' })
+      told(bench, { kind: 'notRun', detail: 'this host is stopping', isRolledBack: false })
     },
     [],
   ],
--- a/packages/soak/src/promiseJudge.ts
+++ b/packages/soak/src/promiseJudge.ts
@@ -17,9 +17,6 @@
   readonly newest: LogPosition
 }
 
-/** How the answer begins to a caller whose transaction the host ended. */
-const ROLLED_BACK = 'ABORTED'
-
 const START = logPosition(1, 0)
 
 export class PromiseJudge {
@@ -108,7 +105,7 @@
         this.#find(`${host} told ${id} "${answer.detail}" amid planned work, ${owed}`)
         return
       case 'notRun':
-        if (!answer.detail.startsWith(ROLLED_BACK)) return
+        if (!answer.isRolledBack) return
         this.#find(`${host} rolled ${id} back amid planned work: "${answer.detail}", ${owed}`)
     }
   }
