--- a/packages/host/__tests__/hostLife.spec.ts
+++ b/packages/host/__tests__/hostLife.spec.ts
@@ -1,10 +1,21 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { StoreConnection } from '@nutmegcourse/stand-ins'
-import { CONFIGURATION, Caller, P, inScene } from './support/scene.js'
+import { CONFIGURATION, Caller, P, inScene, type Scene, type SceneHost } from './support/scene.js'
 
 const wait = (span: number): Promise<void> => new Promise(resolve => setTimeout(resolve, span))
 
+/** A caller that has rested inside a transaction for longer than it may. */
+async function restInTransaction(scene: Scene, host: SceneHost): Promise<Caller> {
+  scene.store.configure({ ...CONFIGURATION, version: 2, idleTransactionMilliseconds: 100 })
+  await scene.until(() => host.host.idleTransactionMilliseconds === 100, 'it is in force')
+  const caller = await scene.caller(host, 'own')
+  await caller.tell('begin')
+  await caller.tell('write 1')
+  await wait(200)
+  return caller
+}
+
 describe('life of an entry host', () => {
   // The host starts while the store is away. It must not say that it is ready, and a caller hears
   // within its patience that it has to come back; once the store answers, all is well.
@@ -195,12 +206,7 @@
   it('ends a transaction that rests too long', async () => {
     await inScene(1, async (scene, [host]) => {
       if (host === undefined) return
-      scene.store.configure({ ...CONFIGURATION, version: 2, idleTransactionMilliseconds: 100 })
-      await scene.until(() => host.host.idleTransactionMilliseconds === 100, 'it is in force')
-      const caller = await scene.caller(host, 'own')
-      await caller.tell('begin')
-      await caller.tell('write 1')
-      await wait(200)
+      const caller = await restInTransaction(scene, host)
       const told = [await caller.tell('commit'), await caller.tell('write 1')]
       expect(told).toEqual(['aborted', 'done'])
     })
@@ -211,12 +217,7 @@
   it('tells a caller whose transaction it ended that nothing is kept, once', async () => {
     await inScene(1, async (scene, [host]) => {
       if (host === undefined) return
-      scene.store.configure({ ...CONFIGURATION, version: 2, idleTransactionMilliseconds: 100 })
-      await scene.until(() => host.host.idleTransactionMilliseconds === 100, 'it is in force')
-      const caller = await scene.caller(host, 'own')
-      await caller.tell('begin')
-      await caller.tell('write 1')
-      await wait(200)
+      const caller = await restInTransaction(scene, host)
       const told: string[] = []
       for (const text of ['write 2', 'read 1', 'rollback', 'write 3'])
         told.push(await caller.tell(text))
