--- /dev/null
+++ b/packages/coordination/src/synchronous/limitHolders.ts
@@ -0,0 +1,31 @@
+/** Which entry hosts hold the parts of a customer's limit, and in which order a host asks them. */
+import type { CustomerName } from '@nutmegcourse/shared'
+import { mixHashes, nameHash } from '../stableHash.js'
+import type { HostRecord } from './changeRecord.js'
+import { planOwners } from './serviceOwners.js'
+
+/**
+ * Hosts that hold a part. With one of five gone, four fifths of the limit are left; a host that newly holds a part
+ * while another one has not heard of it adds a fifth at most.
+ */
+export const LIMIT_PARTS = 5
+
+export function planLimitHolders(
+  customer: CustomerName,
+  hosts: ReadonlyMap<string, HostRecord>,
+): readonly string[] {
+  return planOwners(`limit of ${customer}`, hosts, LIMIT_PARTS).owners
+}
+
+/** Near ones first. Hosts of one place begin with different ones, so that the parts are used up evenly. */
+export function limitHoldersFrom(
+  holders: readonly string[],
+  hosts: ReadonlyMap<string, HostRecord>,
+  self: string,
+  place: Pick<HostRecord, 'region'>,
+): readonly string[] {
+  const isFar = (host: string): number => (hosts.get(host)?.region === place.region ? 0 : 1)
+  const own = nameHash(self)
+  const draw = (host: string): number => mixHashes(nameHash(host), own)
+  return [...holders].sort((left, right) => isFar(left) - isFar(right) || draw(left) - draw(right))
+}
--- a/packages/coordination/src/synchronous/serviceOwners.ts
+++ b/packages/coordination/src/synchronous/serviceOwners.ts
@@ -65,6 +65,23 @@
   return [...near.filter(host => host !== self), ...before]
 }
 
+/**
+ * The owners of one customer's connections in the order in which every host of a region asks them, so that the
+ * connections stand in as few places as possible. Owners of the region come first: its hosts are near enough to each
+ * other, while the link between regions is slow.
+ */
+export function ownersForCustomer(
+  { owners, hosts }: OwnerPlan,
+  service: string,
+  customer: string,
+  place: Pick<HostRecord, 'region'>,
+): string[] {
+  const isFar = (host: string): number => (hosts.get(host)?.region === place.region ? 0 : 1)
+  const subject = `${service} ${customer}`
+  const draw = (host: string): number => drawOf(host, subject, hosts.get(host)?.weight ?? 1)
+  return [...owners].sort((left, right) => isFar(left) - isFar(right) || draw(right) - draw(left))
+}
+
 function groupByZone(
   hosts: readonly string[],
   records: ReadonlyMap<string, HostRecord>,
--- a/packages/host/__tests__/newsBudget.spec.ts
+++ b/packages/host/__tests__/newsBudget.spec.ts
@@ -45,6 +45,7 @@
   version: 7,
   routes: [],
   services: [],
+  customers: [],
   idleTransactionMilliseconds: 3000,
 }
 
--- a/packages/host/__tests__/ownerPlanning.spec.ts
+++ b/packages/host/__tests__/ownerPlanning.spec.ts
@@ -36,6 +36,7 @@
     connectionLimit: 108,
     synchronousReplicas: 1,
   })),
+  customers: [],
   idleTransactionMilliseconds: 3000,
 }
 
--- a/packages/host/__tests__/support/caller.ts
+++ b/packages/host/__tests__/support/caller.ts
@@ -1,5 +1,5 @@
 /** A caller of an entry host, without a socket between them. */
-import type { LogPosition } from '@nutmegcourse/shared'
+import { digestOfKey, type LogPosition } from '@nutmegcourse/shared'
 import {
   statementId,
   type CallerAnswer,
@@ -29,11 +29,11 @@
     this.#host = host
   }
 
-  connect(database: string): Promise<string> {
+  connect(database: string, key = 'test'): Promise<string> {
     this.#host.admit(this)
     return new Promise(resolve => {
       this.#welcomed = resolve
-      this.#events?.started(database, 'test')
+      this.#events?.started(database, digestOfKey(key))
     })
   }
 
--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -28,6 +28,7 @@
   statementTimeoutMilliseconds: 800,
   latencyTargetMilliseconds: 600,
   priority: 1,
+  isPublic: false,
 })
 
 export const CONFIGURATION: FleetConfiguration = {
@@ -38,6 +39,7 @@
     route('own', { kind: 'ownWrites', maximumAgeMilliseconds: 2500 }),
   ],
   services: [{ name: SERVICE, connectionLimit: 25, synchronousReplicas: 1 }],
+  customers: [],
   idleTransactionMilliseconds: 3000,
 }
 
@@ -71,6 +73,9 @@
     serverHeartbeatMilliseconds: 1000,
     drainMilliseconds: 7000,
     configurationMilliseconds: 4000,
+    requiresKeys: false,
+    limitTolerance: null,
+    revocation: { isStrict: false, withinMilliseconds: 5000 },
     graceMilliseconds: grace,
     isFirstStart,
   }
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -3,7 +3,7 @@
  *
  * @internal
  */
-import type { Milliseconds } from '@nutmegcourse/shared'
+import type { CustomerName, Milliseconds } from '@nutmegcourse/shared'
 import type { BackendAddress, BackendServerEntry } from '@nutmegcourse/protocol'
 import { LatencyEstimate, ReplicaProgress, WriteConfirmation } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
@@ -59,6 +59,12 @@
     return addressOf(this.#entry)
   }
 
+  /** What a statement takes, with the opening of a connection where its customer has none that is idle. */
+  expectedMilliseconds(customer: CustomerName | null, now: Milliseconds): number {
+    const usual = this.latency.at(now)
+    return customer === null ? usual : usual + this.pool.openingMilliseconds(customer)
+  }
+
   /** Whether a write that is sent now is likely to be confirmed. */
   mayWrite(now: Milliseconds): boolean {
     return this.writes.mayWrite(this.latency.at(now), now)
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -5,7 +5,13 @@
  *
  * @internal
  */
-import { addMilliseconds, type LogPosition, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  type CustomerName,
+  type KeyDigest,
+  type LogPosition,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type {
   CallerAnswer,
   CallerEvents,
@@ -18,8 +24,7 @@
 import { SessionValues } from '@nutmegcourse/state'
 import type { RemoteStatement } from './attempt.js'
 import type { HostContext } from './hostContext.js'
-import type { SessionIntake } from './plannedStop.js'
-import type { ServiceDesk } from './serviceDesk.js'
+import type { CallerIdentity, RouteLookup, RoutePlace } from './routeLookup.js'
 import { reportStatement } from './statementReport.js'
 import {
   StatementTiming,
@@ -30,21 +35,11 @@
   type Runner,
 } from './statements.js'
 
-/** Where a database's callers are served; null when no route has the name. */
-export interface RouteLookup {
-  find(database: string): { readonly route: Route; readonly desk: ServiceDesk } | null
-  readonly intake: SessionIntake
-  /** False until the first configuration is known. */
-  readonly isKnown: boolean
-  readonly idleTransactionMilliseconds: number
-  /** Resolves once a configuration is known or `span` milliseconds have passed. */
-  whenKnown(span: number): Promise<void>
-}
-
 /** A caller gives up when its session is not taken within two seconds; this leaves it time to hear why. */
 const WELCOME_LIMIT_MILLISECONDS = 1500
 
 const STOPPING = 'this host is stopping'
+const UNKNOWN_KEY = 'no customer has this key'
 
 /** Statements that one caller may send ahead of their answers. */
 const QUEUE_LIMIT = 64
@@ -56,6 +51,7 @@
   | {
       readonly kind: 'running'
       readonly route: Route
+      readonly customer: CustomerName | null
       readonly transaction: RunningTransaction
     }
   /** It is gone; the caller has yet to end it. `isTold`: it knows. */
@@ -69,6 +65,8 @@
   /** As soon as nothing is owed and no transaction is open. */
   | 'whenIdle'
 
+type RunningState = Extract<TransactionState, { kind: 'running' }>
+
 const TOLD: TransactionState = { kind: 'failed', isTold: true }
 const NOT_TOLD: TransactionState = { kind: 'failed', isTold: false }
 
@@ -81,6 +79,7 @@
   readonly #state: SessionState = { values: new SessionValues(), ownPosition: null }
   readonly #queue: CallerStatement[] = []
   #database: string | null = null
+  #key: KeyDigest | null = null
   #transaction: TransactionState = { kind: 'none' }
   #isWelcome = false
   #isWorking = false
@@ -121,12 +120,13 @@
     return this.#restingSince
   }
 
-  started(database: string): void {
+  started(database: string, key: KeyDigest): void {
     if (this.#database !== null) {
       this.#refuseSession('malformed', 'the session has begun already')
       return
     }
     this.#database = database
+    this.#key = key
     void this.#welcome(database)
   }
 
@@ -210,10 +210,15 @@
       this.#refuseSession('tooManyCallers', 'this host has no configuration yet')
       return
     }
-    if (this.#routes.find(database) === null) {
+    const place = this.#routes.find(database)
+    if (place === null) {
       this.#refuseSession('unknownDatabase', 'no such database')
       return
     }
+    if (this.#identify(place.route).kind === 'unknown') {
+      this.#refuseSession('unknownKey', UNKNOWN_KEY)
+      return
+    }
     this.#isWelcome = true
     this.#link.welcome()
     if (this.#queue.length > 0) void this.#work()
@@ -361,14 +366,24 @@
     }
     const place = this.#findPlace()
     if (place === null) return this.#fail(refusal('unknownDatabase', 'no such database'))
-    const request = this.#requestFor(statement, place)
+    const identity = this.#identify(place.route)
+    const customer = identity.kind === 'customer' ? identity.customer : null
+    if (transaction.kind === 'running' && this.#hasLostName(transaction, identity)) {
+      return this.#fail(refusal('aborted', UNKNOWN_KEY))
+    }
+    if (identity.kind === 'unknown') return this.#fail(refusal('unknownKey', UNKNOWN_KEY))
+    if (transaction.kind !== 'running' && customer !== null) {
+      const overLimit = await this.#admit(customer)
+      if (overLimit !== null) return this.#fail(overLimit)
+    }
+    const request = this.#requestFor(statement, place, customer)
     const result = await this.#run(request)
     reportStatement(this.#context, this.#database, request, result)
     return result
   }
 
   /** A change of a route applies from the next transaction on, so a running one keeps its own. */
-  #findPlace(): { readonly route: Route; readonly desk: ServiceDesk } | null {
+  #findPlace(): RoutePlace | null {
     const transaction = this.#transaction
     if (transaction.kind === 'running') {
       return { route: transaction.route, desk: transaction.transaction.desk }
@@ -376,13 +391,39 @@
     return this.#routes.find(this.#database ?? '')
   }
 
+  #identify(route: Route): CallerIdentity {
+    return this.#key === null ? { kind: 'unknown' } : this.#routes.identify(route, this.#key)
+  }
+
+  /** A transaction runs on a connection of its customer: when its key is gone or moved, so is its right to run. */
+  #hasLostName({ customer }: RunningState, identity: CallerIdentity): boolean {
+    switch (identity.kind) {
+      case 'unknown':
+        return true
+      case 'customer':
+        return identity.customer !== customer
+      case 'anyone':
+        return false
+    }
+  }
+
+  /** What a caller is told beyond its customer's limit; null within it. */
+  async #admit(customer: CustomerName): Promise<StatementResult | null> {
+    const admission = await this.#routes.admitOperation(customer)
+    if (admission.kind === 'admitted') return null
+    const after = String(Math.ceil(admission.waitMilliseconds))
+    return refusal('overLimit', `limit of ${customer} is reached retry_after_ms=${after}`)
+  }
+
   #requestFor(
     statement: RemoteStatement,
-    place: { readonly route: Route; readonly desk: ServiceDesk },
+    place: RoutePlace,
+    customer: CustomerName | null,
   ): StatementRequest {
     const arrivedAt = this.#context.clock.now()
     return {
       ...place,
+      customer,
       session: this.#state,
       statement,
       isWrite: this.#isWrite(statement),
@@ -423,7 +464,8 @@
 
   #noteTransaction(request: StatementRequest, transaction: RunningTransaction | null): void {
     if (transaction !== null) {
-      this.#transaction = { kind: 'running', route: request.route, transaction }
+      const { route, customer } = request
+      this.#transaction = { kind: 'running', route, customer, transaction }
       return
     }
     const isEnded = request.statement.body.kind === 'commit'
--- a/packages/host/src/configurationBook.ts
+++ b/packages/host/src/configurationBook.ts
@@ -5,12 +5,14 @@
  * @internal
  */
 import type { FleetConfiguration, Route } from '@nutmegcourse/protocol'
+import { CustomerDirectory } from '@nutmegcourse/state'
 import { Signal } from './waiting.js'
 
 export class ConfigurationBook {
   readonly #known = new Signal()
   #configuration: FleetConfiguration | null = null
   #routes = new Map<string, Route>()
+  #customers = new CustomerDirectory([])
 
   get current(): FleetConfiguration | null {
     return this.#configuration
@@ -23,10 +25,15 @@
     }
     this.#configuration = configuration
     this.#routes = new Map(configuration.routes.map(route => [route.database, route]))
+    this.#customers = new CustomerDirectory(configuration.customers)
     this.#known.raise()
     return true
   }
 
+  get customers(): CustomerDirectory {
+    return this.#customers
+  }
+
   route(database: string): Route | null {
     return this.#routes.get(database) ?? null
   }
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -263,6 +263,14 @@
     when: 'A session was turned away or ended for a mistake of its caller.',
     fields: { database: 'what it named', refusal: 'what it was told', detail: 'why' },
   },
+  limit_reached: {
+    when: 'An operation was refused because its customer has used up its limit.',
+    fields: { customer: 'the customer', waitMilliseconds: 'until the next one may run' },
+  },
+  limit_unknown: {
+    when: 'An operation was refused because no host that holds a part of its customer’s limit could be asked.',
+    fields: { customer: 'the customer' },
+  },
   idle_transaction_ended: {
     when: 'A transaction rested too long and was rolled back.',
     fields: { database: 'the database', limit: 'the configured time, in milliseconds' },
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -1,24 +1,34 @@
 /** One entry host: takes callers, follows the store, and keeps the services it needs in order. */
 import { createServer, type Server, type Socket } from 'node:net'
-import type { Clock, Milliseconds, RandomSource } from '@nutmegcourse/shared'
+import type {
+  Clock,
+  CustomerName,
+  KeyDigest,
+  Milliseconds,
+  RandomSource,
+} from '@nutmegcourse/shared'
 import type {
   BackendDialer,
   CallerLink,
   HostSettings,
   PromotionPort,
+  Route,
   StoreLink,
 } from '@nutmegcourse/protocol'
 import { STANDSTILL_MILLISECONDS } from '@nutmegcourse/state'
-import { CallerSession, type RouteLookup } from './callerSession.js'
+import { CallerSession } from './callerSession.js'
+import { CustomerLimits, type Admission } from './customerLimits.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { HostContext } from './hostContext.js'
 import { HostFleet } from './hostFleet.js'
 import type { HostMetrics } from './hostMetrics.js'
 import { HostRegistration } from './hostRegistration.js'
+import { LimitDesk } from './limitDesk.js'
 import { NewsDesk } from './newsDesk.js'
 import { PlannedStop, type SessionIntake, type StoppingHost } from './plannedStop.js'
 import { RelayServer, type RelayDesks } from './relayServer.js'
 import { RelayingRunner } from './relayingRunner.js'
+import type { CallerIdentity, RouteLookup, RoutePlace } from './routeLookup.js'
 import { ServiceBook } from './serviceBook.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import { StatementRunner } from './statementRunner.js'
@@ -48,10 +58,12 @@
 
 export class EntryHost implements RouteLookup, RelayDesks, StoppingHost {
   readonly news: NewsDesk
+  readonly limits: LimitDesk
   readonly #context: HostContext
   readonly #ports: EntryHostPorts
   readonly #fleet: HostFleet
   readonly #services: ServiceBook
+  readonly #customerLimits: CustomerLimits
   readonly #sessions = new Set<CallerSession>()
   readonly #runner: RelayingRunner
   readonly #relay: RelayServer
@@ -78,6 +90,14 @@
     this.#fleet = new HostFleet(this.#context)
     this.news = new NewsDesk(this.#context)
     this.#services = new ServiceBook(this.#context, ports, this.#fleet, this.news)
+    const plan = {
+      limitOf: (customer: CustomerName) => this.#services.limitOf(customer),
+      holdersOf: (customer: CustomerName) => this.#fleet.holdersOf(customer),
+      limitHoldersFor: (customer: CustomerName) => this.#fleet.limitHoldersFor(customer),
+      peer: (host: string) => this.#fleet.peer(host),
+    }
+    this.limits = new LimitDesk(this.#context, plan)
+    this.#customerLimits = new CustomerLimits(this.#context, this.limits, plan)
     const runner = new StatementRunner(this.#context)
     this.#runner = new RelayingRunner(this.#context, runner, this.#fleet)
     this.#relay = new RelayServer(this.#context, runner, this)
@@ -85,7 +105,9 @@
       zone: new ZoneNews(this.#context, this.#fleet),
       desk: this.news,
     })
-    this.#registration = new HostRegistration(this.#context, ports.store, this.#services)
+    this.#registration = new HostRegistration(this.#context, ports.store, this.#services, () => {
+      this.limits.joined()
+    })
   }
 
   /** Whether new callers are welcome: it can tell where their work goes. */
@@ -133,10 +155,18 @@
     return this.#services.whenKnown(span)
   }
 
-  find(database: string): ReturnType<RouteLookup['find']> {
+  find(database: string): RoutePlace | null {
     return this.#services.find(database)
   }
 
+  identify(route: Route, key: KeyDigest): CallerIdentity {
+    return this.#services.identify(route, key)
+  }
+
+  admitOperation(customer: CustomerName): Promise<Admission> {
+    return this.#customerLimits.admit(customer)
+  }
+
   serve(service: string): ServiceDesk | null {
     if (this.#stopping !== null) return null
     const desk = this.#services.desk(service) ?? null
@@ -185,6 +215,7 @@
     void this.#registration.withdraw()
     this.#relay.leave()
     this.news.leave()
+    this.limits.leave()
     await this.#stopping.run()
     this.close()
   }
--- a/packages/host/src/groupControl.ts
+++ b/packages/host/src/groupControl.ts
@@ -93,7 +93,7 @@
     const pooled = await this.#pooledLink(server)
     const deadline = addMilliseconds(clock.now(), ORDER_LIMIT_MILLISECONDS)
     const { link, opened } =
-      pooled === null ? dialer.open(server.address) : alreadyOpen(pooled.link)
+      pooled === null ? dialer.open(server.address, null) : alreadyOpen(pooled.link)
     const isOpen = await within(opened, deadline, clock)
     if (isOpen === OVERDUE || isOpen.isErr()) {
       link.close()
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -5,13 +5,17 @@
  */
 import {
   followersBefore,
+  limitHoldersFrom,
+  ownersForCustomer,
   ownersFrom,
   planFollowers,
+  planLimitHolders,
   planOwners,
   type HostRecord,
+  type OwnerPlan,
 } from '@nutmegcourse/coordination'
 import type { HostAddress } from '@nutmegcourse/protocol'
-import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
 import { connectionHolders } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { RelayPeer } from './relayPeer.js'
@@ -38,6 +42,11 @@
   readonly #observers = new Map<string, readonly string[]>()
   /** By service: whom this host asks to run statements, in order. */
   readonly #order = new Map<string, readonly string[]>()
+  /** By service: who owns it, and by service and customer: in which order the owners are asked. */
+  readonly #ownerPlans = new Map<string, OwnerPlan>()
+  readonly #customerOrder = new Map<string, readonly string[]>()
+  /** By customer: who holds the parts of its limit. */
+  readonly #limitHolders = new Map<CustomerName, readonly string[]>()
   /** By service: what the last line said. */
   readonly #loggedOwners = new Map<string, string>()
   readonly #aroundPausedUntil = new Map<string, Milliseconds>()
@@ -84,14 +93,18 @@
   plan(desks: Iterable<ServiceDesk>): void {
     if (this.#isPlanned) return
     this.#isPlanned = true
-    const { entryHost, zone, region } = this.#context.settings
+    const { entryHost, zone, region, requiresKeys } = this.#context.settings
+    this.#customerOrder.clear()
+    this.#limitHolders.clear()
     this.#newsHosts = followersBefore(planFollowers(zone, this.#hosts), entryHost)
     for (const desk of desks) {
-      const holders = connectionHolders(desk.configuration.connectionLimit, this.#hosts.size)
+      const { connectionLimit } = desk.configuration
+      const holders = connectionHolders(connectionLimit, this.#hosts.size, requiresKeys)
       const drawn = planOwners(desk.name, this.#hosts, Math.max(holders, LEAST_OBSERVERS))
       // The first of one draw are what a draw of fewer gives.
       const plan = { ...drawn, owners: drawn.owners.slice(0, holders) }
       const { owners: observers } = drawn
+      this.#ownerPlans.set(desk.name, plan)
       this.#observers.set(desk.name, observers)
       this.#order.set(
         desk.name,
@@ -123,20 +136,68 @@
   }
 
   newsPeers(): readonly RelayPeer[] {
-    return this.#newsHosts.flatMap(host => this.#peer(host) ?? []).filter(peer => peer.isUp)
+    return this.#newsHosts.flatMap(host => this.peer(host) ?? []).filter(peer => peer.isUp)
   }
 
-  peersFor(desk: ServiceDesk, atPrimary: boolean): RelayPeer[] | null {
+  peersFor(
+    desk: ServiceDesk,
+    customer: CustomerName | null,
+    atPrimary: boolean,
+  ): RelayPeer[] | null {
     const now = this.#context.clock.now()
-    if (desk.isOwned && (!atPrimary || desk.reachesPrimary(now))) return null
-    const order = this.#order.get(desk.name) ?? []
-    const peers = order.flatMap(host => this.#peer(host) ?? []).filter(peer => peer.isUp)
+    const isHere = desk.isOwned && (!atPrimary || desk.reachesPrimary(now))
+    const order = this.#orderFor(desk, customer)
+    if (isHere) return this.#ownersBefore(order)
+    const peers = this.#upPeers(order)
     if (desk.isOwned) return this.#aroundCut(desk, peers, now)
     if (peers.length > 0) return peers
     desk.standIn(now)
     return null
   }
 
+  /** Whom to ask, in order; this host stands in its own place if it is an owner of the customer's connections. */
+  #orderFor({ name }: ServiceDesk, customer: CustomerName | null): readonly string[] {
+    const order = this.#order.get(name) ?? []
+    const plan = this.#ownerPlans.get(name)
+    if (customer === null || plan === undefined) return order
+    const subject = `${name} ${customer}`
+    const known = this.#customerOrder.get(subject)
+    if (known !== undefined) return known
+    const owners = ownersForCustomer(plan, name, customer, this.#context.settings)
+    const others = order.filter(host => !owners.includes(host))
+    const made = [...owners, ...others]
+    this.#customerOrder.set(subject, made)
+    return made
+  }
+
+  /** Owners that come before this host, which is one of them; null when none does. */
+  #ownersBefore(order: readonly string[]): RelayPeer[] | null {
+    const own = order.indexOf(this.#context.settings.entryHost)
+    const peers = this.#upPeers(order.slice(0, Math.max(0, own)))
+    return peers.length === 0 ? null : peers
+  }
+
+  #upPeers(order: readonly string[]): RelayPeer[] {
+    const { entryHost } = this.#context.settings
+    return order
+      .filter(host => host !== entryHost)
+      .flatMap(host => this.peer(host) ?? [])
+      .filter(peer => peer.isUp)
+  }
+
+  holdersOf(customer: CustomerName): readonly string[] {
+    const known = this.#limitHolders.get(customer)
+    if (known !== undefined) return known
+    const holders = planLimitHolders(customer, this.#hosts)
+    this.#limitHolders.set(customer, holders)
+    return holders
+  }
+
+  limitHoldersFor(customer: CustomerName): readonly string[] {
+    const { settings } = this.#context
+    return limitHoldersFrom(this.holdersOf(customer), this.#hosts, settings.entryHost, settings)
+  }
+
   /**
    * This host does not reach the primary; others may. A few of them are asked, and when none does,
    * nobody is asked again for a moment: then the primary is gone, and each statement would pay for it.
@@ -175,7 +236,8 @@
     this.#peers.delete(host)
   }
 
-  #peer(host: string): RelayPeer | null {
+  /** The way to another host; null for one that is not known or runs nothing for others. */
+  peer(host: string): RelayPeer | null {
     const known = this.#peers.get(host)
     if (known !== undefined) return known
     const record = this.#hosts.get(host)
--- a/packages/host/src/hostRegistration.ts
+++ b/packages/host/src/hostRegistration.ts
@@ -39,14 +39,17 @@
   readonly #context: HostContext
   readonly #store: StoreLink
   readonly #reader: OwnRecordReader
+  /** Hears that the other hosts will know this one anew. */
+  readonly #joined: () => void
   #lease: number | null = null
   #isStopped = false
   readonly #stopped = new Signal()
 
-  constructor(context: HostContext, store: StoreLink, reader: OwnRecordReader) {
+  constructor(context: HostContext, store: StoreLink, reader: OwnRecordReader, joined: () => void) {
     this.#context = context
     this.#store = store
     this.#reader = reader
+    this.#joined = joined
   }
 
   async run(): Promise<void> {
@@ -100,6 +103,7 @@
     if (change.isErr()) return this.#failed(change.error.kind)
     if (change.value.kind !== 'made') return this.#failed(change.value.kind)
     this.#lease = lease.value
+    this.#joined()
     return true
   }
 
--- /dev/null
+++ b/packages/host/src/limitDesk.ts
@@ -0,0 +1,79 @@
+/**
+ * The parts of customers' limits that this host holds: grants operations to every host that asks.
+ *
+ * @internal
+ */
+import { LIMIT_PARTS } from '@nutmegcourse/coordination'
+import { LimitPart } from '@nutmegcourse/state'
+import { addMilliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
+import type { LimitTolerance, OperationLimit } from '@nutmegcourse/protocol'
+import type { HostContext } from './hostContext.js'
+
+export interface GrantQuestion {
+  readonly customer: CustomerName
+}
+
+export type GrantAnswer =
+  | { readonly kind: 'granted' }
+  /** The part is used up for so long. */
+  | { readonly kind: 'spent'; readonly waitMilliseconds: number }
+  /** This host holds no part, or knows of no limit. */
+  | { readonly kind: 'declined' }
+
+/** What the desk has to know of the fleet. */
+export interface LimitPlan {
+  limitOf(customer: CustomerName): OperationLimit | null
+  holdersOf(customer: CustomerName): readonly string[]
+}
+
+export class LimitDesk {
+  readonly #context: HostContext
+  readonly #plan: LimitPlan
+  readonly #parts = new Map<CustomerName, LimitPart>()
+  #fillsSince: Milliseconds
+  #isLeaving = false
+
+  constructor(context: HostContext, plan: LimitPlan) {
+    this.#context = context
+    this.#plan = plan
+    this.#fillsSince = context.clock.now()
+  }
+
+  /**
+   * Other hosts have not known this one before. Until they hear of it, the host whose place it takes may go on
+   * granting the same part.
+   */
+  joined(): void {
+    const { clock, settings } = this.#context
+    this.#parts.clear()
+    this.#fillsSince = addMilliseconds(clock.now(), settings.configurationMilliseconds)
+  }
+
+  /** This host stops: its parts pass to other hosts. */
+  leave(): void {
+    this.#isLeaving = true
+  }
+
+  answer({ customer }: GrantQuestion): GrantAnswer {
+    const { limitTolerance, entryHost } = this.#context.settings
+    const limit = this.#plan.limitOf(customer)
+    const isHolder = this.#plan.holdersOf(customer).includes(entryHost)
+    if (this.#isLeaving || !isHolder || limit === null || limitTolerance === null) {
+      return { kind: 'declined' }
+    }
+    const part = this.#part(customer, limit, limitTolerance)
+    const waitMilliseconds = part.take(this.#context.clock.now())
+    return waitMilliseconds === 0 ? { kind: 'granted' } : { kind: 'spent', waitMilliseconds }
+  }
+
+  #part(customer: CustomerName, limit: OperationLimit, tolerance: LimitTolerance): LimitPart {
+    const known = this.#parts.get(customer)
+    if (known !== undefined) {
+      known.limit = limit
+      return known
+    }
+    const part = new LimitPart(limit, LIMIT_PARTS, tolerance, this.#fillsSince)
+    this.#parts.set(customer, part)
+    return part
+  }
+}
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -3,7 +3,7 @@
  *
  * @internal
  */
-import type { LogPosition, Milliseconds } from '@nutmegcourse/shared'
+import type { CustomerName, LogPosition, Milliseconds } from '@nutmegcourse/shared'
 import { addMilliseconds, logPosition } from '@nutmegcourse/shared'
 import { statementId, type CallerAnswer, type Route } from '@nutmegcourse/protocol'
 import { SessionValues, type PreparedStatement } from '@nutmegcourse/state'
@@ -17,6 +17,8 @@
   continue: 'continue',
   end: 'end',
   ping: 'ping',
+  /** One operation under a customer's limit. */
+  grant: 'grant',
   /** Changes of the store, for a host that follows it through this one. */
   news: 'news',
   /** From the host that runs statements: it stops, and takes nothing new. */
@@ -30,6 +32,7 @@
 
 export interface RequestMessage {
   readonly route: Route
+  readonly customer: CustomerName | null
   readonly id: string
   readonly text: string
   readonly body: RemoteStatement['body']
@@ -73,11 +76,12 @@
   | { readonly kind: 'declined' }
 
 export function writeRequest(request: StatementRequest, now: Milliseconds): RequestMessage {
-  const { route, statement, session, isWrite, deadline } = request
+  const { route, customer, statement, session, isWrite, deadline } = request
   const { id, text, body } = statement
   const prepared = body.kind === 'execute' ? session.values.prepared.get(body.name) : undefined
   return {
     route,
+    customer,
     id,
     text,
     body,
@@ -103,6 +107,7 @@
   return {
     desk,
     route: message.route,
+    customer: message.customer,
     session,
     statement: { id: statementId(message.id), text: message.text, body: message.body },
     isWrite: message.isWrite,
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -7,6 +7,7 @@
 import type { HostAddress } from '@nutmegcourse/protocol'
 import { openJsonRpc, type JsonRpcConnection } from '@nutmegcourse/transport'
 import type { HostContext } from './hostContext.js'
+import type { GrantAnswer, GrantQuestion } from './limitDesk.js'
 import type { NewsAnswer, NewsQuestion } from './newsMessages.js'
 import { RELAY_METHODS, type AnswerMessage, type EndMessage } from './relayMessages.js'
 import type { NewsPeer } from './zoneNews.js'
@@ -99,6 +100,14 @@
     return answer.unwrapOr(null)
   }
 
+  /** Null without an answer in time. */
+  async askGrant(question: GrantQuestion, limit: number): Promise<GrantAnswer | null> {
+    const connection = await this.#connect()
+    if (connection === null) return null
+    const answer = await connection.request<GrantAnswer>(RELAY_METHODS.grant, question, limit)
+    return answer.unwrapOr(null)
+  }
+
   /** Ends a transaction there; without the connection it ends by itself. */
   end(transaction: number): void {
     const message: EndMessage = { transaction }
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -7,6 +7,7 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import { JsonRpcConnection } from '@nutmegcourse/transport'
 import type { HostContext } from './hostContext.js'
+import type { GrantQuestion, LimitDesk } from './limitDesk.js'
 import type { NewsDesk } from './newsDesk.js'
 import type { NewsQuestion } from './newsMessages.js'
 import {
@@ -36,6 +37,8 @@
   readonly idleTransactionMilliseconds: number
   /** The store's changes, for a host of the zone. */
   readonly news: NewsDesk
+  /** The parts of customers' limits that this host holds. */
+  readonly limits: LimitDesk
 }
 
 interface HeldTransaction {
@@ -116,6 +119,7 @@
     this.#connection = new JsonRpcConnection(socket, {
       [RELAY_METHODS.ping]: () => true,
       [RELAY_METHODS.news]: params => this.#desks.news.answer(params as NewsQuestion),
+      [RELAY_METHODS.grant]: params => this.#desks.limits.answer(params as GrantQuestion),
       [RELAY_METHODS.single]: params => this.#single(params as RequestMessage),
       [RELAY_METHODS.begin]: params => this.#begin(params as BeginMessage),
       [RELAY_METHODS.continue]: params => this.#continue(params as ContinueMessage),
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -6,6 +6,7 @@
  * @internal
  */
 import { fateOf, type Mishap, type StatementPlace } from '@nutmegcourse/state'
+import type { CustomerName } from '@nutmegcourse/shared'
 import type { SessionStatus } from '@nutmegcourse/protocol'
 import type { HostContext } from './hostContext.js'
 import { RELAY_METHODS, readPosition, writeRequest, type AnswerMessage } from './relayMessages.js'
@@ -29,7 +30,7 @@
    * Other hosts in the order in which to ask them; null when this host serves by itself.
    * `atPrimary`: only the primary can run it.
    */
-  peersFor(desk: ServiceDesk, atPrimary: boolean): RelayPeer[] | null
+  peersFor(desk: ServiceDesk, customer: CustomerName | null, atPrimary: boolean): RelayPeer[] | null
 }
 
 interface Relayed {
@@ -52,7 +53,7 @@
 
   async single(request: StatementRequest): Promise<StatementResult> {
     const atPrimary = needsPrimary(request, !request.isWrite)
-    const peers = this.#owners.peersFor(request.desk, atPrimary)
+    const peers = this.#owners.peersFor(request.desk, request.customer, atPrimary)
     if (peers === null) return this.#local.single(request)
     const place: StatementPlace = request.isWrite ? 'singleWrite' : 'singleRead'
     const message = (): unknown => writeRequest(request, this.#context.clock.now())
@@ -65,7 +66,8 @@
   }
 
   async begin(request: StatementRequest, readOnly: boolean): Promise<BegunTransaction> {
-    const peers = this.#owners.peersFor(request.desk, needsPrimary(request, readOnly))
+    const atPrimary = needsPrimary(request, readOnly)
+    const peers = this.#owners.peersFor(request.desk, request.customer, atPrimary)
     if (peers === null) return this.#local.begin(request, readOnly)
     const place: StatementPlace =
       request.statement.body.kind === 'commit' ? 'commit' : 'firstOfTransaction'
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -81,11 +81,12 @@
     request: StatementRequest,
     excluded: Set<BackendServerId>,
   ): Promise<BackendServerState | null> {
-    const { desk, route, session } = request
+    const { desk, route, session, customer } = request
     const now = this.#context.clock.now()
     const need = desk.need(route.guarantee, session.ownPosition, now)
     if (need.kind === 'primary') return this.awaitPrimary(request)
-    const reader = need.kind === 'unknown' ? null : desk.chooseReader(need.position, excluded, now)
+    const reader =
+      need.kind === 'unknown' ? null : desk.chooseReader(need.position, excluded, now, customer)
     if (reader !== null) return reader
     excluded.clear()
     await this.#awaitNews(request)
@@ -105,6 +106,7 @@
       priority,
       deadline: earlier(limit, lastStart),
       patienceMilliseconds: latencyTargetMilliseconds * PATIENCE_SHARE,
+      use: { kind: 'customer', customer: request.customer },
     })
     request.timing.connectionMilliseconds += this.#context.clock.now() - askedAt
     if ('link' in acquired) return { kind: 'connected', link: acquired.link }
@@ -155,11 +157,12 @@
     server: BackendServerState,
     excluded: ReadonlySet<BackendServerId>,
   ): BackendServerState | null {
-    const { desk, route, session } = request
+    const { desk, route, session, customer } = request
     const now = this.#context.clock.now()
     const need = desk.need(route.guarantee, session.ownPosition, now)
     if (need.kind !== 'position') return null
-    return desk.chooseReadyReader(need.position, new Set([...excluded, server.entry.server]), now)
+    const others = new Set([...excluded, server.entry.server])
+    return desk.chooseReadyReader(need.position, others, now, customer)
   }
 
   /** Runs a write, or the commit of writes, and notes whether the server confirmed it. */
@@ -181,8 +184,9 @@
     excluded: Set<BackendServerId>,
   ): Promise<void> {
     excluded.add(server.entry.server)
-    const isLeft = request.desk.chooseReader(null, excluded, this.#context.clock.now()) !== null
-    if (isLeft) return
+    const { desk, customer } = request
+    const now = this.#context.clock.now()
+    if (desk.chooseReader(null, excluded, now, customer) !== null) return
     excluded.clear()
     await this.pauseAfter({ kind: 'refused', refusal: 'busy' })
   }
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -3,10 +3,17 @@
  *
  * @internal
  */
-import { addMilliseconds, drawnApart, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  drawnApart,
+  milliseconds,
+  type CustomerName,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { BackendAddress, BackendLink, LinkFailure } from '@nutmegcourse/protocol'
 import {
   ConnectionValues,
+  IdleConnections,
   ServiceEstimate,
   SessionValues,
   WaitingLine,
@@ -23,7 +30,11 @@
 export interface PooledLink {
   readonly link: BackendLink
   readonly values: ConnectionValues
+  /** Whose statements it runs; null where customers are not told apart. */
+  readonly customer: CustomerName | null
   idleSince: Milliseconds
+  /** When a customer's work last took it. */
+  usedAt: Milliseconds
   /** Since when work holds it. */
   takenAt: Milliseconds
 }
@@ -42,10 +53,17 @@
   readonly deadline: Milliseconds
   /** Work that would have to wait longer, by all that is known, is told so at once. */
   readonly patienceMilliseconds: number
+  readonly use: ConnectionUse
 }
 
+/** A customer's work needs a connection of that customer; questions of the host itself go over any. */
+export type ConnectionUse =
+  { readonly kind: 'customer'; readonly customer: CustomerName | null } | { readonly kind: 'own' }
+
 interface LinkWaiter extends Waiter {
   readonly session: SessionValues
+  readonly use: ConnectionUse
+  readonly since: Milliseconds
   settle(acquired: Acquired): void
 }
 
@@ -70,9 +88,17 @@
 /** Connections that are kept although nothing needs them, so that the first request needs no handshake. */
 const WARM_CONNECTIONS = 1
 
+/**
+ * For so long those who wait may be passed over by work that can use the connection that came free. A few
+ * handshakes long: connections change hands seldom, and no customer's work waits behind another's without end.
+ */
+const PASSED_OVER_MILLISECONDS = 50
+
 /** The priorities of requests begin at 0. */
 const HIGHEST_PRIORITY = -1
 
+const OWN_USE: ConnectionUse = { kind: 'own' }
+
 const NO_SESSION = new SessionValues()
 
 const NOT_TAKEN = milliseconds(Number.NEGATIVE_INFINITY)
@@ -80,7 +106,7 @@
 export class ServerPool {
   readonly #context: HostContext
   readonly #address: BackendAddress
-  readonly #idle: PooledLink[] = []
+  readonly #idle = new IdleConnections<PooledLink>()
   readonly #all = new Set<PooledLink>()
   readonly #line = new WaitingLine<LinkWaiter>()
   /** How long work holds a connection, the pauses of transactions included. */
@@ -88,7 +114,9 @@
   #connectionLimit: number
   /** Hosts that share the server's connections. */
   readonly #holders: () => number
-  #opening = 0
+  /** Connections that are being opened, by customer. */
+  readonly #opening = new Map<CustomerName | null, number>()
+  readonly #openings = new ServiceEstimate()
   #mayOpenAt = milliseconds(0)
   #isClosed = false
   #fullAt = milliseconds(Number.NEGATIVE_INFINITY)
@@ -119,11 +147,22 @@
   }
 
   get busy(): number {
-    return this.#all.size - this.#idle.length
+    return this.#all.size - this.#idle.size
   }
 
   get size(): number {
-    return this.#all.size + this.#opening
+    return this.#all.size + this.#openingCount
+  }
+
+  get #openingCount(): number {
+    let count = 0
+    for (const each of this.#opening.values()) count += each
+    return count
+  }
+
+  /** What a customer's work would wait for a new connection; 0 where one is idle. */
+  openingMilliseconds(customer: CustomerName | null): number {
+    return this.#idle.has(customer) ? 0 : this.#openings.at(this.#context.clock.now())
   }
 
   /** When bytes last came on any connection. */
@@ -145,8 +184,8 @@
   acquire(session: SessionValues, terms: AcquireTerms): Promise<Acquired> {
     if (this.#isClosed) return Promise.resolve({ failure: 'withdrawn' })
     if (this.busy === 0 && this.waiting === 0) this.#owesSince = this.#context.clock.now()
-    const idle = this.#takeIdle(session)
-    if (idle !== null) return Promise.resolve({ link: this.#taken(idle) })
+    const idle = this.#takeIdle(session, terms.use)
+    if (idle !== null) return Promise.resolve({ link: this.#taken(idle, terms.use) })
     const waitMilliseconds = this.#forecastWait(terms)
     if (waitMilliseconds > terms.patienceMilliseconds) {
       return Promise.resolve({ failure: 'overloaded', waitMilliseconds })
@@ -160,7 +199,7 @@
       this.#deniedMilliseconds,
       forecastWait({
         ahead: this.#line.aheadOf(terms),
-        connections: this.busy + (this.#wasFull() ? 0 : this.#opening),
+        connections: this.busy + (this.#wasFull() ? 0 : this.#openingCount),
         holdMilliseconds: this.#holds.at(this.#context.clock.now()),
       }),
     )
@@ -182,15 +221,18 @@
       priority: HIGHEST_PRIORITY,
       deadline,
       patienceMilliseconds: Number.POSITIVE_INFINITY,
+      use: OWN_USE,
     })
   }
 
-  #wait(session: SessionValues, { priority, deadline }: AcquireTerms): Promise<Acquired> {
+  #wait(session: SessionValues, { priority, deadline, use }: AcquireTerms): Promise<Acquired> {
     return new Promise(resolve => {
       const waiter: LinkWaiter = {
         priority,
         deadline,
         session,
+        use,
+        since: this.#context.clock.now(),
         settle: acquired => {
           clearTimeout(timer)
           resolve(acquired)
@@ -210,8 +252,8 @@
 
   /** An idle connection, or null; nothing waits for it. */
   takeIdleNow(): PooledLink | null {
-    const idle = this.#idle.pop()
-    return idle === undefined ? null : this.#taken(idle)
+    const idle = this.#idle.takeAny()
+    return idle === null ? null : this.#taken(idle, OWN_USE)
   }
 
   /** The connection is outside any transaction and owes no answer. */
@@ -221,17 +263,31 @@
       return
     }
     this.#given(pooled)
-    const waiter = this.#line.next()
+    const waiter = this.#nextFor(pooled)
     if (waiter !== null) {
-      waiter.settle({ link: this.#taken(pooled) })
+      waiter.settle({ link: this.#taken(pooled, waiter.use) })
       return
     }
     pooled.idleSince = this.#context.clock.now()
-    this.#idle.push(pooled)
+    this.#idle.add(pooled)
+    if (this.#line.size > 0) this.#openMore()
+  }
+
+  /** Who gets a connection that came free; nobody if it has to make room for another customer's. */
+  #nextFor(pooled: PooledLink): LinkWaiter | null {
+    const { first } = this.#line
+    if (first !== null && !isFor(pooled, first) && this.#isPassedOver(first)) return null
+    return this.#line.next(waiter => isFor(pooled, waiter))
   }
 
-  #taken(pooled: PooledLink): PooledLink {
+  #isPassedOver({ use, since }: LinkWaiter): boolean {
+    if (this.#opening.has(customerOf(use))) return false
+    return this.#context.clock.now() > addMilliseconds(since, PASSED_OVER_MILLISECONDS)
+  }
+
+  #taken(pooled: PooledLink, use: ConnectionUse): PooledLink {
     pooled.takenAt = this.#context.clock.now()
+    if (use.kind === 'customer') pooled.usedAt = pooled.takenAt
     return pooled
   }
 
@@ -243,12 +299,14 @@
 
   /** The connection owes an answer or is in an unknown state: nobody may use it again. */
   discard(pooled: PooledLink): void {
-    const index = this.#idle.indexOf(pooled)
-    if (index >= 0) this.#idle.splice(index, 1)
-    else if (this.#all.has(pooled)) this.#given(pooled)
+    this.#drop(pooled)
+    if (!this.#isClosed) this.#openMore()
+  }
+
+  #drop(pooled: PooledLink): void {
+    if (!this.#idle.remove(pooled) && this.#all.has(pooled)) this.#given(pooled)
     this.#all.delete(pooled)
     pooled.link.close()
-    if (!this.#isClosed) this.#openMore()
   }
 
   /** Sends those who wait elsewhere. */
@@ -265,7 +323,7 @@
   close(): void {
     this.#isClosed = true
     this.withdrawWaiting('withdrawn')
-    for (const pooled of [...this.#idle]) this.discard(pooled)
+    for (const pooled of this.#idle.all()) this.discard(pooled)
   }
 
   /** A server that was full is asked for one connection at a time: many hosts want the few it has. */
@@ -277,39 +335,60 @@
     return poolLimits(this.#connectionLimit, this.#holders())
   }
 
-  #takeIdle(session: SessionValues): PooledLink | null {
-    let best = -1
-    let least = Number.POSITIVE_INFINITY
-    for (let index = this.#idle.length - 1; index >= 0; index -= 1) {
-      const distance = this.#idle[index]?.values.distance(session) ?? least
-      if (distance >= least) continue
-      least = distance
-      best = index
-    }
-    const [pooled] = best < 0 ? [] : this.#idle.splice(best, 1)
-    return pooled ?? null
+  #takeIdle(session: SessionValues, use: ConnectionUse): PooledLink | null {
+    if (use.kind === 'own') return this.#idle.takeAny()
+    return this.#idle.take(use.customer, ({ values }) => values.distance(session))
   }
 
   #openMore(warm = 0): void {
     if (this.#isClosed || this.#context.clock.now() < this.#mayOpenAt) return
-    const state = {
-      size: this.size,
-      opening: this.#opening,
-      idle: this.#idle.length,
-      waiting: this.#line.size,
-    }
     const limits = this.#wasFull() ? { share: 1, burst: this.#all.size + 1 } : this.#limits()
-    const missing = connectionsToOpen(state, limits, warm)
-    for (let opened = 0; opened < missing; opened += 1) void this.#open()
+    const missing = this.#missing()
+    const opening = this.#openingCount
+    const state = { size: this.size, opening, idle: 0, waiting: opening + missing.length }
+    const room = connectionsToOpen(state, limits, warm)
+    for (const [index, use] of missing.entries()) {
+      if (index < room || this.#makeRoom(use)) void this.#open(customerOf(use))
+    }
+    for (let index = missing.length; index < room; index += 1) void this.#open(null)
   }
 
-  async #open(): Promise<void> {
-    this.#opening += 1
+  /** For whom a connection has to be opened: those who wait beyond what is being opened for their customers. */
+  #missing(): ConnectionUse[] {
+    const coming = new Map(this.#opening)
+    const missing: ConnectionUse[] = []
+    for (const { use } of this.#line.waiting()) {
+      const customer = customerOf(use)
+      const left = coming.get(customer) ?? 0
+      if (left === 0) missing.push(use)
+      else coming.set(customer, left - 1)
+    }
+    return missing
+  }
+
+  /** Closes an idle connection that another customer holds. */
+  #makeRoom(use: ConnectionUse): boolean {
+    if (use.kind === 'own') return false
+    const replaced = this.#idle.toReplaceFor(use.customer)
+    if (replaced === null) return false
+    this.#drop(replaced)
+    return true
+  }
+
+  #noteOpening(customer: CustomerName | null, change: 1 | -1): void {
+    const count = (this.#opening.get(customer) ?? 0) + change
+    if (count === 0) this.#opening.delete(customer)
+    else this.#opening.set(customer, count)
+  }
+
+  async #open(customer: CustomerName | null): Promise<void> {
+    this.#noteOpening(customer, 1)
     const { clock } = this.#context
-    const { link, opened } = this.#context.dialer.open(this.#address)
-    const limit = addMilliseconds(clock.now(), OPEN_LIMIT_MILLISECONDS)
+    const askedAt = clock.now()
+    const { link, opened } = this.#context.dialer.open(this.#address, customer)
+    const limit = addMilliseconds(askedAt, OPEN_LIMIT_MILLISECONDS)
     const result = await within(opened, limit, clock)
-    this.#opening -= 1
+    this.#noteOpening(customer, -1)
     if (result === OVERDUE) {
       link.close()
       this.#failedToOpen({ kind: 'connectionLost' })
@@ -321,10 +400,13 @@
     }
     this.refusals = 0
     this.#deniedSince = null
+    this.#openings.record(clock.now() - askedAt, clock.now())
     const pooled = {
       link,
       values: new ConnectionValues(),
+      customer,
       idleSince: clock.now(),
+      usedAt: clock.now(),
       takenAt: NOT_TAKEN,
     }
     this.#all.add(pooled)
@@ -361,8 +443,15 @@
   #closeSurplus(now: Milliseconds, keepWarm: boolean): void {
     const { share } = this.#limits()
     const keep = keepWarm ? share : 0
-    const [oldest] = this.#idle
-    if (oldest === undefined || this.#all.size <= keep) return
+    const { oldest } = this.#idle
+    if (oldest === null || this.#all.size <= keep) return
     if (now >= addMilliseconds(oldest.idleSince, SURPLUS_IDLE_MILLISECONDS)) this.discard(oldest)
   }
 }
+
+/** Whose connection is opened for a use; one for the host's own questions is in nobody's name. */
+const customerOf = (use: ConnectionUse): CustomerName | null =>
+  use.kind === 'own' ? null : use.customer
+
+const isFor = ({ customer }: PooledLink, { use }: LinkWaiter): boolean =>
+  use.kind === 'own' || use.customer === customer
--- a/packages/host/src/serviceBook.ts
+++ b/packages/host/src/serviceBook.ts
@@ -5,15 +5,17 @@
  * @internal
  */
 import { changeKey, hostKey, readHostRecord, readRecordName } from '@nutmegcourse/coordination'
-import type { Milliseconds } from '@nutmegcourse/shared'
+import type { CustomerName, KeyDigest, Milliseconds } from '@nutmegcourse/shared'
 import type {
   DirectoryChange,
   FleetConfiguration,
+  OperationLimit,
   PromotionPort,
+  Route,
   StoreLink,
 } from '@nutmegcourse/protocol'
 import { ServerDirectory, type DirectoryNews } from '@nutmegcourse/state'
-import type { RouteLookup } from './callerSession.js'
+import type { CallerIdentity, RouteLookup } from './routeLookup.js'
 import { isUrgent, type ServiceInterest } from './changeUrgency.js'
 import { ConfigurationBook } from './configurationBook.js'
 import type { HostContext } from './hostContext.js'
@@ -44,6 +46,9 @@
   readonly isStopping: boolean
 }
 
+const ANYONE: CallerIdentity = { kind: 'anyone' }
+const UNKNOWN: CallerIdentity = { kind: 'unknown' }
+
 export class ServiceBook implements StoreListener, OwnRecordReader {
   readonly #context: HostContext
   readonly #ports: ServiceBookPorts
@@ -119,6 +124,16 @@
     return route === null || desk === undefined ? null : { route, desk }
   }
 
+  identify(route: Route, key: KeyDigest): CallerIdentity {
+    if (!this.#context.settings.requiresKeys || route.isPublic) return ANYONE
+    const customer = this.#configuration.customers.holderOf(key)
+    return customer === null ? UNKNOWN : { kind: 'customer', customer }
+  }
+
+  limitOf(customer: CustomerName): OperationLimit | null {
+    return this.#configuration.customers.limitOf(customer)
+  }
+
   desk(service: string): ServiceDesk | undefined {
     return this.#services.get(service)?.desk
   }
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -8,6 +8,7 @@
   isAtOrPast,
   milliseconds,
   type BackendServerId,
+  type CustomerName,
   type LogPosition,
   type Milliseconds,
 } from '@nutmegcourse/shared'
@@ -205,8 +206,9 @@
     need: LogPosition | null,
     excluded: ReadonlySet<BackendServerId>,
     now: Milliseconds,
+    customer: CustomerName | null,
   ): BackendServerState | null {
-    return this.#best(this.#candidates(need, excluded, now))
+    return this.#best(this.#candidates(need, excluded, now, customer))
   }
 
   /** The best server that could serve such a read now, by all that is known of it; null for none. */
@@ -214,8 +216,9 @@
     need: LogPosition | null,
     excluded: ReadonlySet<BackendServerId>,
     now: Milliseconds,
+    customer: CustomerName | null,
   ): BackendServerState | null {
-    return this.#best(this.#candidates(need, excluded, now).filter(isReadyForRead))
+    return this.#best(this.#candidates(need, excluded, now, customer).filter(isReadyForRead))
   }
 
   #best(candidates: readonly ReadCandidate[]): BackendServerState | null {
@@ -227,6 +230,7 @@
     need: LogPosition | null,
     excluded: ReadonlySet<BackendServerId>,
     now: Milliseconds,
+    customer: CustomerName | null,
   ): ReadCandidate[] {
     const candidates: ReadCandidate[] = []
     const { primary } = this
@@ -241,7 +245,7 @@
         stays: known.leavingSince === null && known.goneSince === null && pool.refusals === 0,
         isBehind: need !== null && server.progress.expectsBehind(need, now),
         silentMilliseconds: server.silentFor(now),
-        expectedMilliseconds: server.latency.at(now),
+        expectedMilliseconds: server.expectedMilliseconds(customer, now),
         inFlight: pool.busy + pool.waiting,
         slots: entry.slots,
       })
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -4,7 +4,12 @@
  *
  * @internal
  */
-import { laterPosition, type LogPosition, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  laterPosition,
+  type CustomerName,
+  type LogPosition,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { CallerAnswer, CallerRefusal, Route, SessionStatus } from '@nutmegcourse/protocol'
 import type { Mishap, SessionValues } from '@nutmegcourse/state'
 import type { AttemptOutcome, RemoteStatement } from './attempt.js'
@@ -31,6 +36,8 @@
 export interface StatementRequest {
   readonly desk: ServiceDesk
   readonly route: Route
+  /** Whose connections it may use; null where customers are not told apart. */
+  readonly customer: CustomerName | null
   readonly session: SessionState
   readonly statement: RemoteStatement
   readonly isWrite: boolean
--- a/packages/protocol/src/host/backendLink.ts
+++ b/packages/protocol/src/host/backendLink.ts
@@ -1,5 +1,5 @@
 /** What an entry host asks of a backend server over one connection, free of any wire format. */
-import type { BackendServerId, LogPosition, Term } from '@nutmegcourse/shared'
+import type { BackendServerId, CustomerName, LogPosition, Term } from '@nutmegcourse/shared'
 import type { Result } from 'neverthrow'
 import type { SessionStatus, StatementEffect, StatementId } from './statements.js'
 
@@ -113,8 +113,14 @@
 
 /** Opens connections to backend servers. */
 export interface BackendDialer {
-  /** The result comes once the server has taken the session. */
-  open(address: BackendAddress): { link: BackendLink; opened: Promise<Result<void, LinkFailure>> }
+  /**
+   * The result comes once the server has taken the session. The connection runs statements of this customer only;
+   * null where customers are not told apart, and for the host's own questions.
+   */
+  open(
+    address: BackendAddress,
+    customer: CustomerName | null,
+  ): { link: BackendLink; opened: Promise<Result<void, LinkFailure>> }
   /** Whether anything accepts connections there, without a session. Never settles on silence; `cancel` ends it. */
   touch(address: BackendAddress): { answered: Promise<Result<void, LinkFailure>>; cancel(): void }
   readReport(reply: BackendReply): ServerReport | null
--- a/packages/protocol/src/host/directory.ts
+++ b/packages/protocol/src/host/directory.ts
@@ -1,5 +1,10 @@
 /** The operators' configuration and the list of backend servers, as an entry host uses them. */
-import type { AvailabilityZoneId, BackendServerId } from '@nutmegcourse/shared'
+import type {
+  AvailabilityZoneId,
+  BackendServerId,
+  CustomerName,
+  KeyDigest,
+} from '@nutmegcourse/shared'
 
 /** Which writes a route's reads must see. */
 export type ReadGuarantee =
@@ -20,6 +25,22 @@
   readonly latencyTargetMilliseconds: number
   /** 0 goes first. */
   readonly priority: number
+  /** Serves callers whatever key they show. */
+  readonly isPublic: boolean
+}
+
+/** How much one customer may ask of the whole fleet. */
+export interface OperationLimit {
+  readonly operationsPerSecond: number
+  /** Operations beyond the rate that may come at one moment. */
+  readonly burst: number
+}
+
+export interface Customer {
+  readonly name: CustomerName
+  readonly keys: readonly KeyDigest[]
+  /** Null for no limit. */
+  readonly limit: OperationLimit | null
 }
 
 export interface ServiceConfiguration {
@@ -34,6 +55,7 @@
   readonly version: number
   readonly routes: readonly Route[]
   readonly services: readonly ServiceConfiguration[]
+  readonly customers: readonly Customer[]
   /** A transaction that rests longer than this may be ended. */
   readonly idleTransactionMilliseconds: number
 }
--- a/packages/protocol/src/host/hostSettings.ts
+++ b/packages/protocol/src/host/hostSettings.ts
@@ -6,6 +6,23 @@
   readonly port: number
 }
 
+/** In any span of `windowMilliseconds` a customer may exceed its limit by this much. */
+export interface LimitTolerance {
+  readonly windowMilliseconds: number
+  /** A part of the limit. */
+  readonly overage: number
+  /** Operations. */
+  readonly slack: number
+}
+
+/** What a host does that cannot have heard whether a key was taken away. */
+export interface RevocationRule {
+  /** It refuses callers that need a key. */
+  readonly isStrict: boolean
+  /** After it has known nothing new for so long. */
+  readonly withinMilliseconds: number
+}
+
 export interface HostSettings {
   readonly entryHost: EntryHostId
   readonly zone: AvailabilityZoneId
@@ -32,6 +49,11 @@
   readonly drainMilliseconds: number
   /** A new configuration must be in force this long after the store took it. */
   readonly configurationMilliseconds: number
+  /** Whether callers identify themselves by keys, and each customer has connections of its own. */
+  readonly requiresKeys: boolean
+  /** How exactly limits of customers must hold; null where no limits are in force. */
+  readonly limitTolerance: LimitTolerance | null
+  readonly revocation: RevocationRule
   /** From the signal to stop until the process is killed. */
   readonly graceMilliseconds: number
   /** The whole fleet starts for the first time: no callers come yet, and no host is listed. */
--- a/packages/protocol/src/host/statements.ts
+++ b/packages/protocol/src/host/statements.ts
@@ -2,7 +2,7 @@
  * What callers ask of an entry host and what they are told, free of any wire format. Each wire has a
  * codec that turns its messages into these types and back.
  */
-import type { LogPosition, Brand } from '@nutmegcourse/shared'
+import type { LogPosition, Brand, KeyDigest } from '@nutmegcourse/shared'
 
 /** Names one statement of one attempt of a caller. Made by the caller, passed on unchanged. */
 export type StatementId = Brand<string, 'StatementId'>
@@ -39,7 +39,7 @@
 export type SessionStatus = 'idle' | 'open' | 'failed'
 
 /**
- * Why a caller gets no ordinary answer. The first four promise that nothing of the attempt is kept;
+ * Why a caller gets no ordinary answer. The first five promise that nothing of the attempt is kept;
  * the others promise nothing, or tell of the caller's own mistake.
  */
 export type CallerRefusal =
@@ -49,6 +49,8 @@
   | 'aborted'
   /** This entry host stops or may take no more connections. */
   | 'tooManyCallers'
+  /** The customer has used up its limit. Comes with when to come back. */
+  | 'overLimit'
   /** A transaction that declared itself read-only tried to write. */
   | 'readOnly'
   /** The commit or write was sent and its answer did not come. */
@@ -59,6 +61,8 @@
   | 'failed'
   | 'unknownStatement'
   | 'unknownDatabase'
+  /** The caller's key belongs to no customer, or no longer. */
+  | 'unknownKey'
   | 'malformed'
   | 'tooLarge'
 
@@ -70,7 +74,7 @@
 
 /** What a caller's connection reports. */
 export interface CallerEvents {
-  started(database: string, user: string): void
+  started(database: string, key: KeyDigest): void
   statement(statement: CallerStatement): void
   /** The caller ended the session, or its connection is gone. No event follows. */
   ended(): void
--- a/packages/shared/src/ids.ts
+++ b/packages/shared/src/ids.ts
@@ -22,11 +22,15 @@
 /** A host's life: grows with each restart, so that news of an older life never wins. */
 export type Incarnation = Brand<number, 'Incarnation'>
 
+/** A customer whose callers share limits and connections. From the operators' configuration. */
+export type CustomerName = Brand<string, 'CustomerName'>
+
 export const entryHostId = (value: string): EntryHostId => value as EntryHostId
 export const availabilityZoneId = (value: string): AvailabilityZoneId => value as AvailabilityZoneId
 export const regionId = (value: string): RegionId => value as RegionId
 export const databaseId = (value: string): DatabaseId => value as DatabaseId
 export const backendServerId = (value: string): BackendServerId => value as BackendServerId
+export const customerName = (value: string): CustomerName => value as CustomerName
 export const className = (value: string): ClassName => value as ClassName
 export const sessionId = (value: string): SessionId => value as SessionId
 export const requestId = (value: string): RequestId => value as RequestId
--- a/packages/soak/src/soakWorld.ts
+++ b/packages/soak/src/soakWorld.ts
@@ -100,6 +100,7 @@
       statementTimeoutMilliseconds: timeout,
       latencyTargetMilliseconds: 600,
       priority: 1,
+      isPublic: false,
     })
     const configuration: FleetConfiguration = {
       version: this.#version,
@@ -109,6 +110,7 @@
         connectionLimit,
         synchronousReplicas: 1,
       })),
+      customers: [],
       idleTransactionMilliseconds: 2000,
     }
     this.store.configure(configuration)
--- a/packages/stand-ins/src/hostPlatform/memoryLink.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryLink.ts
@@ -11,7 +11,7 @@
   ServerReport,
   SessionStatus,
 } from '@nutmegcourse/protocol'
-import { term, type BackendServerId } from '@nutmegcourse/shared'
+import { term, type BackendServerId, type CustomerName } from '@nutmegcourse/shared'
 import type { MemoryGroup, MemoryServer } from './memoryGroup.js'
 
 type Reply = Result<BackendReply, LinkFailure>
@@ -44,6 +44,7 @@
     server: MemoryServer,
     hooks: MemoryDialerHooks,
     unreachable: ReadonlySet<BackendServerId>,
+    readonly customer: CustomerName | null,
   ) {
     this.#unreachable = unreachable
     this.#group = group
@@ -252,7 +253,10 @@
     this.#groups = groups
   }
 
-  open(address: BackendAddress): {
+  open(
+    address: BackendAddress,
+    customer: CustomerName | null,
+  ): {
     link: BackendLink
     opened: Promise<Result<void, LinkFailure>>
   } {
@@ -272,7 +276,7 @@
       }
       return { link: CLOSED_LINK, opened: Promise.resolve(err(failure)) }
     }
-    const link = new MemoryLink(group, server, this.hooks, this.unreachable)
+    const link = new MemoryLink(group, server, this.hooks, this.unreachable, customer)
     this.links.add(link)
     return { link, opened: Promise.resolve(ok(undefined)) }
   }
--- a/packages/state/src/synchronous/index.ts
+++ b/packages/state/src/synchronous/index.ts
@@ -1,3 +1,6 @@
+export { CustomerDirectory } from './customerDirectory.js'
+export { IdleConnections, type IdleConnection } from './idleConnections.js'
+export { LimitPart } from './limitPart.js'
 export { ReplicaProgress } from './replicaProgress.js'
 export { DirectoryHistory, type DatedChanges } from './directoryHistory.js'
 export * from './freshnessBounds.js'
--- /dev/null
+++ b/packages/state/src/synchronous/limitPart.ts
@@ -0,0 +1,75 @@
+/**
+ * One part of a customer's limit. The limit is divided among a few hosts, each of which grants operations from a
+ * token bucket of its own, whoever asks. However the hosts are cut off from each other, restarted or frozen, their
+ * parts together never grant more than the limit and its tolerance.
+ */
+import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import type { LimitTolerance, OperationLimit } from '@nutmegcourse/protocol'
+
+/** Restarts of a host within one window of the tolerance that its fresh buckets allow for. */
+const RESTARTS_PER_WINDOW = 2
+
+const MILLISECONDS_PER_SECOND = 1000
+
+/** What is told where the limit grants next to nothing. */
+const LONGEST_WAIT_MILLISECONDS = 60_000
+
+export class LimitPart {
+  readonly #parts: number
+  #limit: OperationLimit
+  #tokens: number
+  #filledAt: Milliseconds
+
+  /**
+   * `fillsSince`: when nothing was granted any more that this host does not know of. It may lie ahead.
+   * What was granted in an earlier life of the host is unknown, so a new bucket begins with its part of what the
+   * tolerance leaves.
+   */
+  constructor(
+    limit: OperationLimit,
+    parts: number,
+    tolerance: LimitTolerance,
+    fillsSince: Milliseconds,
+  ) {
+    this.#limit = limit
+    this.#parts = parts
+    this.#filledAt = fillsSince
+    const seconds = tolerance.windowMilliseconds / MILLISECONDS_PER_SECOND
+    const whole = limit.operationsPerSecond * seconds + limit.burst
+    const spare = whole * tolerance.overage + Math.max(0, tolerance.slack - parts)
+    this.#tokens = Math.min(this.#capacity, spare / RESTARTS_PER_WINDOW / parts)
+  }
+
+  set limit(limit: OperationLimit) {
+    this.#limit = limit
+    this.#tokens = Math.min(this.#tokens, this.#capacity)
+  }
+
+  /** 0 when an operation is granted, else the milliseconds until one will be. */
+  take(now: Milliseconds): number {
+    this.#fill(now)
+    if (this.#tokens >= 1) {
+      this.#tokens -= 1
+      return 0
+    }
+    const begins = Math.max(0, this.#filledAt - now)
+    const wait = begins + (1 - this.#tokens) / this.#tokensPerMillisecond
+    return Math.min(wait, LONGEST_WAIT_MILLISECONDS)
+  }
+
+  #fill(now: Milliseconds): void {
+    if (now <= this.#filledAt) return
+    const gained = (now - this.#filledAt) * this.#tokensPerMillisecond
+    this.#tokens = Math.min(this.#capacity, this.#tokens + gained)
+    this.#filledAt = addMilliseconds(now, 0)
+  }
+
+  get #tokensPerMillisecond(): number {
+    return this.#limit.operationsPerSecond / this.#parts / MILLISECONDS_PER_SECOND
+  }
+
+  /** Less than one token would never grant anything. */
+  get #capacity(): number {
+    return Math.max(1, this.#limit.burst / this.#parts)
+  }
+}
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -48,11 +48,20 @@
 /** What a host needs to each server to serve others as well: transactions hold them through pauses. */
 const CONNECTIONS_PER_HOLDER = 3
 
+/** The same where a connection runs one customer's statements only: each holder serves many customers. */
+const CONNECTIONS_PER_HOLDER_OF_CUSTOMERS = 5
+
 /** How many of the hosts may hold connections to one service's servers. */
-export function connectionHolders(connectionLimit: number, hosts: number): number {
+export function connectionHolders(
+  connectionLimit: number,
+  hosts: number,
+  areCustomersApart = false,
+): number {
   const kept = connectionLimit * KEPT_PART
-  if (kept >= hosts * LEAST_SHARE) return Math.max(hosts, 1)
-  return Math.max(1, Math.floor(kept / CONNECTIONS_PER_HOLDER))
+  const each = areCustomersApart ? CONNECTIONS_PER_HOLDER_OF_CUSTOMERS : CONNECTIONS_PER_HOLDER
+  const least = areCustomersApart ? each : LEAST_SHARE
+  if (kept >= hosts * least) return Math.max(hosts, 1)
+  return Math.max(1, Math.floor(kept / each))
 }
 
 export function poolLimits(connectionLimit: number, hosts: number): PoolLimits {
--- a/packages/state/src/synchronous/waitingLine.ts
+++ b/packages/state/src/synchronous/waitingLine.ts
@@ -40,11 +40,38 @@
     this.#waiting.delete(waiter)
   }
 
-  next(): Kind | null {
+  /** Whoever waits, in the order of arrival. */
+  waiting(): Iterable<Kind> {
+    return this.#waiting
+  }
+
+  /** Who goes next; stays in the line. */
+  get first(): Kind | null {
+    for (;;) {
+      const place = this.#places.peek()
+      if (place === undefined) return null
+      if (this.#waiting.has(place.waiter)) return place.waiter
+      this.#places.pop()
+    }
+  }
+
+  /** Takes the first who fits; the others keep their places. */
+  next(fits: (waiter: Kind) => boolean = () => true): Kind | null {
+    const passedOver: Place<Kind>[] = []
+    const found = this.#nextPlace(fits, passedOver)
+    for (const place of passedOver) this.#places.push(place)
+    if (found === null) return null
+    this.#waiting.delete(found.waiter)
+    return found.waiter
+  }
+
+  #nextPlace(fits: (waiter: Kind) => boolean, passedOver: Place<Kind>[]): Place<Kind> | null {
     for (;;) {
       const place = this.#places.pop()
       if (place === undefined) return null
-      if (this.#waiting.delete(place.waiter)) return place.waiter
+      if (!this.#waiting.has(place.waiter)) continue
+      if (fits(place.waiter)) return place
+      passedOver.push(place)
     }
   }
 
