--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -15,7 +15,13 @@
   type OwnerPlan,
 } from '@nutmegcourse/coordination'
 import type { HostAddress } from '@nutmegcourse/protocol'
-import { addMilliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  regionId,
+  type CustomerName,
+  type Milliseconds,
+  type RegionId,
+} from '@nutmegcourse/shared'
 import { connectionHolders } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { RelayPeer } from './relayPeer.js'
@@ -113,6 +119,7 @@
       // Before this host is listed itself it serves by itself: it knows too little to rely on others.
       desk.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
       desk.holders = desk.isOwned ? holders : Math.max(holders, this.#substitutes)
+      desk.holdersByRegion = countByRegion(plan)
       desk.isObserved = desk.isOwned || observers.includes(entryHost)
       this.#logOwners(desk, plan.owners)
     }
@@ -249,6 +256,17 @@
   }
 }
 
+function countByRegion({ owners, hosts }: OwnerPlan): Map<RegionId, number> {
+  const counts = new Map<RegionId, number>()
+  for (const owner of owners) {
+    const region = hosts.get(owner)?.region
+    if (region === undefined) continue
+    const key = regionId(region)
+    counts.set(key, (counts.get(key) ?? 0) + 1)
+  }
+  return counts
+}
+
 /** Where a host runs statements for others; null when it does not. */
 function relayAddress({ relay }: HostRecord): HostAddress | null {
   const [host = '', port = ''] = relay?.split(':') ?? []
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -195,6 +195,7 @@
 
   /** How long work that comes now would wait for a connection. */
   #forecastWait(terms: AcquireTerms): number {
+    if (this.#opensAtOnce(terms.use)) return 0
     return Math.max(
       this.#deniedMilliseconds,
       forecastWait({
@@ -205,6 +206,12 @@
     )
   }
 
+  /** Whether a customer's work gets a connection of its own, opened for it, and waits for nobody. */
+  #opensAtOnce(use: ConnectionUse): boolean {
+    if (customerOf(use) === null || this.#wasFull()) return false
+    return this.size < this.#limits().burst || this.#idle.size > 0
+  }
+
   /**
    * For how long the full server has given this host no connection at all. No line moves here then, and it
    * may well last as long again: work that joined it waited to the end of its time, 0.9 s, in vain.
@@ -332,7 +339,8 @@
   }
 
   #limits(): PoolLimits {
-    return poolLimits(this.#connectionLimit, this.#holders())
+    const { requiresKeys } = this.#context.settings
+    return poolLimits(this.#connectionLimit, this.#holders(), requiresKeys)
   }
 
   #takeIdle(session: SessionValues, use: ConnectionUse): PooledLink | null {
--- a/packages/host/src/serviceDesk.ts
+++ b/packages/host/src/serviceDesk.ts
@@ -11,6 +11,7 @@
   type CustomerName,
   type LogPosition,
   type Milliseconds,
+  type RegionId,
 } from '@nutmegcourse/shared'
 import type {
   BackendServerEntry,
@@ -21,6 +22,7 @@
   FreshnessBounds,
   Leadership,
   SILENCE_LIMIT_MILLISECONDS,
+  holdersOfServer,
   isReadyForRead,
   rankForRead,
   type ReadCandidate,
@@ -47,6 +49,8 @@
   #activeUntil = milliseconds(0)
   /** Hosts that hold connections to this service's servers. */
   holders = 1
+  /** The same by region. */
+  holdersByRegion: ReadonlyMap<RegionId, number> = new Map()
   /** When a replica was last seen to have received more. */
   logGrewAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   #newestSeen: LogPosition | null = null
@@ -135,10 +139,8 @@
     this.#servers.get(entry.server)?.close()
     this.#leadership.forget(entry.server)
     const limit = this.#configuration.connectionLimit
-    this.#servers.set(
-      entry.server,
-      new BackendServerState(this.#context, entry, limit, () => this.holders),
-    )
+    const holders = (): number => this.#holdersOf(entry.server)
+    this.#servers.set(entry.server, new BackendServerState(this.#context, entry, limit, holders))
     if (entry.role === 'primary') this.#leads(entry.server, now, 'entry')
     this.changed.raise()
   }
@@ -201,6 +203,24 @@
     return this.bounds.need(guarantee, own, now)
   }
 
+  /**
+   * Among how many hosts a server's connections are divided. Where each customer has its own, they are too few to
+   * leave parts of them to hosts that hardly use the server.
+   */
+  #holdersOf(id: BackendServerId): number {
+    const server = this.#servers.get(id)
+    const { settings } = this.#context
+    if (server === undefined || !settings.requiresKeys || !this.isOwned) return this.holders
+    const region = settings.regions.get(server.entry.zone)
+    const nearServer = region === undefined ? 0 : (this.holdersByRegion.get(region) ?? 0)
+    return holdersOfServer({
+      nearServer,
+      farFromServer: Math.max(0, this.holders - nearServer),
+      isNear: region === settings.region,
+      isPrimary: server === this.primary,
+    })
+  }
+
   /** The best server for a read that any may serve whose log is far enough; null when none is left. */
   chooseReader(
     need: LogPosition | null,
--- a/packages/state/src/synchronous/limitPart.ts
+++ b/packages/state/src/synchronous/limitPart.ts
@@ -11,19 +11,23 @@
 
 const MILLISECONDS_PER_SECOND = 1000
 
+/** Operations. With less the bucket would never grant anything. */
+const LEAST_CAPACITY = 1
+
 /** What is told where the limit grants next to nothing. */
 const LONGEST_WAIT_MILLISECONDS = 60_000
 
 export class LimitPart {
   readonly #parts: number
+  readonly #tolerance: LimitTolerance
   #limit: OperationLimit
   #tokens: number
   #filledAt: Milliseconds
 
   /**
    * `fillsSince`: when nothing was granted any more that this host does not know of. It may lie ahead.
-   * What was granted in an earlier life of the host is unknown, so a new bucket begins with its part of what the
-   * tolerance leaves.
+   * What was granted in an earlier life of the host is unknown, so a new bucket begins with its part of half the
+   * tolerance. The other half deepens the bucket: operations come unevenly to the parts.
    */
   constructor(
     limit: OperationLimit,
@@ -33,11 +37,9 @@
   ) {
     this.#limit = limit
     this.#parts = parts
+    this.#tolerance = tolerance
     this.#filledAt = fillsSince
-    const seconds = tolerance.windowMilliseconds / MILLISECONDS_PER_SECOND
-    const whole = limit.operationsPerSecond * seconds + limit.burst
-    const spare = whole * tolerance.overage + Math.max(0, tolerance.slack - parts)
-    this.#tokens = Math.min(this.#capacity, spare / RESTARTS_PER_WINDOW / parts)
+    this.#tokens = this.#spare / 2 / RESTARTS_PER_WINDOW
   }
 
   set limit(limit: OperationLimit) {
@@ -68,8 +70,15 @@
     return this.#limit.operationsPerSecond / this.#parts / MILLISECONDS_PER_SECOND
   }
 
-  /** Less than one token would never grant anything. */
   get #capacity(): number {
-    return Math.max(1, this.#limit.burst / this.#parts)
+    return Math.max(LEAST_CAPACITY, this.#limit.burst / this.#parts + this.#spare / 2)
+  }
+
+  /** This part of what may be granted beyond the limit in one window. */
+  get #spare(): number {
+    const { windowMilliseconds, overage, slack } = this.#tolerance
+    const { operationsPerSecond, burst } = this.#limit
+    const window = windowMilliseconds / MILLISECONDS_PER_SECOND
+    return ((operationsPerSecond * window + burst) * overage + slack) / this.#parts
   }
 }
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -64,9 +64,39 @@
   return Math.max(1, Math.floor(kept / each))
 }
 
-export function poolLimits(connectionLimit: number, hosts: number): PoolLimits {
+/**
+ * What a holder may have at a replica of another region, for each connection that a near holder may. It reads there
+ * only while the replicas near it cannot serve.
+ */
+const FAR_WEIGHT = 0.2
+
+/** The holders of a server's connections, and how this host stands to the server. */
+export interface ServerHolders {
+  readonly nearServer: number
+  readonly farFromServer: number
+  readonly isNear: boolean
+  readonly isPrimary: boolean
+}
+
+/** Among how many holders of this host's kind the connections are divided. All work with the primary alike. */
+export function holdersOfServer(holders: ServerHolders): number {
+  const { nearServer, farFromServer, isNear, isPrimary } = holders
+  if (isPrimary || nearServer === 0) return nearServer + farFromServer
+  const whole = nearServer + farFromServer * FAR_WEIGHT
+  return isNear ? whole : whole / FAR_WEIGHT
+}
+
+/** The kept part where connections are divided by customer: each one closed is missed by its customer. */
+const KEPT_PART_OF_CUSTOMERS = 0.7
+
+export function poolLimits(
+  connectionLimit: number,
+  hosts: number,
+  areCustomersApart = false,
+): PoolLimits {
   if (!Number.isFinite(connectionLimit)) return { share: 8, burst: 32 }
-  const share = Math.max(1, Math.floor((connectionLimit * KEPT_PART) / Math.max(hosts, 1)))
+  const kept = areCustomersApart ? KEPT_PART_OF_CUSTOMERS : KEPT_PART
+  const share = Math.max(1, Math.floor((connectionLimit * kept) / Math.max(hosts, 1)))
   const part = Math.min(BURST_PART, USED_PART / Math.max(hosts, 1))
   return { share, burst: Math.max(share, Math.floor(connectionLimit * part)) }
 }
