--- a/packages/coordination/src/synchronous/limitHolders.ts
+++ b/packages/coordination/src/synchronous/limitHolders.ts
@@ -22,10 +22,16 @@
   holders: readonly string[],
   hosts: ReadonlyMap<string, HostRecord>,
   self: string,
-  place: Pick<HostRecord, 'region'>,
+  place: Pick<HostRecord, 'zone' | 'region'>,
 ): readonly string[] {
-  const isFar = (host: string): number => (hosts.get(host)?.region === place.region ? 0 : 1)
+  const distance = (host: string): number => {
+    const record = hosts.get(host)
+    if (record?.zone === place.zone) return 0
+    return record?.region === place.region ? 1 : 2
+  }
   const own = nameHash(self)
   const draw = (host: string): number => mixHashes(nameHash(host), own)
-  return [...holders].sort((left, right) => isFar(left) - isFar(right) || draw(left) - draw(right))
+  return [...holders].sort(
+    (left, right) => distance(left) - distance(right) || draw(left) - draw(right),
+  )
 }
--- a/packages/host/__tests__/ownerPlanning.spec.ts
+++ b/packages/host/__tests__/ownerPlanning.spec.ts
@@ -89,7 +89,7 @@
     it(name, () => {
       const lines: string[] = []
       const book = bookOf(lines)
-      book.listed(listed, NOW)
+      book.listed(listed, NOW, false)
       if (heard.length > 0) book.heard(heard, NOW)
       expect(lines.length <= plans).toEqual(true)
       expect(lines.length >= SERVICES).toEqual(true)
--- a/packages/host/__tests__/relayPeer.spec.ts
+++ b/packages/host/__tests__/relayPeer.spec.ts
@@ -21,7 +21,7 @@
     } as unknown as HostContext
     const peer = new RelayPeer(context, 'host-2', { host: '127.0.0.1', port })
     const deadline = context.clock.now()
-    expect(await peer.call(RELAY_METHODS.single, {}, deadline)).toEqual({ kind: 'notSent' })
+    expect(await peer.call(RELAY_METHODS.single, () => ({}), deadline)).toEqual({ kind: 'notSent' })
     expect(peer.isUp).toEqual(false)
     const server = createServer(socket => {
       new JsonRpcConnection(socket, {})
@@ -54,7 +54,7 @@
     })
     await new Promise<void>(resolve => server.listen(port, '127.0.0.1', resolve))
     const peer = new RelayPeer(context, 'host-2', { host: '127.0.0.1', port })
-    await peer.call(RELAY_METHODS.ping, {}, context.clock.now())
+    await peer.call(RELAY_METHODS.ping, () => ({}), context.clock.now())
     taken[0]?.notify(RELAY_METHODS.leaving, {})
     const until = async (isUp: boolean): Promise<number> => {
       const startedAt = performance.now()
--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -8,7 +8,13 @@
   regionId,
   type BackendServerId,
 } from '@nutmegcourse/shared'
-import type { FleetConfiguration, HostSettings, PromotionPort, Route } from '@nutmegcourse/protocol'
+import type {
+  Customer,
+  FleetConfiguration,
+  HostSettings,
+  PromotionPort,
+  Route,
+} from '@nutmegcourse/protocol'
 import { MemoryDialer, MemoryGroup, MemoryStore, StoreConnection } from '@nutmegcourse/stand-ins'
 import { DecisionLog, type LogFields } from '../../src/decisionLog.js'
 import { HostMetrics } from '../../src/hostMetrics.js'
@@ -49,6 +55,8 @@
   relayPort: number | null,
   zoneName: string,
   isFirstStart: boolean,
+  limitTolerance: HostSettings['limitTolerance'],
+  requiresKeys: boolean,
 ): HostSettings {
   const zone = availabilityZoneId(zoneName)
   const region = regionId('region-1')
@@ -73,8 +81,8 @@
     serverHeartbeatMilliseconds: 1000,
     drainMilliseconds: 7000,
     configurationMilliseconds: 4000,
-    requiresKeys: false,
-    limitTolerance: null,
+    requiresKeys,
+    limitTolerance,
     revocation: { isStrict: false, withinMilliseconds: 5000 },
     graceMilliseconds: grace,
     isFirstStart,
@@ -102,6 +110,10 @@
   readonly zones?: readonly string[]
   /** The whole fleet starts for the first time. */
   readonly isFirstStart?: boolean
+  /** Callers need keys of these customers. */
+  readonly customers?: readonly Customer[]
+  /** Limits of customers are in force. */
+  readonly limitTolerance?: HostSettings['limitTolerance']
 }
 
 const ONLY_ZONE = 'zone-1'
@@ -110,6 +122,9 @@
   readonly #relayPorts: number[]
   readonly #zones: string[]
   readonly #isFirstStart: boolean
+  readonly #limitTolerance: HostSettings['limitTolerance']
+  readonly #customers: readonly Customer[] | null
+  readonly #connectionLimit: number
   readonly store = new MemoryStore()
   readonly group: MemoryGroup
   readonly dialer: MemoryDialer
@@ -121,6 +136,9 @@
     this.#relayPorts = [...(options.relayPorts ?? [])]
     this.#zones = [...(options.zones ?? [])]
     this.#isFirstStart = options.isFirstStart ?? false
+    this.#limitTolerance = options.limitTolerance ?? null
+    this.#customers = options.customers ?? null
+    this.#connectionLimit = connectionLimit
     this.group = new MemoryGroup({
       service: SERVICE,
       servers: [P, A, B],
@@ -128,11 +146,17 @@
       connectionLimit,
     })
     this.dialer = new MemoryDialer([this.group])
-    const services = CONFIGURATION.services.map(service => ({ ...service, connectionLimit }))
-    this.store.configure({ ...CONFIGURATION, services })
+    this.configure({ customers: this.#customers ?? [] })
     for (const server of [P, A, B]) this.list(server)
   }
 
+  /** Writes a configuration that differs in this from the usual one. */
+  configure(given: Partial<FleetConfiguration>): void {
+    const connectionLimit = this.#connectionLimit
+    const services = CONFIGURATION.services.map(service => ({ ...service, connectionLimit }))
+    this.store.configure({ ...CONFIGURATION, services, ...given })
+  }
+
   list(server: BackendServerId, given: { isLeaving?: boolean; bornAt?: number } = {}): void {
     this.store.listServer({
       server,
@@ -168,6 +192,8 @@
         this.#relayPorts.shift() ?? null,
         this.#zones.shift() ?? ONLY_ZONE,
         this.#isFirstStart,
+        this.#limitTolerance,
+        this.#customers !== null,
       ),
       {
         dialer,
@@ -199,9 +225,9 @@
     this.dialer.cut(server)
   }
 
-  async caller(host: SceneHost, database: string): Promise<Caller> {
+  async caller(host: SceneHost, database: string, key?: string): Promise<Caller> {
     const caller = new Caller(host.host)
-    const how = await caller.connect(database)
+    const how = await caller.connect(database, key)
     if (how !== 'welcome') throw new Error(`the session was refused: ${how}`)
     return caller
   }
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -77,6 +77,10 @@
     when: 'The store answers again, or another host of the zone tells what it holds.',
     fields: { revision: 'its revision' },
   },
+  store_restored: {
+    when: 'The store has come back from an older copy; what was written since is written again.',
+    fields: { era: 'how often it has been restored', revision: 'its revision' },
+  },
   store_history_gone: {
     when: 'The store no longer has the history that this host needs; everything is listed again.',
     fields: { revision: 'the last revision that was known' },
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -252,7 +252,7 @@
       this.#context.log.write('stood_still', { milliseconds: Math.round(sinceTick) })
     }
     this.#lastTick = now
-    this.#fleet.tick(now)
+    if (this.#fleet.tick(now)) this.#services.planOwners()
     this.#services.tick(now, { wasStandingStill, isStopping: this.#stopping !== null })
   }
 }
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -17,6 +17,7 @@
 import type { HostAddress } from '@nutmegcourse/protocol'
 import {
   addMilliseconds,
+  milliseconds,
   regionId,
   type CustomerName,
   type Milliseconds,
@@ -29,6 +30,9 @@
 import type { ServiceDesk } from './serviceDesk.js'
 import type { NewsPeers } from './zoneNews.js'
 
+/** Hosts register again within a second of hearing that the store was restored; news of it takes some more. */
+const HOST_RETURN_MILLISECONDS = 8000
+
 /** Hosts that are asked to reach a primary which this one does not, and the pause when none could. */
 const AROUND_PEERS = 6
 const AROUND_PAUSE_MILLISECONDS = 150
@@ -55,6 +59,9 @@
   readonly #limitHolders = new Map<CustomerName, readonly string[]>()
   /** By service: what the last line said. */
   readonly #loggedOwners = new Map<string, string>()
+  /** Hosts whose records a restored store has lost. */
+  readonly #awaited = new Set<string>()
+  #returnUntil = milliseconds(0)
   readonly #aroundPausedUntil = new Map<string, Milliseconds>()
   /** Through whom this host follows the store, in order. */
   #newsHosts: readonly string[] = []
@@ -76,6 +83,7 @@
    */
   heard(host: string, record: HostRecord | null): void {
     this.#isPlanned = false
+    this.#awaited.delete(host)
     if (record === null) this.#hosts.delete(host)
     else this.#hosts.set(host, record)
     const address = record === null ? null : relayAddress(record)
@@ -87,6 +95,21 @@
     for (const host of this.#hosts.keys()) if (!isListed(host)) this.heard(host, null)
   }
 
+  /** The same for the list of a restored store: hosts write their records again, and are gone only if they do not. */
+  keepForReturn(isListed: (host: string) => boolean, now: Milliseconds): void {
+    this.#returnUntil = addMilliseconds(now, HOST_RETURN_MILLISECONDS)
+    this.#awaited.clear()
+    for (const host of this.#hosts.keys()) if (!isListed(host)) this.#awaited.add(host)
+  }
+
+  /** Drops hosts that did not return; true when there were any. */
+  #dropAwaited(now: Milliseconds): boolean {
+    if (this.#awaited.size === 0 || now < this.#returnUntil) return false
+    for (const host of this.#awaited) this.heard(host, null)
+    this.#awaited.clear()
+    return true
+  }
+
   /** What services there are has changed. */
   servicesChanged(): void {
     this.#isPlanned = false
@@ -226,12 +249,14 @@
     return [...this.#peers.values()].some(peer => peer.isOwedAnswers)
   }
 
-  tick(now: Milliseconds): void {
+  /** True when the fleet has changed by time alone, and has to be planned anew. */
+  tick(now: Milliseconds): boolean {
     for (const [host, peer] of this.#peers) {
       const isGone = !this.#hosts.has(host) && peer.isLost && !peer.isOwedAnswers
       if (isGone) this.#dropPeer(host)
       else peer.tick(now)
     }
+    return this.#dropAwaited(now)
   }
 
   close(): void {
--- a/packages/host/src/hostRegistration.ts
+++ b/packages/host/src/hostRegistration.ts
@@ -17,6 +17,9 @@
 const LIFETIME_MILLISECONDS = 300_000
 const RENEW_AFTER_MILLISECONDS = 100_000
 
+/** Hosts that register again at one moment are spread over this. */
+const RESTORED_SPREAD_MILLISECONDS = 1000
+
 const CALL_LIMIT_MILLISECONDS = 1500
 const RETRY_MILLISECONDS = 2000
 
@@ -28,6 +31,8 @@
 
 /** What this host has read of the store. */
 export interface OwnRecordReader {
+  /** Resolves when the store was restored from an older copy, at the latest after `span` milliseconds. */
+  whenRestored(span: number): Promise<void>
   /** Resolves when everything was listed, at the latest after `span` milliseconds. */
   whenListed(span: number): Promise<void>
   readonly isListed: boolean
@@ -42,6 +47,7 @@
   /** Hears that the other hosts will know this one anew. */
   readonly #joined: () => void
   #lease: number | null = null
+  #hasJoined = false
   #isStopped = false
   readonly #stopped = new Signal()
 
@@ -57,10 +63,22 @@
     while (!this.#isStopped) {
       const isKept = this.#lease === null ? await this.#register() : await this.#renew(this.#lease)
       const span = isKept ? RENEW_AFTER_MILLISECONDS : RETRY_MILLISECONDS
-      await this.#stopped.wait(span * (0.75 + this.#context.random.next() / 2))
+      await this.#rest(span * (0.75 + this.#context.random.next() / 2))
     }
   }
 
+  /** A restored store may have lost the record. All hosts write theirs again, a little apart from each other. */
+  async #rest(span: number): Promise<void> {
+    const restored = this.#reader.whenRestored(span).then(() => 'restored' as const)
+    const stopped = this.#stopped.wait(span).then(() => 'stopped' as const)
+    const askedAt = this.#context.clock.now()
+    const first = await Promise.race([restored, stopped])
+    const isOver = this.#context.clock.now() - askedAt >= span
+    if (first === 'stopped' || isOver || this.#isStopped) return
+    this.#lease = null
+    await this.#stopped.wait(RESTORED_SPREAD_MILLISECONDS * this.#context.random.next())
+  }
+
   /** The host stops: the others may have its share. */
   async withdraw(): Promise<void> {
     this.#isStopped = true
@@ -80,6 +98,7 @@
     const standing = this.#reader.ownRecord
     if (standing === null || standing.lease === 0 || standing.value !== this.#record()) return
     this.#lease = standing.lease
+    this.#hasJoined = true
   }
 
   #record(): string {
@@ -103,7 +122,8 @@
     if (change.isErr()) return this.#failed(change.error.kind)
     if (change.value.kind !== 'made') return this.#failed(change.value.kind)
     this.#lease = lease.value
-    this.#joined()
+    if (!this.#hasJoined) this.#joined()
+    this.#hasJoined = true
     return true
   }
 
--- a/packages/host/src/limitDesk.ts
+++ b/packages/host/src/limitDesk.ts
@@ -3,9 +3,13 @@
  *
  * @internal
  */
-import { LIMIT_PARTS } from '@nutmegcourse/coordination'
 import { LimitPart } from '@nutmegcourse/state'
-import { addMilliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  milliseconds,
+  type CustomerName,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { LimitTolerance, OperationLimit } from '@nutmegcourse/protocol'
 import type { HostContext } from './hostContext.js'
 
@@ -26,17 +30,19 @@
   holdersOf(customer: CustomerName): readonly string[]
 }
 
+/** Clocks begin with their process. Whatever ran at this host before granted nothing since. */
+const PROCESS_START = milliseconds(0)
+
 export class LimitDesk {
   readonly #context: HostContext
   readonly #plan: LimitPlan
   readonly #parts = new Map<CustomerName, LimitPart>()
-  #fillsSince: Milliseconds
+  #fillsSince = PROCESS_START
   #isLeaving = false
 
   constructor(context: HostContext, plan: LimitPlan) {
     this.#context = context
     this.#plan = plan
-    this.#fillsSince = context.clock.now()
   }
 
   /**
@@ -57,22 +63,28 @@
   answer({ customer }: GrantQuestion): GrantAnswer {
     const { limitTolerance, entryHost } = this.#context.settings
     const limit = this.#plan.limitOf(customer)
-    const isHolder = this.#plan.holdersOf(customer).includes(entryHost)
+    const holders = this.#plan.holdersOf(customer)
+    const isHolder = holders.includes(entryHost)
     if (this.#isLeaving || !isHolder || limit === null || limitTolerance === null) {
       return { kind: 'declined' }
     }
-    const part = this.#part(customer, limit, limitTolerance)
+    const part = this.#part(customer, limit, holders.length, limitTolerance)
     const waitMilliseconds = part.take(this.#context.clock.now())
     return waitMilliseconds === 0 ? { kind: 'granted' } : { kind: 'spent', waitMilliseconds }
   }
 
-  #part(customer: CustomerName, limit: OperationLimit, tolerance: LimitTolerance): LimitPart {
+  #part(
+    customer: CustomerName,
+    limit: OperationLimit,
+    parts: number,
+    tolerance: LimitTolerance,
+  ): LimitPart {
     const known = this.#parts.get(customer)
     if (known !== undefined) {
-      known.limit = limit
+      known.divide(limit, parts)
       return known
     }
-    const part = new LimitPart(limit, LIMIT_PARTS, tolerance, this.#fillsSince)
+    const part = new LimitPart(limit, parts, tolerance, this.#fillsSince)
     this.#parts.set(customer, part)
     return part
   }
--- a/packages/host/src/primaryClaim.ts
+++ b/packages/host/src/primaryClaim.ts
@@ -38,16 +38,16 @@
     this.#heard = heard
   }
 
+  get lifetimeMilliseconds(): number {
+    return Math.max(CLAIM_MILLISECONDS, this.#context.settings.store.shortestLeaseMilliseconds)
+  }
+
   /**
    * `revision` is that of the record on which the decision to claim stands. One that was heard of
    * meanwhile may be another host's claim, and must not be overwritten.
    */
   async claim(revision: number): Promise<Claim | null> {
-    const lifetime = Math.max(
-      CLAIM_MILLISECONDS,
-      this.#context.settings.store.shortestLeaseMilliseconds,
-    )
-    const lease = await this.#store.grantLease(lifetime, CALL_LIMIT_MILLISECONDS)
+    const lease = await this.#store.grantLease(this.lifetimeMilliseconds, CALL_LIMIT_MILLISECONDS)
     if (lease.isErr()) return this.#failed(lease.error.kind)
     const { entryHost } = this.#context.settings
     this.#attempts += 1
--- a/packages/host/src/primaryKeeper.ts
+++ b/packages/host/src/primaryKeeper.ts
@@ -111,6 +111,15 @@
     else if (before?.record.phase === 'claimed') this.#abandonedAt = now
   }
 
+  /**
+   * The store may have lost a claim that its holder still acts on. Nobody claims anew before that holder's lease
+   * would have ended.
+   */
+  storeRestored(now: Milliseconds): void {
+    const until = addMilliseconds(now, this.#claims.lifetimeMilliseconds)
+    this.#quietUntil = milliseconds(Math.max(this.#quietUntil, until))
+  }
+
   heardSuspicion(host: string, value: string | null): void {
     const suspicion = value === null ? null : readSuspicionRecord(value)
     if (suspicion === null) this.#suspicion.heardNoVote(host)
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -7,6 +7,7 @@
 import { addMilliseconds, logPosition } from '@nutmegcourse/shared'
 import { statementId, type CallerAnswer, type Route } from '@nutmegcourse/protocol'
 import { SessionValues, type PreparedStatement } from '@nutmegcourse/state'
+import type { RouteMessage, SentRoutes } from './relayRoutes.js'
 import type { RemoteStatement } from './attempt.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import { StatementTiming, type SessionState, type StatementRequest } from './statements.js'
@@ -31,9 +32,10 @@
 }
 
 export interface RequestMessage {
-  readonly route: Route
+  readonly route: RouteMessage
   readonly customer: CustomerName | null
   readonly id: string
+  /** Empty where the body says it all. */
   readonly text: string
   readonly body: RemoteStatement['body']
   readonly isWrite: boolean
@@ -75,15 +77,19 @@
   /** Nothing was done: the host stops, or does not know the service or the transaction. */
   | { readonly kind: 'declined' }
 
-export function writeRequest(request: StatementRequest, now: Milliseconds): RequestMessage {
+export function writeRequest(
+  request: StatementRequest,
+  routes: SentRoutes,
+  now: Milliseconds,
+): RequestMessage {
   const { route, customer, statement, session, isWrite, deadline } = request
   const { id, text, body } = statement
   const prepared = body.kind === 'execute' ? session.values.prepared.get(body.name) : undefined
   return {
-    route,
+    route: routes.write(route),
     customer,
     id,
-    text,
+    text: body.kind === 'execute' ? '' : text,
     body,
     isWrite,
     values: [...session.values.values],
@@ -95,6 +101,7 @@
 
 export function readRequest(
   message: RequestMessage,
+  route: Route,
   desk: ServiceDesk,
   now: Milliseconds,
 ): StatementRequest {
@@ -106,7 +113,7 @@
   const session: SessionState = { values, ownPosition: readPosition(message.own) }
   return {
     desk,
-    route: message.route,
+    route,
     customer: message.customer,
     session,
     statement: { id: statementId(message.id), text: message.text, body: message.body },
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -10,6 +10,7 @@
 import type { GrantAnswer, GrantQuestion } from './limitDesk.js'
 import type { NewsAnswer, NewsQuestion } from './newsMessages.js'
 import { RELAY_METHODS, type AnswerMessage, type EndMessage } from './relayMessages.js'
+import { SentRoutes } from './relayRoutes.js'
 import type { NewsPeer } from './zoneNews.js'
 
 /** A host of the fleet takes a connection within a round trip, past the link in tens of milliseconds. */
@@ -41,6 +42,8 @@
   readonly #context: HostContext
   readonly #address: HostAddress
   #connection: JsonRpcConnection | null = null
+  /** Those that the other end of the connection knows. */
+  #routes = new SentRoutes()
   #opening: Promise<JsonRpcConnection | null> | null = null
   /** When to try again after a failure; null while nothing speaks against it. */
   #retryAt: Milliseconds | null = null
@@ -75,14 +78,18 @@
     return this.#retryAt !== null
   }
 
-  async call(method: string, params: unknown, deadline: Milliseconds): Promise<RelayOutcome> {
+  async call(
+    method: string,
+    params: (routes: SentRoutes) => unknown,
+    deadline: Milliseconds,
+  ): Promise<RelayOutcome> {
     const connection = await this.#connect()
     if (connection === null) return { kind: 'notSent' }
     const { clock } = this.#context
     if (this.#owed === 0) this.#heardAt = clock.now()
     this.#owed += 1
     const limit = Math.max(1, deadline - clock.now() + ANSWER_RESERVE_MILLISECONDS)
-    const answer = await connection.request<AnswerMessage>(method, params, limit)
+    const answer = await connection.request<AnswerMessage>(method, params(this.#routes), limit)
     this.#owed -= 1
     if (answer.isOk()) {
       const message = answer.value
@@ -160,6 +167,7 @@
       return null
     }
     this.#connection = opened.value
+    this.#routes = new SentRoutes()
     this.#retryAt = null
     this.#heardBytes = 0
     return opened.value
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -19,6 +19,7 @@
   type EndMessage,
   type RequestMessage,
 } from './relayMessages.js'
+import { HeardRoutes } from './relayRoutes.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import {
   needsPrimary,
@@ -107,6 +108,7 @@
   readonly #runner: StatementRunner
   readonly #desks: RelayDesks
   readonly #connection: JsonRpcConnection
+  readonly #routes = new HeardRoutes()
   readonly #held = new Map<number, HeldTransaction>()
   #running = 0
   #endsTransactions = false
@@ -155,9 +157,8 @@
   }
 
   async #single(message: RequestMessage): Promise<AnswerMessage> {
-    const desk = this.#desks.serve(message.route.service)
-    if (desk === null) return { kind: 'declined' }
-    const request = readRequest(message, desk, this.#context.clock.now())
+    const request = this.#read(message)
+    if (request === null) return { kind: 'declined' }
     if (this.#isOutOfReach(request, !request.isWrite)) return { kind: 'declined' }
     this.#running += 1
     const result = await this.#runner.single(request)
@@ -166,9 +167,8 @@
   }
 
   async #begin(message: BeginMessage): Promise<AnswerMessage> {
-    const desk = this.#desks.serve(message.request.route.service)
-    if (desk === null) return { kind: 'declined' }
-    const request = readRequest(message.request, desk, this.#context.clock.now())
+    const request = this.#read(message.request)
+    if (request === null) return { kind: 'declined' }
     if (this.#isOutOfReach(request, message.readOnly)) return { kind: 'declined' }
     this.#running += 1
     const begun = await this.#runner.begin(request, message.readOnly)
@@ -178,19 +178,28 @@
   }
 
   async #continue(message: ContinueMessage): Promise<AnswerMessage> {
+    const route = this.#routes.read(message.request.route)
     const known = this.#held.get(message.transaction)
-    if (known === undefined) return { kind: 'declined' }
+    if (known === undefined || route === null) return { kind: 'declined' }
     if (known.idleTimer !== null) clearTimeout(known.idleTimer)
     // While a statement runs, only what follows it here may end the transaction.
     this.#held.delete(message.transaction)
     const { desk } = known.transaction
-    const request = readRequest(message.request, desk, this.#context.clock.now())
+    const request = readRequest(message.request, route, desk, this.#context.clock.now())
     this.#running += 1
     const gone = await this.#runner.continue(request, known.transaction)
     this.#running -= 1
     return answerOf(request, gone, this.#hold(message.transaction, gone.transaction))
   }
 
+  /** Null when this host can not serve it. */
+  #read(message: RequestMessage): StatementRequest | null {
+    const route = this.#routes.read(message.route)
+    const desk = route === null ? null : this.#desks.serve(route.service)
+    if (route === null || desk === null) return null
+    return readRequest(message, route, desk, this.#context.clock.now())
+  }
+
   /** The other host asks the next one then, which may reach the primary. */
   #isOutOfReach(request: StatementRequest, readOnly: boolean): boolean {
     const { desk } = request
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -11,6 +11,7 @@
 import type { HostContext } from './hostContext.js'
 import { RELAY_METHODS, readPosition, writeRequest, type AnswerMessage } from './relayMessages.js'
 import type { RelayOutcome, RelayPeer } from './relayPeer.js'
+import type { SentRoutes } from './relayRoutes.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import {
   needsPrimary,
@@ -56,7 +57,8 @@
     const peers = this.#owners.peersFor(request.desk, request.customer, atPrimary)
     if (peers === null) return this.#local.single(request)
     const place: StatementPlace = request.isWrite ? 'singleWrite' : 'singleRead'
-    const message = (): unknown => writeRequest(request, this.#context.clock.now())
+    const message = (routes: SentRoutes): unknown =>
+      writeRequest(request, routes, this.#context.clock.now())
     const { outcome } = await this.#ask(request, peers, place, RELAY_METHODS.single, message)
     if (outcome.kind === 'answered') return this.#take(request, outcome.message)
     if (this.#mayRunHere(request, place, outcome)) {
@@ -71,8 +73,8 @@
     if (peers === null) return this.#local.begin(request, readOnly)
     const place: StatementPlace =
       request.statement.body.kind === 'commit' ? 'commit' : 'firstOfTransaction'
-    const message = (): unknown => ({
-      request: writeRequest(request, this.#context.clock.now()),
+    const message = (routes: SentRoutes): unknown => ({
+      request: writeRequest(request, routes, this.#context.clock.now()),
       readOnly,
     })
     const { outcome, peer } = await this.#ask(request, peers, place, RELAY_METHODS.begin, message)
@@ -91,7 +93,10 @@
   ): Promise<BegunTransaction> {
     if (transaction.kind === 'local') return this.#local.continue(request, transaction)
     const { peer, id } = transaction
-    const params = { request: writeRequest(request, this.#context.clock.now()), transaction: id }
+    const params = (routes: SentRoutes): unknown => ({
+      request: writeRequest(request, routes, this.#context.clock.now()),
+      transaction: id,
+    })
     const outcome = await peer.call(RELAY_METHODS.continue, params, request.deadline)
     if (outcome.kind === 'answered') return this.#takeTransaction(request, peer, outcome.message)
     peer.end(id)
@@ -122,13 +127,13 @@
     peers: readonly RelayPeer[],
     place: StatementPlace,
     method: string,
-    message: () => unknown,
+    message: (routes: SentRoutes) => unknown,
   ): Promise<Relayed> {
     let last: Relayed = { outcome: { kind: 'notSent' }, peer: null }
     for (const peer of peers) {
       if (this.#isOver(request)) break
       if (!peer.isUp) continue
-      const outcome = await peer.call(method, message(), request.deadline)
+      const outcome = await peer.call(method, message, request.deadline)
       last = { outcome, peer }
       if (outcome.kind === 'answered') {
         request.desk.reachedThroughOthersAt = this.#context.clock.now()
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -355,34 +355,47 @@
     const opening = this.#openingCount
     const state = { size: this.size, opening, idle: 0, waiting: opening + missing.length }
     const room = connectionsToOpen(state, limits, warm)
-    for (const [index, use] of missing.entries()) {
-      if (index < room || this.#makeRoom(use)) void this.#open(customerOf(use))
+    for (const [index, waiter] of missing.entries()) {
+      if (index < room || this.#makeRoom(waiter)) void this.#open(customerOf(waiter.use))
     }
     for (let index = missing.length; index < room; index += 1) void this.#open(null)
   }
 
   /** For whom a connection has to be opened: those who wait beyond what is being opened for their customers. */
-  #missing(): ConnectionUse[] {
+  #missing(): LinkWaiter[] {
     const coming = new Map(this.#opening)
-    const missing: ConnectionUse[] = []
-    for (const { use } of this.#line.waiting()) {
-      const customer = customerOf(use)
+    const missing: LinkWaiter[] = []
+    for (const waiter of this.#line.waiting()) {
+      const customer = customerOf(waiter.use)
       const left = coming.get(customer) ?? 0
-      if (left === 0) missing.push(use)
+      if (left === 0) missing.push(waiter)
       else coming.set(customer, left - 1)
     }
     return missing
   }
 
-  /** Closes an idle connection that another customer holds. */
-  #makeRoom(use: ConnectionUse): boolean {
+  /**
+   * Closes an idle connection that another customer holds. A customer with a connection in use waits for that one
+   * first: each statement that came beside another of its customer took a connection from a third, which had to open
+   * its own anew a moment later.
+   */
+  #makeRoom(waiter: LinkWaiter): boolean {
+    const { use } = waiter
     if (use.kind === 'own') return false
+    if (this.#isInUse(use.customer) && !this.#isPassedOver(waiter)) return false
     const replaced = this.#idle.toReplaceFor(use.customer)
     if (replaced === null) return false
     this.#drop(replaced)
     return true
   }
 
+  #isInUse(customer: CustomerName | null): boolean {
+    for (const pooled of this.#all) {
+      if (pooled.customer === customer && !this.#idle.holds(pooled)) return true
+    }
+    return false
+  }
+
   #noteOpening(customer: CustomerName | null, change: 1 | -1): void {
     const count = (this.#opening.get(customer) ?? 0) + change
     if (count === 0) this.#opening.delete(customer)
--- a/packages/host/src/serviceBook.ts
+++ b/packages/host/src/serviceBook.ts
@@ -58,6 +58,7 @@
   readonly #configuration = new ConfigurationBook()
   readonly #services = new Map<string, ServiceParts>()
   readonly #listed = new Signal()
+  readonly #restored = new Signal()
   #isListed = false
   #ownRecord: StandingRecord | null = null
 
@@ -114,6 +115,11 @@
     if (!this.#isListed) await this.#listed.wait(span)
   }
 
+  /** Resolves when the store was restored from an older copy, at the latest after `span` milliseconds. */
+  whenRestored(span: number): Promise<void> {
+    return this.#restored.wait(span)
+  }
+
   whenKnown(span: number): Promise<void> {
     return this.#configuration.whenKnown(span)
   }
@@ -169,8 +175,9 @@
     for (const desk of this.#desks()) desk.close()
   }
 
-  listed(changes: readonly DirectoryChange[], since: Milliseconds): void {
+  listed(changes: readonly DirectoryChange[], since: Milliseconds, isRestored: boolean): void {
     const now = this.#context.clock.now()
+    if (isRestored) this.#noteRestored(now)
     this.#ownRecord = this.#findOwnRecord(changes)
     this.#isListed = true
     this.#listed.raise()
@@ -180,17 +187,29 @@
     const records = new Set(
       changes.flatMap(change => (change.kind === 'record' ? [change.key] : [])),
     )
-    for (const change of changes) this.#changed(change, since)
+    for (const change of changes) this.#changed(change, since, isRestored)
     for (const news of this.#directory.keepOnly(listed, now)) this.#apply(news, now)
-    this.#fleet.keepOnly(host => records.has(hostKey(host)))
+    const isHostListed = (host: string): boolean => records.has(hostKey(host))
+    if (isRestored) this.#fleet.keepForReturn(isHostListed, now)
+    else this.#fleet.keepOnly(isHostListed)
     this.#fleet.plan(this.#desks())
     for (const [service, { keeper }] of this.#services) {
       if (!records.has(changeKey(service))) keeper.heardChange(null, 0)
     }
   }
 
+  /** Claims made since the copy are gone from the store, while their holders may still act on them. */
+  #noteRestored(now: Milliseconds): void {
+    for (const { keeper } of this.#services.values()) keeper.storeRestored(now)
+    this.#restored.raise()
+  }
+
   heard(changes: readonly DirectoryChange[], since: Milliseconds): void {
     for (const change of changes) this.#changed(change, since)
+    this.planOwners()
+  }
+
+  planOwners(): void {
     this.#fleet.plan(this.#desks())
   }
 
@@ -203,14 +222,16 @@
     return null
   }
 
-  #changed(change: DirectoryChange, since: Milliseconds): void {
+  #changed(change: DirectoryChange, since: Milliseconds, isRestored = false): void {
     const now = this.#context.clock.now()
     switch (change.kind) {
       case 'configuration':
         this.#configure(change.configuration)
         return
       case 'server': {
-        const news = this.#directory.list(change.entry, since)
+        const news = isRestored
+          ? this.#directory.listRestored(change.entry, since)
+          : this.#directory.list(change.entry, since)
         if (news !== null) this.#apply(news, now)
         return
       }
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -4,12 +4,13 @@
  *
  * @internal
  */
-import type {
-  DirectoryChange,
-  DirectoryEvents,
-  RevisedChange,
-  StoreFailure,
-  StoreLink,
+import {
+  eraOf,
+  type DirectoryChange,
+  type DirectoryEvents,
+  type RevisedChange,
+  type StoreFailure,
+  type StoreLink,
 } from '@nutmegcourse/protocol'
 import { drawnApart, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
@@ -21,8 +22,11 @@
 export interface StoreListener {
   /** All that one answer brought; any of it may have been made as early as `since`. */
   heard(changes: readonly DirectoryChange[], since: Milliseconds): void
-  /** A whole list was read; what it did not name does not exist. */
-  listed(changes: readonly DirectoryChange[], since: Milliseconds): void
+  /**
+   * A whole list was read; what it did not name does not exist. `isRestored`: the store has come back from an older
+   * copy, and what others wrote in between is yet to be written again.
+   */
+  listed(changes: readonly DirectoryChange[], since: Milliseconds, isRestored: boolean): void
   /** Whether callers wait while the next change is not heard of. */
   isUrgent(change: DirectoryChange): boolean
   /** Whether requests wait for what the next change may bring, whatever the last one was. */
@@ -49,6 +53,9 @@
  */
 const FAILURES_TO_DECLINE = 2
 
+/** An answer that was under way while the store was restored. */
+const OLDER_ERA: StoreFailure = { kind: 'unexpected', detail: 'an answer of an older era' }
+
 export class StoreFollower {
   readonly #context: HostContext
   readonly #store: StoreLink
@@ -56,6 +63,8 @@
   readonly #exchange: NewsExchange
   readonly #budget: NewsBudget
   #revision: number | null = null
+  /** Of all that was listed; null before anything was. */
+  #era: number | null = null
   #pause: number
   /**
    * The next watch follows at once on an answer. After a pause or a failure the store may accept a
@@ -116,15 +125,24 @@
     } while (next !== null)
     // Pages are no snapshot: what changed since the first one is heard of again by the watch.
     const revision = Math.min(...revisions)
+    if (eraOf(revision) < (this.#era ?? 0)) return OLDER_ERA
     this.#revision = revision
     this.#isContinuous = true
     const since = this.#answeredAt ?? askedAt
     this.#answeredAt = askedAt
     this.#exchange.desk.listed({ changes, revision }, askedAt)
-    this.#listener.listed(changes, since)
+    this.#takeList(changes, revision, since)
     return null
   }
 
+  #takeList(changes: readonly DirectoryChange[], revision: number, since: Milliseconds): void {
+    const era = eraOf(revision)
+    const isRestored = this.#era !== null && era > this.#era
+    this.#era = era
+    if (isRestored) this.#context.log.write('store_restored', { era, revision })
+    this.#listener.listed(changes, since, isRestored)
+  }
+
   /**
    * The earliest time at which a change that the store tells now may have been made. A watch answers at once, but
    * before it this host may have rested, or waited for a store or for another host in vain: one that was cut off then
@@ -171,7 +189,7 @@
     if (!isWhole) return this.#take(events, { ...age, madeSince })
     this.#revision = events.revision
     this.#answeredAt = age.knownAt
-    this.#listener.listed(events.changes, madeSince)
+    this.#takeList(events.changes, events.revision, madeSince)
     return null
   }
 
--- a/packages/stand-ins/src/hostPlatform/memoryGroup.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryGroup.ts
@@ -8,6 +8,7 @@
   logPosition,
   term,
   type BackendServerId,
+  type CustomerName,
   type LogPosition,
 } from '@nutmegcourse/shared'
 
@@ -53,6 +54,8 @@
   readonly acknowledged: LoggedWrite[] = []
   /** Every statement that ran, as `server:id`. */
   readonly ran: string[] = []
+  /** In whose name each of them ran: the customer that its connection was opened for. */
+  readonly ranFor: { readonly id: string; readonly customer: CustomerName | null }[] = []
   /** Broken promises of the platform's contract, as sentences. */
   readonly violations: string[] = []
   /** Writes that stand twice in one log. */
--- a/packages/stand-ins/src/hostPlatform/memoryLink.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryLink.ts
@@ -176,6 +176,7 @@
     if (effect === 'commit') return this.#commit()
     if (effect === 'write' && this.#server.role !== 'primary') return this.#refused('notPrimary')
     this.#group.ran.push(`${this.#server.id}:${command.id}`)
+    this.#group.ranFor.push({ id: command.id, customer: this.customer })
     if (effect === 'read') return this.#done(`read-${command.id}`, [this.#rowOf()])
     if (transaction !== null) {
       transaction.writes.push(command.id)
--- a/packages/stand-ins/src/hostPlatform/memoryStore.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryStore.ts
@@ -3,19 +3,22 @@
  * changes, leases, a watch, and the ways in which it fails.
  */
 import { err, ok, type Result } from 'neverthrow'
-import type {
-  BackendServerEntry,
-  ChangeOutcome,
-  ConditionalChange,
-  DirectoryChange,
-  DirectoryEvents,
-  DirectoryPage,
-  FleetConfiguration,
-  LongAnswerLimit,
-  RevisedChange,
-  StoreFailure,
-  StoreLink,
-  StoredRecord,
+import {
+  eraOf,
+  ownRevisionOf,
+  storeRevision,
+  type BackendServerEntry,
+  type ChangeOutcome,
+  type ConditionalChange,
+  type DirectoryChange,
+  type DirectoryEvents,
+  type DirectoryPage,
+  type FleetConfiguration,
+  type LongAnswerLimit,
+  type RevisedChange,
+  type StoreFailure,
+  type StoreLink,
+  type StoredRecord,
 } from '@nutmegcourse/protocol'
 import type { BackendServerId } from '@nutmegcourse/shared'
 
@@ -42,6 +45,16 @@
 const UNAVAILABLE: StoreFailure = { kind: 'unavailable', detail: 'the stand-in refuses' }
 const NO_ANSWER: StoreFailure = { kind: 'noAnswer', detail: 'the stand-in does not answer' }
 
+/** What the store held at one moment. */
+export interface StoreCopy {
+  readonly revision: number
+  readonly lastLease: number
+  readonly records: ReadonlyMap<string, { record: StoredRecord; lease: number }>
+  readonly leases: ReadonlyMap<number, Lease>
+  readonly servers: ReadonlyMap<BackendServerId, BackendServerEntry>
+  readonly configuration: FleetConfiguration | null
+}
+
 /** What all hosts share; each reaches it through a `StoreConnection` of its own. */
 export class MemoryStore {
   #revision = 1
@@ -74,6 +87,40 @@
     this.#note({ kind: 'serverGone', server })
   }
 
+  copy(): StoreCopy {
+    return {
+      revision: this.#revision,
+      lastLease: this.#lastLease,
+      records: new Map(this.#records),
+      leases: new Map(this.#leases),
+      servers: new Map(this.#servers),
+      configuration: this.#configuration,
+    }
+  }
+
+  /**
+   * Comes back from a copy: what was written since is gone, and revisions and numbers of leases are given out again,
+   * in a new era. The operator's configuration and the servers' entries are for their writers to write again.
+   */
+  restore(copy: StoreCopy): void {
+    const era = eraOf(this.#revision) + 1
+    const now = (number: number): number => storeRevision(era, ownRevisionOf(number))
+    this.#revision = now(copy.revision)
+    this.#lastLease = now(Math.max(1, copy.lastLease))
+    this.#records.clear()
+    this.#leases.clear()
+    this.#servers.clear()
+    for (const [key, { record, lease }] of copy.records) {
+      const restored = { ...record, revision: now(record.revision) }
+      this.#records.set(key, { record: restored, lease: now(lease) })
+    }
+    for (const [lease, held] of copy.leases) this.#leases.set(now(lease), held)
+    for (const [server, entry] of copy.servers) this.#servers.set(server, entry)
+    this.#configuration = copy.configuration
+    this.#log = []
+    for (const wake of [...this.#watchers]) wake()
+  }
+
   record(key: string): StoredRecord | null {
     this.#expire()
     return this.#records.get(key)?.record ?? null
@@ -111,6 +158,7 @@
 
   eventsAfter(revision: number): Result<DirectoryEvents, StoreFailure> {
     this.#expire()
+    if (eraOf(revision) < eraOf(this.#revision)) return err({ kind: 'historyGone' })
     const oldest = this.#log[0]?.revision ?? this.#revision + 1
     if (revision + 1 < oldest) return err({ kind: 'historyGone' })
     const events = this.#log.filter(logged => logged.revision > revision)
--- a/packages/state/src/synchronous/directoryHistory.ts
+++ b/packages/state/src/synchronous/directoryHistory.ts
@@ -2,7 +2,7 @@
  * What the store holds and its latest changes, as one host heard of them, for hosts that watch the store through it.
  * Gives the changes after a revision, or everything where the history does not reach so far back.
  */
-import type { RevisedChange } from '@nutmegcourse/protocol'
+import { eraOf, type RevisedChange } from '@nutmegcourse/protocol'
 import type { Milliseconds } from '@nutmegcourse/shared'
 
 /** Bounds the memory; a host that lags by more changes gets everything. */
@@ -58,9 +58,11 @@
     this.#changes = this.#changes.slice(surplus)
   }
 
-  /** What was made after a revision, of each subject the newest only; null before the first list. */
+  /** What was made after a revision, of each subject the newest only; null where this host knows less. */
   after(revision: number): DatedChanges | null {
     if (this.#start === null) return null
+    // The asker knows of a restored store; this host will list it soon.
+    if (eraOf(revision) > eraOf(this.#revision)) return null
     if (revision < this.#start) return dated([...this.#standing.values()], true)
     const newest = new Map<string, DatedChange>()
     for (const each of this.#changes) {
--- a/packages/state/src/synchronous/idleConnections.ts
+++ b/packages/state/src/synchronous/idleConnections.ts
@@ -28,6 +28,10 @@
     return this.#connections.some(each => each.customer === customer)
   }
 
+  holds(connection: Connection): boolean {
+    return this.#connections.includes(connection)
+  }
+
   add(connection: Connection): void {
     this.#connections.push(connection)
   }
--- a/packages/state/src/synchronous/limitPart.ts
+++ b/packages/state/src/synchronous/limitPart.ts
@@ -18,7 +18,7 @@
 const LONGEST_WAIT_MILLISECONDS = 60_000
 
 export class LimitPart {
-  readonly #parts: number
+  #parts: number
   readonly #tolerance: LimitTolerance
   #limit: OperationLimit
   #tokens: number
@@ -42,8 +42,10 @@
     this.#tokens = this.#spare / 2 / RESTARTS_PER_WINDOW
   }
 
-  set limit(limit: OperationLimit) {
+  /** The limit is another one, or divided among more or fewer hosts. */
+  divide(limit: OperationLimit, parts: number): void {
     this.#limit = limit
+    this.#parts = parts
     this.#tokens = Math.min(this.#tokens, this.#capacity)
   }
 
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -87,7 +87,7 @@
 }
 
 /** The kept part where connections are divided by customer: each one closed is missed by its customer. */
-const KEPT_PART_OF_CUSTOMERS = 0.7
+const KEPT_PART_OF_CUSTOMERS = 0.55
 
 export function poolLimits(
   connectionLimit: number,
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -66,6 +66,17 @@
     return { kind: 'changed', entry, before: known.entry }
   }
 
+  /**
+   * A store restored from an older copy lists the server so. Whatever else this host knows of the same life is newer,
+   * and the server writes it again: to believe that it stays, or leads, would send it work in vain.
+   */
+  listRestored(entry: BackendServerEntry, since: Milliseconds): DirectoryNews | null {
+    const known = this.#servers.get(entry.server)
+    if (known === undefined || !isOneLife(known.entry, entry)) return this.list(entry, since)
+    this.#servers.set(entry.server, { ...known, goneSince: null })
+    return null
+  }
+
   /** The store no longer lists the server. */
   unlist(server: BackendServerId, now: Milliseconds): DirectoryNews | null {
     const known = this.#servers.get(server)
