--- a/packages/protocol/src/host/storeRevision.ts
+++ b/packages/protocol/src/host/storeRevision.ts
@@ -1,7 +1,6 @@
 /**
  * Revisions of the store that only grow, also where the store comes back from an older copy and gives its own
- * revisions out again. The era, which it counts up each time, stands above the store's revision in one number. Numbers
- * of leases, which are given out again too, are told apart in the same way.
+ * revisions out again. The era, which it counts up each time, stands above the store's revision in one number.
  */
 
 /** A store that makes a thousand changes a second stays below this for decades. */
