--- a/packages/host/__tests__/customers.spec.ts
+++ b/packages/host/__tests__/customers.spec.ts
@@ -94,6 +94,33 @@
   }
 })
 
+describe('a host that cannot have heard of a key taken away', () => {
+  const cases: readonly (readonly [string, number | undefined, string])[] = [
+    ['refuses it where the settings are strict', 2000, 'notRun'],
+    ['serves it where they are not', undefined, 'done'],
+  ]
+  for (const [name, strictRevocation, told] of cases) {
+    it(name, async () => {
+      const options = {
+        customers: [ALFA],
+        ...(strictRevocation === undefined ? {} : { strictRevocation }),
+      }
+      await inScene(1, withoutStore, options)
+      async function withoutStore(scene: Scene, [host]: readonly SceneHost[]): Promise<void> {
+        if (host === undefined) return
+        const caller = await scene.caller(host, 'own', 'key-of-alfa')
+        expect(await caller.tell('read 1')).toEqual('done')
+        host.store.mood = 'refusing'
+        await new Promise(resolve => setTimeout(resolve, 4000))
+        expect(await caller.tell('read 1')).toEqual(told)
+        host.store.mood = 'well'
+        await new Promise(resolve => setTimeout(resolve, 1500))
+        expect(await caller.tell('read 1')).toEqual('done')
+      }
+    })
+  }
+})
+
 describe('connections by customer', () => {
   // Few connections, many customers, hosts that run statements for each other. A statement that runs on a connection
   // of another customer runs in the wrong name.
--- a/packages/host/__tests__/support/scene.ts
+++ b/packages/host/__tests__/support/scene.ts
@@ -57,6 +57,7 @@
   isFirstStart: boolean,
   limitTolerance: HostSettings['limitTolerance'],
   requiresKeys: boolean,
+  revocation: HostSettings['revocation'],
 ): HostSettings {
   const zone = availabilityZoneId(zoneName)
   const region = regionId('region-1')
@@ -83,7 +84,7 @@
     configurationMilliseconds: 4000,
     requiresKeys,
     limitTolerance,
-    revocation: { isStrict: false, withinMilliseconds: 5000 },
+    revocation,
     graceMilliseconds: grace,
     isFirstStart,
   }
@@ -114,6 +115,8 @@
   readonly customers?: readonly Customer[]
   /** Limits of customers are in force. */
   readonly limitTolerance?: HostSettings['limitTolerance']
+  /** Keys must not be served by hosts that cannot have heard of their removal within so many milliseconds. */
+  readonly strictRevocation?: number
 }
 
 const ONLY_ZONE = 'zone-1'
@@ -125,6 +128,7 @@
   readonly #limitTolerance: HostSettings['limitTolerance']
   readonly #customers: readonly Customer[] | null
   readonly #connectionLimit: number
+  readonly #revocation: HostSettings['revocation']
   readonly store = new MemoryStore()
   readonly group: MemoryGroup
   readonly dialer: MemoryDialer
@@ -139,6 +143,10 @@
     this.#limitTolerance = options.limitTolerance ?? null
     this.#customers = options.customers ?? null
     this.#connectionLimit = connectionLimit
+    this.#revocation = {
+      isStrict: options.strictRevocation !== undefined,
+      withinMilliseconds: options.strictRevocation ?? 5000,
+    }
     this.group = new MemoryGroup({
       service: SERVICE,
       servers: [P, A, B],
@@ -194,6 +202,7 @@
         this.#isFirstStart,
         this.#limitTolerance,
         this.#customers !== null,
+        this.#revocation,
       ),
       {
         dialer,
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -24,7 +24,8 @@
 import { SessionValues } from '@nutmegcourse/state'
 import type { RemoteStatement } from './attempt.js'
 import type { HostContext } from './hostContext.js'
-import type { CallerIdentity, RouteLookup, RoutePlace } from './routeLookup.js'
+import { CallerName, type Denial } from './callerName.js'
+import type { RouteLookup, RoutePlace } from './routeLookup.js'
 import { reportStatement } from './statementReport.js'
 import {
   StatementTiming,
@@ -39,7 +40,6 @@
 const WELCOME_LIMIT_MILLISECONDS = 1500
 
 const STOPPING = 'this host is stopping'
-const UNKNOWN_KEY = 'no customer has this key'
 
 /** Statements that one caller may send ahead of their answers. */
 const QUEUE_LIMIT = 64
@@ -65,8 +65,6 @@
   /** As soon as nothing is owed and no transaction is open. */
   | 'whenIdle'
 
-type RunningState = Extract<TransactionState, { kind: 'running' }>
-
 const TOLD: TransactionState = { kind: 'failed', isTold: true }
 const NOT_TOLD: TransactionState = { kind: 'failed', isTold: false }
 
@@ -79,7 +77,7 @@
   readonly #state: SessionState = { values: new SessionValues(), ownPosition: null }
   readonly #queue: CallerStatement[] = []
   #database: string | null = null
-  #key: KeyDigest | null = null
+  #name: CallerName | null = null
   #transaction: TransactionState = { kind: 'none' }
   #isWelcome = false
   #isWorking = false
@@ -126,7 +124,7 @@
       return
     }
     this.#database = database
-    this.#key = key
+    this.#name = new CallerName(this.#routes, key)
     void this.#welcome(database)
   }
 
@@ -215,8 +213,9 @@
       this.#refuseSession('unknownDatabase', 'no such database')
       return
     }
-    if (this.#identify(place.route).kind === 'unknown') {
-      this.#refuseSession('unknownKey', UNKNOWN_KEY)
+    const denial = this.#name?.denialFor(place.route) ?? null
+    if (denial !== null) {
+      this.#refuseSession(denial.refusal, denial.detail)
       return
     }
     this.#isWelcome = true
@@ -366,16 +365,10 @@
     }
     const place = this.#findPlace()
     if (place === null) return this.#fail(refusal('unknownDatabase', 'no such database'))
-    const identity = this.#identify(place.route)
-    const customer = identity.kind === 'customer' ? identity.customer : null
-    if (transaction.kind === 'running' && this.#hasLostName(transaction, identity)) {
-      return this.#fail(refusal('aborted', UNKNOWN_KEY))
-    }
-    if (identity.kind === 'unknown') return this.#fail(refusal('unknownKey', UNKNOWN_KEY))
-    if (transaction.kind !== 'running' && customer !== null) {
-      const overLimit = await this.#admit(customer)
-      if (overLimit !== null) return this.#fail(overLimit)
-    }
+    // Before the wait for a grant: the key may be taken away meanwhile, and nothing may run in nobody's name then.
+    const customer = this.#name?.customerFor(place.route) ?? null
+    const denial = await this.#denialFor(place.route)
+    if (denial !== null) return this.#fail(refusal(denial.refusal, denial.detail))
     const request = this.#requestFor(statement, place, customer)
     const result = await this.#run(request)
     reportStatement(this.#context, this.#database, request, result)
@@ -391,28 +384,13 @@
     return this.#routes.find(this.#database ?? '')
   }
 
-  #identify(route: Route): CallerIdentity {
-    return this.#key === null ? { kind: 'unknown' } : this.#routes.identify(route, this.#key)
-  }
-
-  /** A transaction runs on a connection of its customer: when its key is gone or moved, so is its right to run. */
-  #hasLostName({ customer }: RunningState, identity: CallerIdentity): boolean {
-    switch (identity.kind) {
-      case 'unknown':
-        return true
-      case 'customer':
-        return identity.customer !== customer
-      case 'anyone':
-        return false
-    }
-  }
-
-  /** What a caller is told beyond its customer's limit; null within it. */
-  async #admit(customer: CustomerName): Promise<StatementResult | null> {
-    const admission = await this.#routes.admitOperation(customer)
-    if (admission.kind === 'admitted') return null
-    const after = String(Math.ceil(admission.waitMilliseconds))
-    return refusal('overLimit', `limit of ${customer} is reached retry_after_ms=${after}`)
+  /** Why the statement may not run in its caller's name; limits count an operation once, at its first statement. */
+  async #denialFor(route: Route): Promise<Denial | null> {
+    const name = this.#name
+    const transaction = this.#transaction
+    if (name === null) return null
+    if (transaction.kind === 'running') return name.denialOfTransaction(route, transaction.customer)
+    return name.denialFor(route) ?? (await name.denialOfOperation(route))
   }
 
   #requestFor(
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -56,6 +56,8 @@
 /** Connections that may wait to be accepted. */
 const BACKLOG = 1024
 
+const UNCONFIRMED: CallerIdentity = { kind: 'unconfirmed' }
+
 export class EntryHost implements RouteLookup, RelayDesks, StoppingHost {
   readonly news: NewsDesk
   readonly limits: LimitDesk
@@ -160,7 +162,15 @@
   }
 
   identify(route: Route, key: KeyDigest): CallerIdentity {
-    return this.#services.identify(route, key)
+    const identity = this.#services.identify(route, key)
+    return identity.kind === 'customer' && this.#mayHaveMissedRevocation ? UNCONFIRMED : identity
+  }
+
+  /** Only where the settings ask for it: a key that may have been taken away unheard is not served. */
+  get #mayHaveMissedRevocation(): boolean {
+    const { clock, settings } = this.#context
+    const { isStrict, withinMilliseconds } = settings.revocation
+    return isStrict && clock.now() - this.#follower.knownAt > withinMilliseconds
   }
 
   admitOperation(customer: CustomerName): Promise<Admission> {
--- a/packages/host/src/routeLookup.ts
+++ b/packages/host/src/routeLookup.ts
@@ -22,6 +22,8 @@
   | { readonly kind: 'customer'; readonly customer: CustomerName }
   /** The key belongs to no customer, or no longer. */
   | { readonly kind: 'unknown' }
+  /** This host cannot have heard whether the key was taken away. */
+  | { readonly kind: 'unconfirmed' }
 
 export interface RouteLookup {
   /** Null when no route has the name. */
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -8,6 +8,7 @@
   eraOf,
   type DirectoryChange,
   type DirectoryEvents,
+  type HostSettings,
   type RevisedChange,
   type StoreFailure,
   type StoreLink,
@@ -56,6 +57,12 @@
 /** An answer that was under way while the store was restored. */
 const OLDER_ERA: StoreFailure = { kind: 'unexpected', detail: 'an answer of an older era' }
 
+/** Hosts that may not serve a key taken away unheard have to hear sooner than of other changes. */
+function longestNews({ configurationMilliseconds, revocation }: HostSettings): number {
+  if (!revocation.isStrict) return configurationMilliseconds
+  return Math.min(configurationMilliseconds, revocation.withinMilliseconds)
+}
+
 export class StoreFollower {
   readonly #context: HostContext
   readonly #store: StoreLink
@@ -90,7 +97,7 @@
     this.#store = store
     this.#listener = listener
     this.#exchange = exchange
-    this.#budget = newsBudget(context.settings.configurationMilliseconds)
+    this.#budget = newsBudget(longestNews(context.settings))
     this.#pause = this.#budget.shortestPause
   }
 
@@ -105,6 +112,11 @@
     }
   }
 
+  /** As of when this host knows all that the store held. */
+  get knownAt(): number {
+    return this.#answeredAt ?? Number.NEGATIVE_INFINITY
+  }
+
   stop(): void {
     this.#isStopped = true
     this.#exchange.desk.close()
