--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -381,7 +381,7 @@
    */
   #makeRoom(waiter: LinkWaiter): boolean {
     const { use } = waiter
-    if (use.kind === 'own') return false
+    if (use.kind === 'own' || this.#idle.size === 0) return false
     if (this.#isInUse(use.customer) && !this.#isPassedOver(waiter)) return false
     const replaced = this.#idle.toReplaceFor(use.customer)
     if (replaced === null) return false
