--- a/packages/host/__tests__/support/followerContext.ts
+++ b/packages/host/__tests__/support/followerContext.ts
@@ -9,7 +9,10 @@
   ({
     clock,
     random: new SeededRandom(1),
-    settings: { configurationMilliseconds: 4000 },
+    settings: {
+      configurationMilliseconds: 4000,
+      revocation: { isStrict: false, withinMilliseconds: 5000 },
+    },
     log: { write: () => undefined },
   }) as unknown as HostContext
 
