--- a/packages/coordination/src/synchronous/limitHolders.ts
+++ b/packages/coordination/src/synchronous/limitHolders.ts
@@ -2,7 +2,7 @@
 import type { CustomerName } from '@nutmegcourse/shared'
 import { mixHashes, nameHash } from '../stableHash.js'
 import type { HostRecord } from './changeRecord.js'
-import { planOwners } from './serviceOwners.js'
+import { hostDistance, planOwners } from './serviceOwners.js'
 
 /**
  * Hosts that hold a part. With one of five gone, four fifths of the limit are left; a host that newly holds a part
@@ -24,11 +24,7 @@
   self: string,
   place: Pick<HostRecord, 'zone' | 'region'>,
 ): readonly string[] {
-  const distance = (host: string): number => {
-    const record = hosts.get(host)
-    if (record?.zone === place.zone) return 0
-    return record?.region === place.region ? 1 : 2
-  }
+  const distance = (host: string): number => hostDistance(hosts.get(host), place)
   const own = nameHash(self)
   const draw = (host: string): number => mixHashes(nameHash(host), own)
   return [...holders].sort(
--- a/packages/coordination/src/synchronous/serviceOwners.ts
+++ b/packages/coordination/src/synchronous/serviceOwners.ts
@@ -46,6 +46,15 @@
   return { owners, ranked, hosts }
 }
 
+/** How far a host is from a place: in its zone, in its region, or past the link. */
+export function hostDistance(
+  record: HostRecord | undefined,
+  place: Pick<HostRecord, 'zone' | 'region'>,
+): 0 | 1 | 2 {
+  if (record?.zone === place.zone) return 0
+  return record?.region === place.region ? 1 : 2
+}
+
 /**
  * Whom a host asks, in order: owners in its zone, in its region, past the link; then the hosts of its
  * zone that come before it in the draw, which serve in an owner's place when none can be reached. The
@@ -53,11 +62,7 @@
  */
 export function ownersFrom(plan: OwnerPlan, self: string, place: HostRecord): string[] {
   const { owners, ranked, hosts } = plan
-  const distance = (host: string): number => {
-    const record = hosts.get(host)
-    if (record?.zone === place.zone) return 0
-    return record?.region === place.region ? 1 : 2
-  }
+  const distance = (host: string): number => hostDistance(hosts.get(host), place)
   const near = [...owners].sort((left, right) => distance(left) - distance(right))
   const substitutes = ranked.filter(host => !owners.includes(host) && distance(host) === 0)
   const own = substitutes.indexOf(self)
--- a/packages/host/src/customerLimits.ts
+++ b/packages/host/src/customerLimits.ts
@@ -25,8 +25,6 @@
 
 /** Ways to the hosts that hold parts. */
 export interface LimitPeers extends LimitPlan {
-  /** In the order in which to ask them; this host may be one of them. */
-  limitHoldersFor(customer: CustomerName): readonly string[]
   peer(host: string): RelayPeer | null
 }
 
@@ -50,7 +48,7 @@
     const spentFor = this.#spentFor(customer)
     if (spentFor > 0) return this.#overLimit(customer, spentFor)
     let shortest: number | null = null
-    for (const holder of this.#peers.limitHoldersFor(customer)) {
+    for (const holder of this.#peers.limitHolders(customer)) {
       const answer = await this.#ask(holder, customer)
       if (answer?.kind === 'granted') return ADMITTED
       if (answer?.kind !== 'spent') continue
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -94,8 +94,7 @@
     this.#services = new ServiceBook(this.#context, ports, this.#fleet, this.news)
     const plan = {
       limitOf: (customer: CustomerName) => this.#services.limitOf(customer),
-      holdersOf: (customer: CustomerName) => this.#fleet.holdersOf(customer),
-      limitHoldersFor: (customer: CustomerName) => this.#fleet.limitHoldersFor(customer),
+      limitHolders: (customer: CustomerName) => this.#fleet.limitHolders(customer),
       peer: (host: string) => this.#fleet.peer(host),
     }
     this.limits = new LimitDesk(this.#context, plan)
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -55,7 +55,7 @@
   /** By service: who owns it, and by service and customer: in which order the owners are asked. */
   readonly #ownerPlans = new Map<string, OwnerPlan>()
   readonly #customerOrder = new Map<string, readonly string[]>()
-  /** By customer: who holds the parts of its limit. */
+  /** By customer: who holds the parts of its limit, in the order in which this host asks them. */
   readonly #limitHolders = new Map<CustomerName, readonly string[]>()
   /** By service: what the last line said. */
   readonly #loggedOwners = new Map<string, string>()
@@ -215,19 +215,16 @@
       .filter(peer => peer.isUp)
   }
 
-  holdersOf(customer: CustomerName): readonly string[] {
+  limitHolders(customer: CustomerName): readonly string[] {
     const known = this.#limitHolders.get(customer)
     if (known !== undefined) return known
-    const holders = planLimitHolders(customer, this.#hosts)
+    const { settings } = this.#context
+    const drawn = planLimitHolders(customer, this.#hosts)
+    const holders = limitHoldersFrom(drawn, this.#hosts, settings.entryHost, settings)
     this.#limitHolders.set(customer, holders)
     return holders
   }
 
-  limitHoldersFor(customer: CustomerName): readonly string[] {
-    const { settings } = this.#context
-    return limitHoldersFrom(this.holdersOf(customer), this.#hosts, settings.entryHost, settings)
-  }
-
   /**
    * This host does not reach the primary; others may. A few of them are asked, and when none does,
    * nobody is asked again for a moment: then the primary is gone, and each statement would pay for it.
--- a/packages/host/src/limitDesk.ts
+++ b/packages/host/src/limitDesk.ts
@@ -22,7 +22,8 @@
 /** What the desk has to know of the fleet. */
 export interface LimitPlan {
   limitOf(customer: CustomerName): OperationLimit | null
-  holdersOf(customer: CustomerName): readonly string[]
+  /** The hosts that hold a part, in the order in which to ask them; this host may be one of them. */
+  limitHolders(customer: CustomerName): readonly string[]
 }
 
 /** Clocks begin with their process. Whatever ran at this host before granted nothing since. */
@@ -58,7 +59,7 @@
   answer({ customer }: GrantQuestion): GrantAnswer {
     const { limitTolerance, entryHost } = this.#context.settings
     const limit = this.#plan.limitOf(customer)
-    const holders = this.#plan.holdersOf(customer)
+    const holders = this.#plan.limitHolders(customer)
     const isHolder = holders.includes(entryHost)
     if (this.#isLeaving || !isHolder || limit === null || limitTolerance === null) {
       return { kind: 'declined' }
