refactor(host): one book of pauses for hosts, limits and services that are left alone; one way to ask another host a question

The same map of names and ends stood in ZoneNews, HostFleet and twice in CustomerLimits; askNews and askGrant were one method with two names. Behaviour as before.

--- a/packages/host/src/customerLimits.ts
+++ b/packages/host/src/customerLimits.ts
@@ -4,9 +4,10 @@
  *
  * @internal
  */
-import { addMilliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
+import type { CustomerName } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
 import type { GrantAnswer, LimitDesk, LimitPlan } from './limitDesk.js'
+import { Pauses } from './pauses.js'
 import type { RelayPeer } from './relayPeer.js'
 
 export type Admission =
@@ -32,20 +33,22 @@
   readonly #context: HostContext
   readonly #desk: LimitDesk
   readonly #peers: LimitPeers
-  /** Until when a customer's limit is used up, as all its holders said. */
-  readonly #spentUntil = new Map<CustomerName, Milliseconds>()
-  readonly #avoidedUntil = new Map<string, Milliseconds>()
+  /** Customers whose limits are used up, as all holders said. */
+  readonly #spent: Pauses<CustomerName>
+  readonly #avoided: Pauses<string>
 
   constructor(context: HostContext, desk: LimitDesk, peers: LimitPeers) {
     this.#context = context
     this.#desk = desk
     this.#peers = peers
+    this.#spent = new Pauses(context.clock)
+    this.#avoided = new Pauses(context.clock)
   }
 
   /** Whether one more operation of the customer may run now. */
   async admit(customer: CustomerName): Promise<Admission> {
     if (this.#peers.limitOf(customer) === null) return ADMITTED
-    const spentFor = this.#spentFor(customer)
+    const spentFor = this.#spent.left(customer)
     if (spentFor > 0) return this.#overLimit(customer, spentFor)
     let shortest: number | null = null
     for (const holder of this.#peers.limitHolders(customer)) {
@@ -55,29 +58,16 @@
       shortest = Math.min(shortest ?? answer.waitMilliseconds, answer.waitMilliseconds)
     }
     if (shortest === null) return this.#unreachable(customer)
-    const until = addMilliseconds(this.#context.clock.now(), shortest)
-    this.#spentUntil.set(customer, until)
+    this.#spent.begin(customer, shortest)
     return this.#overLimit(customer, shortest)
   }
 
-  #spentFor(customer: CustomerName): number {
-    const until = this.#spentUntil.get(customer)
-    if (until === undefined) return 0
-    const left = until - this.#context.clock.now()
-    if (left <= 0) this.#spentUntil.delete(customer)
-    return left
-  }
-
   async #ask(holder: string, customer: CustomerName): Promise<GrantAnswer | null> {
-    const { clock, settings } = this.#context
-    if (holder === settings.entryHost) return this.#desk.answer({ customer })
+    if (holder === this.#context.settings.entryHost) return this.#desk.answer({ customer })
     const peer = this.#peers.peer(holder)
-    const avoidedUntil = this.#avoidedUntil.get(holder) ?? clock.now()
-    if (peer?.isUp !== true || clock.now() < avoidedUntil) return null
+    if (peer?.isUp !== true || this.#avoided.left(holder) > 0) return null
     const answer = await peer.askGrant({ customer }, ANSWER_LIMIT_MILLISECONDS)
-    if (answer === null) {
-      this.#avoidedUntil.set(holder, addMilliseconds(clock.now(), AVOID_MILLISECONDS))
-    }
+    if (answer === null) this.#avoided.begin(holder, AVOID_MILLISECONDS)
     return answer
   }
 
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -25,6 +25,7 @@
 } from '@nutmegcourse/shared'
 import { connectionHolders } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
+import { Pauses } from './pauses.js'
 import { RelayPeer } from './relayPeer.js'
 import type { OwnerBook } from './relayingRunner.js'
 import type { ServiceDesk } from './serviceDesk.js'
@@ -62,7 +63,8 @@
   /** Hosts whose records a restored store has lost. */
   readonly #awaited = new Set<string>()
   #returnUntil = milliseconds(0)
-  readonly #aroundPausedUntil = new Map<string, Milliseconds>()
+  /** Services whose primary nobody reached when others were last asked. */
+  readonly #aroundPaused: Pauses<string>
   /** Through whom this host follows the store, in order. */
   #newsHosts: readonly string[] = []
   /** Whether the plans are of the hosts and services that are known. */
@@ -70,6 +72,7 @@
 
   constructor(context: HostContext) {
     this.#context = context
+    this.#aroundPaused = new Pauses(context.clock)
   }
 
   observersOf(service: string): readonly string[] {
@@ -234,10 +237,10 @@
     peers: readonly RelayPeer[],
     now: Milliseconds,
   ): RelayPeer[] | null {
-    const isPaused = now < (this.#aroundPausedUntil.get(desk.name) ?? now)
+    const isPaused = this.#aroundPaused.left(desk.name) > 0
     const hasHelped = now - desk.reachedThroughOthersAt < AROUND_PAUSE_MILLISECONDS
     if (peers.length === 0 || (isPaused && !hasHelped)) return null
-    this.#aroundPausedUntil.set(desk.name, addMilliseconds(now, AROUND_PAUSE_MILLISECONDS))
+    this.#aroundPaused.begin(desk.name, AROUND_PAUSE_MILLISECONDS)
     return peers.slice(0, AROUND_PEERS)
   }
 
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -99,19 +99,26 @@
     return { kind: 'lost' }
   }
 
-  /** Not counted as owed: no request waits for the answer, and it has a time limit of its own. */
-  async askNews(question: NewsQuestion, limit: number): Promise<NewsAnswer | null> {
-    const connection = await this.#connect()
-    if (connection === null) return null
-    const answer = await connection.request<NewsAnswer>(RELAY_METHODS.news, question, limit)
-    return answer.unwrapOr(null)
+  askNews(question: NewsQuestion, limit: number): Promise<NewsAnswer | null> {
+    return this.#question(RELAY_METHODS.news, question, limit)
+  }
+
+  askGrant(question: GrantQuestion, limit: number): Promise<GrantAnswer | null> {
+    return this.#question(RELAY_METHODS.grant, question, limit)
   }
 
-  /** Null without an answer in time. */
-  async askGrant(question: GrantQuestion, limit: number): Promise<GrantAnswer | null> {
+  /**
+   * Null without an answer in time. Not counted as owed: no statement runs there, and the question has a time limit
+   * of its own.
+   */
+  async #question<Answer>(
+    method: string,
+    question: unknown,
+    limit: number,
+  ): Promise<Answer | null> {
     const connection = await this.#connect()
     if (connection === null) return null
-    const answer = await connection.request<GrantAnswer>(RELAY_METHODS.grant, question, limit)
+    const answer = await connection.request<Answer>(method, question, limit)
     return answer.unwrapOr(null)
   }
 
--- a/packages/host/src/zoneNews.ts
+++ b/packages/host/src/zoneNews.ts
@@ -13,6 +13,7 @@
   type NewsQuestion,
   type ToldNews,
 } from './newsMessages.js'
+import { Pauses } from './pauses.js'
 
 /** A host of the zone that may be asked. */
 export interface NewsPeer {
@@ -41,11 +42,12 @@
 export class ZoneNews {
   readonly #context: HostContext
   readonly #peers: NewsPeers
-  readonly #avoidedUntil = new Map<string, Milliseconds>()
+  readonly #avoided: Pauses<string>
 
   constructor(context: HostContext, peers: NewsPeers) {
     this.#context = context
     this.#peers = peers
+    this.#avoided = new Pauses(context.clock)
   }
 
   /** Whether there is a host of the zone to ask. */
@@ -69,18 +71,12 @@
   }
 
   #teller(): NewsPeer | undefined {
-    return this.#peers.newsPeers().find(({ name }) => !this.#isAvoided(name))
-  }
-
-  #isAvoided(host: string): boolean {
-    const until = this.#avoidedUntil.get(host)
-    return until !== undefined && this.#context.clock.now() < until
+    return this.#peers.newsPeers().find(({ name }) => this.#avoided.left(name) === 0)
   }
 
   #avoid(host: string, reason: string): void {
-    const { clock, log } = this.#context
-    this.#avoidedUntil.set(host, addMilliseconds(clock.now(), AVOID_MILLISECONDS))
-    log.write('news_not_told', { host, reason })
+    this.#avoided.begin(host, AVOID_MILLISECONDS)
+    this.#context.log.write('news_not_told', { host, reason })
   }
 }
 
