fix(host): a stopped host waits for no restored store

Cause: each rest between two renewals of the host's record began a second wait, for a store that comes back, which nothing ended at the stop. Now the host's record is written again because the registration is told, on the one wait that the stop ends too. Its test is red on the code before.

--- a/packages/host/__tests__/ownerPlanning.spec.ts
+++ b/packages/host/__tests__/ownerPlanning.spec.ts
@@ -56,6 +56,7 @@
     {} as ServiceBookPorts,
     new HostFleet(context),
     new NewsDesk(context),
+    () => undefined,
   )
 }
 
--- a/packages/host/__tests__/storeRestored.spec.ts
+++ b/packages/host/__tests__/storeRestored.spec.ts
@@ -93,3 +93,16 @@
     })
   })
 })
+
+describe('a host that stopped', () => {
+  // A wait for news of a restored store went on for minutes after the stop, and the process with it.
+  it('leaves no timer behind that keeps its process alive', async () => {
+    const timers = (): number =>
+      process.getActiveResourcesInfo().filter(each => each === 'Timeout').length
+    const before = timers()
+    await inScene(2, scene => scene.ready())
+    const limit = performance.now() + 3000
+    while (timers() > before && performance.now() < limit) await rest(50)
+    expect(timers() <= before).toEqual(true)
+  })
+})
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -91,7 +91,9 @@
     this.#lastTick = clock.now()
     this.#fleet = new HostFleet(this.#context)
     this.news = new NewsDesk(this.#context)
-    this.#services = new ServiceBook(this.#context, ports, this.#fleet, this.news)
+    this.#services = new ServiceBook(this.#context, ports, this.#fleet, this.news, () => {
+      this.#registration.storeRestored()
+    })
     const plan = {
       limitOf: (customer: CustomerName) => this.#services.limitOf(customer),
       limitHolders: (customer: CustomerName) => this.#fleet.limitHolders(customer),
--- a/packages/host/src/hostRegistration.ts
+++ b/packages/host/src/hostRegistration.ts
@@ -31,8 +31,6 @@
 
 /** What this host has read of the store. */
 export interface OwnRecordReader {
-  /** Resolves when the store was restored from an older copy, at the latest after `span` milliseconds. */
-  whenRestored(span: number): Promise<void>
   /** Resolves when everything was listed, at the latest after `span` milliseconds. */
   whenListed(span: number): Promise<void>
   readonly isListed: boolean
@@ -49,7 +47,8 @@
   #lease: number | null = null
   #hasJoined = false
   #isStopped = false
-  readonly #stopped = new Signal()
+  #isRecordLost = false
+  readonly #woken = new Signal()
 
   constructor(context: HostContext, store: StoreLink, reader: OwnRecordReader, joined: () => void) {
     this.#context = context
@@ -63,26 +62,29 @@
     while (!this.#isStopped) {
       const isKept = this.#lease === null ? await this.#register() : await this.#renew(this.#lease)
       const span = isKept ? RENEW_AFTER_MILLISECONDS : RETRY_MILLISECONDS
-      await this.#rest(span * (0.75 + this.#context.random.next() / 2))
+      if (!this.#isRecordLost)
+        await this.#woken.wait(span * (0.75 + this.#context.random.next() / 2))
+      if (this.#isRecordLost) await this.#prepareReturn()
     }
   }
 
-  /** A restored store may have lost the record. All hosts write theirs again, a little apart from each other. */
-  async #rest(span: number): Promise<void> {
-    const restored = this.#reader.whenRestored(span).then(() => 'restored' as const)
-    const stopped = this.#stopped.wait(span).then(() => 'stopped' as const)
-    const askedAt = this.#context.clock.now()
-    const first = await Promise.race([restored, stopped])
-    const isOver = this.#context.clock.now() - askedAt >= span
-    if (first === 'stopped' || isOver || this.#isStopped) return
+  /** The store has come back from an older copy, which may lack the record. */
+  storeRestored(): void {
+    this.#isRecordLost = true
+    this.#woken.raise()
+  }
+
+  /** All hosts write their records again at about one moment, so each waits a little. */
+  async #prepareReturn(): Promise<void> {
+    this.#isRecordLost = false
     this.#lease = null
-    await this.#stopped.wait(RESTORED_SPREAD_MILLISECONDS * this.#context.random.next())
+    await this.#woken.wait(RESTORED_SPREAD_MILLISECONDS * this.#context.random.next())
   }
 
   /** The host stops: the others may have its share. */
   async withdraw(): Promise<void> {
     this.#isStopped = true
-    this.#stopped.raise()
+    this.#woken.raise()
     if (this.#lease === null) return
     await this.#store.endLease(this.#lease, CALL_LIMIT_MILLISECONDS)
   }
--- a/packages/host/src/serviceBook.ts
+++ b/packages/host/src/serviceBook.ts
@@ -58,15 +58,23 @@
   readonly #configuration = new ConfigurationBook()
   readonly #services = new Map<string, ServiceParts>()
   readonly #listed = new Signal()
-  readonly #restored = new Signal()
+  /** Hears that the store has come back from an older copy. */
+  readonly #restored: () => void
   #isListed = false
   #ownRecord: StandingRecord | null = null
 
-  constructor(context: HostContext, ports: ServiceBookPorts, fleet: HostFleet, news: NewsDesk) {
+  constructor(
+    context: HostContext,
+    ports: ServiceBookPorts,
+    fleet: HostFleet,
+    news: NewsDesk,
+    restored: () => void,
+  ) {
     this.#context = context
     this.#ports = ports
     this.#fleet = fleet
     this.#news = news
+    this.#restored = restored
     this.#directory = new ServerDirectory(context.settings.drainMilliseconds)
   }
 
@@ -115,11 +123,6 @@
     if (!this.#isListed) await this.#listed.wait(span)
   }
 
-  /** Resolves when the store was restored from an older copy, at the latest after `span` milliseconds. */
-  whenRestored(span: number): Promise<void> {
-    return this.#restored.wait(span)
-  }
-
   whenKnown(span: number): Promise<void> {
     return this.#configuration.whenKnown(span)
   }
@@ -201,7 +204,7 @@
   /** Claims made since the copy are gone from the store, while their holders may still act on them. */
   #noteRestored(now: Milliseconds): void {
     for (const { keeper } of this.#services.values()) keeper.storeRestored(now)
-    this.#restored.raise()
+    this.#restored()
   }
 
   heard(changes: readonly DirectoryChange[], since: Milliseconds): void {
