--- a/packages/host/src/callerName.ts
+++ b/packages/host/src/callerName.ts
@@ -6,7 +6,7 @@
  */
 import type { CallerRefusal, Route } from '@nutmegcourse/protocol'
 import type { CustomerName, KeyDigest } from '@nutmegcourse/shared'
-import type { CallerIdentity, RouteLookup } from './routeLookup.js'
+import type { RouteLookup } from './routeLookup.js'
 
 /** What a caller is told that may not go on. */
 export interface Denial {
@@ -29,6 +29,13 @@
   detail: 'the key is no longer of the customer that began the transaction',
 }
 
+/** Whether a statement may run, and in whose name: null stands for nobody's. */
+export type Permission =
+  | { readonly kind: 'granted'; readonly customer: CustomerName | null }
+  | { readonly kind: 'denied'; readonly denial: Denial }
+
+const denied = (denial: Denial): Permission => ({ kind: 'denied', denial })
+
 export class CallerName {
   readonly #routes: RouteLookup
   readonly #key: KeyDigest
@@ -38,44 +45,40 @@
     this.#key = key
   }
 
-  /** Null where statements run in nobody's name. */
-  customerFor(route: Route): CustomerName | null {
-    const identity = this.#identify(route)
-    return identity.kind === 'customer' ? identity.customer : null
-  }
-
-  /** Null when the caller may use the route. */
-  denialFor(route: Route): Denial | null {
-    const { kind } = this.#identify(route)
-    switch (kind) {
+  /** To use the route at all. */
+  forSession(route: Route): Permission {
+    const identity = this.#routes.identify(route, this.#key)
+    switch (identity.kind) {
       case 'anyone':
+        return { kind: 'granted', customer: null }
       case 'customer':
-        return null
+        return { kind: 'granted', customer: identity.customer }
       case 'unknown':
-        return UNKNOWN_KEY
+        return denied(UNKNOWN_KEY)
       case 'unconfirmed':
-        return UNCONFIRMED_KEY
+        return denied(UNCONFIRMED_KEY)
     }
   }
 
-  /** A transaction runs on a connection of its customer: when the key is gone or moved, so is its right to run. */
-  denialOfTransaction(route: Route, customer: CustomerName | null): Denial | null {
-    if (customer === null) return null
-    return this.customerFor(route) === customer ? null : LOST_KEY
-  }
-
-  /** Null when one more operation keeps to the customer's limit. */
-  async denialOfOperation(route: Route): Promise<Denial | null> {
-    const customer = this.customerFor(route)
-    if (customer === null) return null
+  /** For one more operation, which has to keep to its customer's limit. */
+  async forOperation(route: Route): Promise<Permission> {
+    const permission = this.forSession(route)
+    if (permission.kind === 'denied' || permission.customer === null) return permission
+    const { customer } = permission
     const admission = await this.#routes.admitOperation(customer)
-    if (admission.kind === 'admitted') return null
+    if (admission.kind === 'admitted') return permission
     const after = String(Math.ceil(admission.waitMilliseconds))
     const detail = `limit of ${customer} is reached retry_after_ms=${after}`
-    return { refusal: 'overLimit', detail }
+    return denied({ refusal: 'overLimit', detail })
   }
 
-  #identify(route: Route): CallerIdentity {
-    return this.#routes.identify(route, this.#key)
+  /**
+   * For a further statement of a transaction. It runs on a connection of the customer that began it: when the key is
+   * gone or moved, so is its right to run.
+   */
+  withinTransaction(route: Route, customer: CustomerName | null): Permission {
+    if (customer === null) return { kind: 'granted', customer }
+    const now = this.forSession(route)
+    return now.kind === 'granted' && now.customer === customer ? now : denied(LOST_KEY)
   }
 }
