refactor(host): opening connections stands apart from lending them

serverPool.ts had 479 lines; connectionOpener.ts takes what concerns the server's answer to a new connection, pooledLink.ts the types. Behaviour as before.

--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -16,7 +16,7 @@
 import type { Mishap, SessionValues } from '@nutmegcourse/state'
 import type { Result } from 'neverthrow'
 import type { HostContext } from './hostContext.js'
-import type { PooledLink } from './serverPool.js'
+import type { PooledLink } from './pooledLink.js'
 import { OVERDUE, within } from './waiting.js'
 
 /** A statement that a backend server has to run. */
--- a/packages/host/src/groupControl.ts
+++ b/packages/host/src/groupControl.ts
@@ -11,7 +11,7 @@
 import type { GroupOrders } from '@nutmegcourse/coordination'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
-import type { PooledLink } from './serverPool.js'
+import type { PooledLink } from './pooledLink.js'
 import type { ServiceDesk } from './serviceDesk.js'
 import { OVERDUE, rest, within } from './waiting.js'
 
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -15,7 +15,7 @@
 import { attempt, type AttemptOutcome } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
-import type { AcquireFailure, PooledLink } from './serverPool.js'
+import type { AcquireFailure, PooledLink } from './pooledLink.js'
 import type { StatementRequest } from './statements.js'
 import { earlier, rest } from './waiting.js'
 
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -5,12 +5,11 @@
  */
 import {
   addMilliseconds,
-  drawnApart,
   milliseconds,
   type CustomerName,
   type Milliseconds,
 } from '@nutmegcourse/shared'
-import type { BackendAddress, BackendLink, LinkFailure } from '@nutmegcourse/protocol'
+import type { BackendAddress, BackendLink } from '@nutmegcourse/protocol'
 import {
   ConnectionValues,
   IdleConnections,
@@ -21,66 +20,19 @@
   forecastWait,
   poolLimits,
   type PoolLimits,
-  type Waiter,
 } from '@nutmegcourse/state'
+import { ConnectionOpener, type ConnectionHolder, type OpenFailure } from './connectionOpener.js'
 import type { HostContext } from './hostContext.js'
-import { OVERDUE, within } from './waiting.js'
-
-/** One connection, and what is known of it. */
-export interface PooledLink {
-  readonly link: BackendLink
-  readonly values: ConnectionValues
-  /** Whose statements it runs; null where customers are not told apart. */
-  readonly customer: CustomerName | null
-  idleSince: Milliseconds
-  /** When a customer's work last took it. */
-  usedAt: Milliseconds
-  /** Since when work holds it. */
-  takenAt: Milliseconds
-}
-
-export type AcquireFailure = 'unreachable' | 'full' | 'overdue' | 'withdrawn'
-
-export type Acquired =
-  | { readonly link: PooledLink }
-  | { readonly failure: AcquireFailure }
-  /** The line is so long that it was not joined. */
-  | { readonly failure: 'overloaded'; readonly waitMilliseconds: number }
-
-/** Under which terms work waits for a connection. */
-export interface AcquireTerms {
-  readonly priority: number
-  readonly deadline: Milliseconds
-  /** Work that would have to wait longer, by all that is known, is told so at once. */
-  readonly patienceMilliseconds: number
-  readonly use: ConnectionUse
-}
-
-/** A customer's work needs a connection of that customer; questions of the host itself go over any. */
-export type ConnectionUse =
-  { readonly kind: 'customer'; readonly customer: CustomerName | null } | { readonly kind: 'own' }
-
-interface LinkWaiter extends Waiter {
-  readonly session: SessionValues
-  readonly use: ConnectionUse
-  readonly since: Milliseconds
-  settle(acquired: Acquired): void
-}
-
-/** A server that takes a connection does so within tens of milliseconds, past the link too. */
-const OPEN_LIMIT_MILLISECONDS = 1000
-
-/** After a refusal for want of connections; others give theirs back within about this time. */
-const FULL_PAUSE_MILLISECONDS = 60
-
-/** For so long after such a refusal this host asks for no more than one at a time. */
-const FULL_CAUTION_MILLISECONDS = 1000
-
-/** The wait that is forecast, and told, where no connection has come for longer; hosts give theirs back sooner. */
-const LONGEST_DENIAL_MILLISECONDS = 1000
-
-/** After a refused connection. A server that starts again is found within this time. */
-const REFUSED_PAUSE_MILLISECONDS = 80
+import {
+  customerOf,
+  isFor,
+  type AcquireFailure,
+  type AcquireTerms,
+  type Acquired,
+  type ConnectionUse,
+  type LinkWaiter,
+  type PooledLink,
+} from './pooledLink.js'
 
 /** A connection beyond this host's share goes back when nothing has needed it for so long. */
 const SURPLUS_IDLE_MILLISECONDS = 250
@@ -103,9 +55,8 @@
 
 const NOT_TAKEN = milliseconds(Number.NEGATIVE_INFINITY)
 
-export class ServerPool {
+export class ServerPool implements ConnectionHolder {
   readonly #context: HostContext
-  readonly #address: BackendAddress
   readonly #idle = new IdleConnections<PooledLink>()
   readonly #all = new Set<PooledLink>()
   readonly #line = new WaitingLine<LinkWaiter>()
@@ -114,17 +65,9 @@
   #connectionLimit: number
   /** Hosts that share the server's connections. */
   readonly #holders: () => number
-  /** Connections that are being opened, by customer. */
-  readonly #opening = new Map<CustomerName | null, number>()
-  readonly #openings = new ServiceEstimate()
-  #mayOpenAt = milliseconds(0)
   #isClosed = false
-  #fullAt = milliseconds(Number.NEGATIVE_INFINITY)
-  /** Since when it has been full while this host holds no connection to it. */
-  #deniedSince: Milliseconds | null = null
   #owesSince = Number.NEGATIVE_INFINITY
-  /** Refused connections in a row. */
-  refusals = 0
+  readonly #opener: ConnectionOpener
 
   constructor(
     context: HostContext,
@@ -134,8 +77,21 @@
   ) {
     this.#holders = holders
     this.#context = context
-    this.#address = address
     this.#connectionLimit = connectionLimit
+    this.#opener = new ConnectionOpener(context, address, this)
+  }
+
+  /** Refused connections in a row, and signs of a port that refuses; a sign of life ends them. */
+  get refusals(): number {
+    return this.#opener.refusals
+  }
+
+  set refusals(count: number) {
+    this.#opener.refusals = count
+  }
+
+  get held(): number {
+    return this.#all.size
   }
 
   set connectionLimit(limit: number) {
@@ -151,18 +107,12 @@
   }
 
   get size(): number {
-    return this.#all.size + this.#openingCount
-  }
-
-  get #openingCount(): number {
-    let count = 0
-    for (const each of this.#opening.values()) count += each
-    return count
+    return this.#all.size + this.#opener.count
   }
 
   /** What a customer's work would wait for a new connection; 0 where one is idle. */
   openingMilliseconds(customer: CustomerName | null): number {
-    return this.#idle.has(customer) ? 0 : this.#openings.at(this.#context.clock.now())
+    return this.#idle.has(customer) ? 0 : this.#opener.usualMilliseconds
   }
 
   /** When bytes last came on any connection. */
@@ -197,10 +147,10 @@
   #forecastWait(terms: AcquireTerms): number {
     if (this.#opensAtOnce(terms.use)) return 0
     return Math.max(
-      this.#deniedMilliseconds,
+      this.#opener.deniedMilliseconds,
       forecastWait({
         ahead: this.#line.aheadOf(terms),
-        connections: this.busy + (this.#wasFull() ? 0 : this.#openingCount),
+        connections: this.busy + (this.#opener.wasFull ? 0 : this.#opener.count),
         holdMilliseconds: this.#holds.at(this.#context.clock.now()),
       }),
     )
@@ -208,20 +158,10 @@
 
   /** Whether a customer's work gets a connection of its own, opened for it, and waits for nobody. */
   #opensAtOnce(use: ConnectionUse): boolean {
-    if (customerOf(use) === null || this.#wasFull()) return false
+    if (customerOf(use) === null || this.#opener.wasFull) return false
     return this.size < this.#limits().burst || this.#idle.size > 0
   }
 
-  /**
-   * For how long the full server has given this host no connection at all. No line moves here then, and it
-   * may well last as long again: work that joined it waited to the end of its time, 0.9 s, in vain.
-   */
-  get #deniedMilliseconds(): number {
-    if (this.#deniedSince === null || !this.#wasFull()) return 0
-    const denied = this.#context.clock.now() - this.#deniedSince
-    return Math.min(denied, LONGEST_DENIAL_MILLISECONDS)
-  }
-
   /** A connection for the host's own questions and orders: before all requests, and however long the line is. */
   acquireFirst(deadline: Milliseconds): Promise<Acquired> {
     return this.acquire(NO_SESSION, {
@@ -288,7 +228,7 @@
   }
 
   #isPassedOver({ use, since }: LinkWaiter): boolean {
-    if (this.#opening.has(customerOf(use))) return false
+    if (this.#opener.byCustomer.has(customerOf(use))) return false
     return this.#context.clock.now() > addMilliseconds(since, PASSED_OVER_MILLISECONDS)
   }
 
@@ -333,11 +273,6 @@
     for (const pooled of this.#idle.all()) this.discard(pooled)
   }
 
-  /** A server that was full is asked for one connection at a time: many hosts want the few it has. */
-  #wasFull(): boolean {
-    return this.#context.clock.now() < addMilliseconds(this.#fullAt, FULL_CAUTION_MILLISECONDS)
-  }
-
   #limits(): PoolLimits {
     const { requiresKeys } = this.#context.settings
     return poolLimits(this.#connectionLimit, this.#holders(), requiresKeys)
@@ -349,21 +284,21 @@
   }
 
   #openMore(warm = 0): void {
-    if (this.#isClosed || this.#context.clock.now() < this.#mayOpenAt) return
-    const limits = this.#wasFull() ? { share: 1, burst: this.#all.size + 1 } : this.#limits()
+    if (this.#isClosed || !this.#opener.mayOpen) return
+    const limits = this.#opener.wasFull ? { share: 1, burst: this.#all.size + 1 } : this.#limits()
     const missing = this.#missing()
-    const opening = this.#openingCount
+    const opening = this.#opener.count
     const state = { size: this.size, opening, idle: 0, waiting: opening + missing.length }
     const room = connectionsToOpen(state, limits, warm)
     for (const [index, waiter] of missing.entries()) {
-      if (index < room || this.#makeRoom(waiter)) void this.#open(customerOf(waiter.use))
+      if (index < room || this.#makeRoom(waiter)) void this.#opener.open(customerOf(waiter.use))
     }
-    for (let index = missing.length; index < room; index += 1) void this.#open(null)
+    for (let index = missing.length; index < room; index += 1) void this.#opener.open(null)
   }
 
   /** For whom a connection has to be opened: those who wait beyond what is being opened for their customers. */
   #missing(): LinkWaiter[] {
-    const coming = new Map(this.#opening)
+    const coming = new Map(this.#opener.byCustomer)
     const missing: LinkWaiter[] = []
     for (const waiter of this.#line.waiting()) {
       const customer = customerOf(waiter.use)
@@ -396,38 +331,14 @@
     return false
   }
 
-  #noteOpening(customer: CustomerName | null, change: 1 | -1): void {
-    const count = (this.#opening.get(customer) ?? 0) + change
-    if (count === 0) this.#opening.delete(customer)
-    else this.#opening.set(customer, count)
-  }
-
-  async #open(customer: CustomerName | null): Promise<void> {
-    this.#noteOpening(customer, 1)
-    const { clock } = this.#context
-    const askedAt = clock.now()
-    const { link, opened } = this.#context.dialer.open(this.#address, customer)
-    const limit = addMilliseconds(askedAt, OPEN_LIMIT_MILLISECONDS)
-    const result = await within(opened, limit, clock)
-    this.#noteOpening(customer, -1)
-    if (result === OVERDUE) {
-      link.close()
-      this.#failedToOpen({ kind: 'connectionLost' })
-      return
-    }
-    if (result.isErr()) {
-      this.#failedToOpen(result.error)
-      return
-    }
-    this.refusals = 0
-    this.#deniedSince = null
-    this.#openings.record(clock.now() - askedAt, clock.now())
+  opened(link: BackendLink, customer: CustomerName | null): void {
+    const now = this.#context.clock.now()
     const pooled = {
       link,
       values: new ConnectionValues(),
       customer,
-      idleSince: clock.now(),
-      usedAt: clock.now(),
+      idleSince: now,
+      usedAt: now,
       takenAt: NOT_TAKEN,
     }
     this.#all.add(pooled)
@@ -438,28 +349,9 @@
     this.release(pooled)
   }
 
-  #failedToOpen(failure: LinkFailure): void {
-    const { log, clock, random } = this.#context
-    const isFull = failure.kind === 'rejected' && failure.refusal === 'tooManyConnections'
-    if (failure.kind === 'connectionRefused') this.refusals += 1
-    if (isFull) this.#noteFull(clock.now())
-    const span = isFull ? FULL_PAUSE_MILLISECONDS : REFUSED_PAUSE_MILLISECONDS
-    this.#mayOpenAt = addMilliseconds(clock.now(), drawnApart(span, random))
-    log.write('connection_not_opened', {
-      server: this.#address.server,
-      service: this.#address.service,
-      ...failure,
-      waiting: this.#line.size,
-      held: this.#all.size,
-    })
-    if (isFull && this.#all.size > 0) return
-    this.withdrawWaiting(isFull ? 'full' : 'unreachable')
-  }
-
-  #noteFull(now: Milliseconds): void {
-    if (!this.#wasFull()) this.#deniedSince = null
-    if (this.#all.size === 0) this.#deniedSince ??= now
-    this.#fullAt = now
+  /** Where this host has connections to a full server, those who wait get them by and by. */
+  failedToOpen(failure: OpenFailure): void {
+    if (failure === 'unreachable' || this.#all.size === 0) this.withdrawWaiting(failure)
   }
 
   #closeSurplus(now: Milliseconds, keepWarm: boolean): void {
@@ -470,10 +362,3 @@
     if (now >= addMilliseconds(oldest.idleSince, SURPLUS_IDLE_MILLISECONDS)) this.discard(oldest)
   }
 }
-
-/** Whose connection is opened for a use; one for the host's own questions is in nobody's name. */
-const customerOf = (use: ConnectionUse): CustomerName | null =>
-  use.kind === 'own' ? null : use.customer
-
-const isFor = ({ customer }: PooledLink, { use }: LinkWaiter): boolean =>
-  use.kind === 'own' || use.customer === customer
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -15,7 +15,7 @@
 import type { AttemptOutcome, RemoteStatement } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { RelayPeer } from './relayPeer.js'
-import type { PooledLink } from './serverPool.js'
+import type { PooledLink } from './pooledLink.js'
 import type { ServiceDesk } from './serviceDesk.js'
 
 /** What a session brings to each of its statements. */
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -11,7 +11,7 @@
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
 import { READ_ACQUIRE_MILLISECONDS, type ServerAccess, type ServerMishap } from './serverAccess.js'
-import type { PooledLink } from './serverPool.js'
+import type { PooledLink } from './pooledLink.js'
 import {
   answered,
   needsPrimary,
