fix(transport): an answer that arrived during a stall of this process counts

What callers saw: an entry host that stalled for longer than its ping's 250 ms closed the connection to the host that runs its statements, and each statement on its way there ended with an unknown outcome; agents closed links to the store and to each other.

Cause: a request's timeout was a plain timer, and an expired timer may run before the socket is read, where the answer lay. Found by looking for the fault of the store's HTTP client elsewhere; seen in no log.

The socket is read once more before a request fails, so only an answer that had not arrived by then is missed.

--- a/packages/transport/__tests__/jsonRpcConnection.spec.ts
+++ b/packages/transport/__tests__/jsonRpcConnection.spec.ts
@@ -3,6 +3,13 @@
 import { expect } from 'earl'
 import { JsonRpcConnection, listen, openJsonRpc } from '../src/index.js'
 
+const REQUEST_TIMEOUT_MILLISECONDS = 50
+
+function blockEventLoop(): void {
+  const end = performance.now() + 2 * REQUEST_TIMEOUT_MILLISECONDS
+  while (performance.now() < end);
+}
+
 describe('JsonRpcConnection', () => {
   let server: Server
   let port = 0
@@ -17,6 +24,10 @@
         drop: () => {
           socket.destroy()
         },
+        stall: () => {
+          setImmediate(blockEventLoop)
+          return null
+        },
       })
     })
     server = listening.server
@@ -30,11 +41,13 @@
     { method: 'absent', outcome: 'remote' },
     { method: 'silent', outcome: 'answerTimeout' },
     { method: 'drop', outcome: 'connectionLost' },
+    // Guards against a stall of this process being taken for a silent peer, whose answer lies unread.
+    { method: 'stall', outcome: 'answered' },
   ] as const
   for (const { method, outcome } of cases) {
     it(`resolves a request to ${method} with the outcome ${outcome}`, async () => {
       const connection = (await openJsonRpc('127.0.0.1', port, {}, 1000))._unsafeUnwrap()
-      const result = await connection.request(method, { value: 7 }, 50)
+      const result = await connection.request(method, { value: 7 }, REQUEST_TIMEOUT_MILLISECONDS)
       connection.close()
       expect(
         result.match(
--- a/packages/transport/src/jsonRpcConnection.ts
+++ b/packages/transport/src/jsonRpcConnection.ts
@@ -28,13 +28,20 @@
   readonly #socket: Socket
   readonly #client: JSONRPCClient
   readonly #peer: JSONRPCServerAndClient
+  #lastRequestId = 0
   #closed = false
 
   constructor(socket: Socket, handlers: RpcHandlers) {
     this.#socket = socket
-    this.#client = new JSONRPCClient(request => {
-      this.#write(request)
-    })
+    this.#client = new JSONRPCClient(
+      request => {
+        this.#write(request)
+      },
+      () => {
+        this.#lastRequestId += 1
+        return this.#lastRequestId
+      },
+    )
     this.#peer = new JSONRPCServerAndClient(
       new JSONRPCServer({ errorListener: () => undefined }),
       this.#client,
@@ -82,14 +89,10 @@
     params: unknown,
     timeoutMilliseconds: number,
   ): ResultAsync<Answer, TransportError> {
-    const answer = this.#client
-      .timeout(timeoutMilliseconds, id =>
-        createJSONRPCErrorResponse(id, ANSWER_TIMEOUT_CODE, 'no answer in time'),
-      )
-      .request(method, params) as PromiseLike<Answer>
-    return ResultAsync.fromPromise(Promise.resolve(answer), error =>
-      this.#describeError(error, method),
-    )
+    const pending = this.#client.request(method, params) as PromiseLike<Answer>
+    const stopTimeout = this.#startTimeout(this.#lastRequestId, timeoutMilliseconds)
+    const answer = Promise.resolve(pending).finally(stopTimeout)
+    return ResultAsync.fromPromise(answer, error => this.#describeError(error, method))
   }
 
   /** Sends a message without an answer. It is lost if the connection breaks. */
@@ -101,6 +104,20 @@
     this.#socket.destroy()
   }
 
+  /**
+   * After a stall of this process its timers may run before its sockets are read, although the answer has arrived. So
+   * the socket is read once more before the request fails.
+   */
+  #startTimeout(id: number, timeoutMilliseconds: number): () => void {
+    const fail = (): void => {
+      this.#client.receive(createJSONRPCErrorResponse(id, ANSWER_TIMEOUT_CODE, 'no answer in time'))
+    }
+    const timer = setTimeout(() => setImmediate(fail), timeoutMilliseconds)
+    return () => {
+      clearTimeout(timer)
+    }
+  }
+
   #write(message: unknown): void {
     if (this.#closed) throw new Error('connection closed')
     this.#socket.write(`${JSON.stringify(message)}\n`)
