fix(host): an answer that arrived during a stall of the host counts at its deadline

What callers saw: after a stall that lasted past a request's deadline, a host reported the request as overdue, a write as of unknown outcome, although the server's answer lay in its socket; a connection that had opened was closed, and an order that a replica had obeyed was sent again.

Cause: withDeadline raced the answer against a plain timer, which may run before the socket is read. Found by looking for the fault of the store's HTTP client elsewhere; seen in no log.

--- a/packages/host/src/waiting.ts
+++ b/packages/host/src/waiting.ts
@@ -28,18 +28,25 @@
 
 export const OVERDUE = Symbol('overdue')
 
-/** The resolved value, or `OVERDUE` if the promise has not settled by `deadline`. */
+/**
+ * The resolved value, or `OVERDUE` if the promise has not settled by `deadline`. After a stall of this process its
+ * timers may run before its sockets are read, so what has arrived by the deadline is read first.
+ */
 export async function withDeadline<Value>(
   value: Promise<Value>,
   deadline: Milliseconds,
   clock: Clock,
 ): Promise<Value | typeof OVERDUE> {
   const limit = startDelay(deadline - clock.now())
-  const first = await Promise.race([value, limit.over.then((): typeof OVERDUE => OVERDUE)])
+  const overdue = limit.over.then(readSockets).then((): typeof OVERDUE => OVERDUE)
+  const first = await Promise.race([value, overdue])
   limit.cancel()
   return first
 }
 
+/** Resolves after the event loop has read its sockets. */
+const readSockets = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
+
 /** Wakes all current waiters when raised; each waits with a timeout of its own. */
 export class Signal {
   #waiting = new Set<() => void>()
@@ -49,6 +56,9 @@
     return this.#waiting.size > 0
   }
 
+  /** Resolves after the event loop has read its sockets. */
+  readSockets = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
+
   /** Wakes all current waiters. */
   raise(): void {
     const waiting = this.#waiting
