test(host): a failed scenario prints what its hosts logged

"the primary crashes" failed once after 13.5 s, and no line was kept that says at which step of the change it waited. withHostFixture now prints, when its scenario fails, the time since its start and per host and event the first and last 12 lines, with their times.

--- a/packages/host/__tests__/support/hostFixture.ts
+++ b/packages/host/__tests__/support/hostFixture.ts
@@ -20,6 +20,7 @@
 import { HostMetrics } from '../../src/hostMetrics.js'
 import { EntryHost } from '../../src/index.js'
 import { Caller } from './caller.js'
+import { printEvidence } from './failureEvidence.js'
 
 export const SERVICE = 'db-1'
 /** The primary when the fixture starts. */
@@ -96,7 +97,11 @@
   readonly host: EntryHost
   readonly store: StoreConnection
   readonly dialer: MemoryDialer
-  readonly lines: { readonly event: string; readonly fields: LogFields }[]
+  readonly lines: {
+    readonly event: string
+    readonly fields: LogFields
+    readonly at: number
+  }[]
 }
 
 /** How the promotion orders of a host fail. `noAnswer`: not carried out; `late`: carried out after the call failed. */
@@ -190,7 +195,7 @@
     const log = new DecisionLog(
       {
         info: (event, fields) => {
-          lines.push({ event, fields })
+          lines.push({ event, fields, at: performance.now() })
         },
       },
       metrics,
@@ -288,12 +293,16 @@
   scenario: (fixture: HostFixture, hosts: readonly FixtureHost[]) => Promise<void>,
   options: HostFixtureOptions = {},
 ): Promise<void> {
+  const startedAt = performance.now()
   const fixture = new HostFixture(options)
   try {
     for (let index = 1; index <= hosts; index += 1) fixture.add(`host-${String(index)}`)
     await fixture.ready()
     await scenario(fixture, fixture.hosts)
     if (fixture.group.violations.length > 0) throw new Error(fixture.group.violations.join('; '))
+  } catch (error) {
+    printEvidence(fixture.hosts, startedAt)
+    throw error
   } finally {
     await fixture.close()
   }
