fix(host): a host that stood still does not replace the server that it has just promoted

What callers saw: after the primary failed, a server was promoted, and a few hundred milliseconds later writes were interrupted again, because the same host moved the primary from the new server to the next one.

Cause: a host waits 3 s for the promotion that it ordered. When its process stood still meanwhile, or the platform took longer, it queried all servers anew in the next round of the same claim. By then it believed that the promoted server leads, took it for the old primary, made it step down and ordered another one.

Fix: a round begins with the server that was last ordered under this claim; if it leads, the change is finished with it.

--- a/packages/host/src/failoverController.ts
+++ b/packages/host/src/failoverController.ts
@@ -72,6 +72,8 @@
   #abandonedAt: Milliseconds | null = null
   #suspendedUntil = milliseconds(0)
   #isChanging = false
+  /** The last server that this host ordered to be promoted, and the token of the order. */
+  #ordered: { readonly server: BackendServerId; readonly token: number } | null = null
   #lastVote: { readonly vote: SuspicionRecord; readonly at: Milliseconds } | null = null
 
   constructor(
@@ -240,6 +242,8 @@
 
   async #round(claim: Claim): Promise<'done' | 'again' | 'lost'> {
     if (!(await this.#claims.renew(claim))) return 'lost'
+    const promoted = await this.#promotedMeanwhile(claim)
+    if (promoted !== null) return this.#finish(claim, promoted)
     const oldPrimary = this.#service.primary?.entry.server ?? null
     const choice = new PrimaryChoice(
       {
@@ -258,6 +262,17 @@
     return this.#promote(claim, chosen.value.server)
   }
 
+  /**
+   * The server that was ordered to be promoted under this claim, if it leads by now. A host that stood still, or waited
+   * in vain for the platform, would otherwise take it for an old primary and replace it.
+   */
+  async #promotedMeanwhile(claim: Claim): Promise<BackendServerId | null> {
+    if (this.#ordered?.token !== claim.token) return null
+    const { server } = this.#ordered
+    const report = await this.#orders.report(server)
+    return report?.role === 'primary' ? server : null
+  }
+
   #replicas(oldPrimary: BackendServerId | null) {
     return this.#directory
       .ofService(this.#service.name)
@@ -276,6 +291,7 @@
       holder: this.#context.settings.entryHost,
       fencingToken: claim.token,
     }
+    this.#ordered = { server, token: claim.token }
     for (let attempt = 0; attempt < MAX_PROMOTION_ATTEMPTS; attempt += 1) {
       if (attempt > 0) await sleep(ROUND_PAUSE_MILLISECONDS)
       const outcome = await this.#promotion.promote(order, CALL_LIMIT_MILLISECONDS)
@@ -301,17 +317,19 @@
     const limit = addMilliseconds(clock.now(), PROMOTION_EFFECT_LIMIT_MILLISECONDS)
     while (clock.now() < limit) {
       const report = await this.#orders.report(server)
-      if (report?.role === 'primary') {
-        this.#service.recordPromotion(server, clock.now())
-        await this.#resumePaused(server)
-        await this.#claims.recordDone(claim, server)
-        return 'done'
-      }
+      if (report?.role === 'primary') return this.#finish(claim, server)
       await sleep(PROMOTION_POLL_INTERVAL_MILLISECONDS)
     }
     return 'again'
   }
 
+  async #finish(claim: Claim, primary: BackendServerId): Promise<'done'> {
+    this.#service.recordPromotion(primary, this.#context.clock.now())
+    await this.#resumePaused(primary)
+    await this.#claims.recordDone(claim, primary)
+    return 'done'
+  }
+
   /**
    * A promotion resumes paused replicas, but not one whose pause arrived late or was for a later term. Without an
    * order to resume it would lag forever, and the other replicas would serve all its reads.
