fix(host): the record that a change of primary is done is written again when it fails

What callers saw: one lost or refused call to the store after a promotion interrupted writes a second time and more often: every host that took up the change moved the primary from a healthy server to the next one, about every second while the store refused these records.

Cause: a host that could not write the record ended its claim all the same. The claim vanished without the record, so the next host took the change for abandoned, made the new primary step down and promoted another server.

Fix: the record is written again every 100 ms while it fails, for the lifetime of the claim; its condition is the claim's revision, so it can not overwrite the claim of another host. A conflict with the host's own record counts as made.

Left: a claim that lapses because its holder stands still for more than 4 s is still taken up as abandoned.

--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -194,6 +194,14 @@
       answered: 'whether it confirmed',
     },
   },
+  done_not_recorded: {
+    when: 'The record that a change of primary is done was not written; it is written again.',
+    fields: {
+      service: 'the service',
+      token: 'the fencing token',
+      why: 'the failure, as for store_lost',
+    },
+  },
   change_done: {
     when: 'The new primary is in place.',
     fields: {
--- a/packages/host/src/primaryClaim.ts
+++ b/packages/host/src/primaryClaim.ts
@@ -5,9 +5,10 @@
  * @internal
  */
 import { changeKey, readChangeRecord, writeRecord } from '@nutmegcourse/coordination'
-import { attemptId, type BackendServerId } from '@nutmegcourse/shared'
-import type { StoreLink } from '@nutmegcourse/protocol'
+import { addMilliseconds, attemptId, type BackendServerId } from '@nutmegcourse/shared'
+import type { ChangeOutcome, StoreFailure, StoreLink } from '@nutmegcourse/protocol'
 import type { HostContext } from './hostContext.js'
+import { sleep } from './waiting.js'
 
 /** Limit of one call to the store; a slow call takes some hundred milliseconds. */
 export const CALL_LIMIT_MILLISECONDS = 1000
@@ -15,6 +16,11 @@
 /** A change of primary takes one to two seconds; the lease covers its slowest step and is renewed between steps. */
 const CLAIM_MILLISECONDS = 4000
 
+/** Pause before a record that the change is done is written again. */
+const DONE_RETRY_PAUSE_MILLISECONDS = 100
+
+type DoneOutcome = ChangeOutcome['kind'] | StoreFailure['kind']
+
 export interface Claim {
   /** The fencing token. */
   readonly token: number
@@ -98,8 +104,28 @@
     return false
   }
 
-  /** Replaces the claim by a record of the new primary, which all hosts receive. */
+  /**
+   * Replaces the claim by a record of the new primary, which all hosts receive. Repeated while it fails, as long as the
+   * lease lasts: without the record the next host takes the change for abandoned and replaces the new primary.
+   */
   async recordDone(claim: Claim, primary: BackendServerId): Promise<void> {
+    const { clock, log } = this.#context
+    const limit = addMilliseconds(clock.now(), this.lifetimeMilliseconds)
+    let recorded = await this.#putDone(claim, primary)
+    while (recorded !== 'made' && recorded !== 'conflict' && clock.now() < limit) {
+      log.write('done_not_recorded', { service: this.#service, token: claim.token, why: recorded })
+      await sleep(DONE_RETRY_PAUSE_MILLISECONDS)
+      recorded = await this.#putDone(claim, primary)
+    }
+    log.write('change_done', {
+      service: this.#service,
+      primary,
+      token: claim.token,
+      recorded,
+    })
+  }
+
+  async #putDone(claim: Claim, primary: BackendServerId): Promise<DoneOutcome> {
     const key = changeKey(this.#service)
     const { entryHost: holder } = this.#context.settings
     const value = writeRecord({ phase: 'done', holder, primary })
@@ -111,11 +137,9 @@
       },
       CALL_LIMIT_MILLISECONDS,
     )
-    this.#context.log.write('change_done', {
-      service: this.#service,
-      primary,
-      token: claim.token,
-      recorded: made.isOk() ? made.value.kind : made.error.kind,
-    })
+    if (made.isErr()) return made.error.kind
+    // An earlier attempt may have been carried out without an answer.
+    const isOwn = made.value.kind === 'conflict' && made.value.records[0]?.value === value
+    return isOwn ? 'made' : made.value.kind
   }
 }
