--- a/packages/host/__tests__/changeAfterStandstill.spec.ts
+++ b/packages/host/__tests__/changeAfterStall.spec.ts
@@ -4,7 +4,7 @@
 import { A, P, withHostFixture, type FixtureHost } from './support/hostFixture.js'
 
 /** Longer than a host waits for an ordered promotion to take effect. */
-const STANDSTILL_MILLISECONDS = 3200
+const STALL_MILLISECONDS = 3200
 
 /** Within this time a host that takes the new primary for an old one has replaced it. */
 const SECOND_CHANGE_MILLISECONDS = 1000
@@ -12,8 +12,8 @@
 const isDone = ({ lines }: FixtureHost): boolean =>
   lines.some(({ event }) => event === 'change_done')
 
-describe('a change of primary by a host that stands still', () => {
-  // The host's process stood still while the platform promoted a server. It gave up waiting, took the new primary for
+describe('a change of primary by a host that stalls', () => {
+  // The host's process stalled while the platform promoted a server. It gave up waiting, took the new primary for
   // an old one and replaced it, so that writes were interrupted a second time.
   it('does not replace the server that was promoted meanwhile', async () => {
     await withHostFixture(0, async scene => {
@@ -24,7 +24,7 @@
       let orders = 0
       scene.promotionFault = () => {
         orders += 1
-        if (orders === 1) setTimeout(standStill, 10)
+        if (orders === 1) setTimeout(stall, 10)
         return 'none'
       }
       scene.crash(P)
@@ -38,11 +38,11 @@
 })
 
 /** Blocks this process, as the system does when it gives it no processor. */
-function standStill(): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STANDSTILL_MILLISECONDS)
+function stall(): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STALL_MILLISECONDS)
 }
 
-/** A connection to the store whose leases outlast the standstill also on a loaded machine. */
+/** A connection to the store whose leases outlast the stall also on a loaded machine. */
 class LongLeases extends StoreConnection {
   override grantLease(_lifetime: number, limit: number): ReturnType<StoreConnection['grantLease']> {
     return super.grantLease(60_000, limit)
