--- a/packages/proxy/src/activeRequest.ts
+++ b/packages/proxy/src/activeRequest.ts
@@ -1,5 +1,6 @@
 /** The state of a request between its start and its final answer, and the evaluation of its outcome. */
 import { TransactionStatus, type TransactionStatusByte } from '@nutmegcourse/protocol'
+import type { Milliseconds } from '@nutmegcourse/shared'
 import type { BackendConnection } from './backendConnection.js'
 import type { BackendRun, RunOutcome } from './backendRun.js'
 import type { CallerConnection } from './callerConnection.js'
@@ -15,6 +16,10 @@
   mode: RunMode | null
   answer: AnswerBuffer | null
   connection: BackendConnection | null
+  /** When the latest attempt was sent; null before the first. */
+  sentAt: Milliseconds | null
+  /** Why the connection of the latest attempt broke; null if it did not. */
+  breakDetail: string | null
   /** Set while a complete answer is held until the core acknowledges or refuses it. */
   outcome: RunOutcome | null
   /** Set if the request was refused before its Sync: ReadyForQuery with this status follows the Sync. */
@@ -33,6 +38,8 @@
     mode: null,
     answer: null,
     connection: null,
+    sentAt: null,
+    breakDetail: null,
     outcome: null,
     pendingReadyStatus: null,
   }
--- a/packages/proxy/src/proxyShell.ts
+++ b/packages/proxy/src/proxyShell.ts
@@ -95,6 +95,10 @@
           idempotencyKey: active.request.idempotencyKey,
           server: active.connection?.server.id,
           reason: refusal.reason,
+          detail: active.breakDetail,
+          connection: active.connection?.id,
+          sentMillisecondsAgo:
+            active.sentAt === null ? null : Math.round(this.#driver.now - active.sentAt),
         })
       },
       trace: (request, step, detail) => {
--- a/packages/proxy/src/requestManager.ts
+++ b/packages/proxy/src/requestManager.ts
@@ -151,6 +151,7 @@
     const active = this.#active.get(effect.request)
     const connection = this.#connections.get(effect.connection)
     if (connection === undefined) {
+      if (active !== undefined) active.breakDetail = 'connection closed before the request was sent'
       this.#driver.send({ kind: 'requestBroken', request: effect.request, partlyAnswered: false })
       return
     }
@@ -231,6 +232,7 @@
       const active = this.#active.get(run.request.id)
       if (active?.answer !== run.answer || active.pendingReadyStatus !== null) return
       const partlyAnswered = run.answer.partlySent
+      active.breakDetail = 'closed by this proxy'
       this.#driver.send({ kind: 'requestBroken', request: run.request.id, partlyAnswered })
     })
   }
@@ -246,6 +248,7 @@
     if (run === null) return
     const active = this.#active.get(run.request.id)
     if (active === undefined) return
+    active.breakDetail = detail
     this.#events.trace(run.request.id, 'broken', detail)
     if (run.isAnswered && !run.answer.holding) {
       // The caller has its complete answer; only the position query after it and the transaction are lost.
@@ -323,6 +326,8 @@
     const { readOnly, holdAnswer } = mode
     active.mode = { readOnly, holdAnswer }
     active.connection = connection
+    active.sentAt = this.#driver.now
+    active.breakDetail = null
     active.outcome = null
     // Answers that the caller awaits before its Sync do not confirm a commit, so they are not held.
     active.answer = new AnswerBuffer(answerTargetOf(active), holdAnswer && request.complete)
