--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from 'node:crypto'
 import { parseArgs } from 'node:util'
 import { FailoverCore } from '@nutmegcourse/coordination'
-import { Metrics, createLog, logStandstills } from '@nutmegcourse/observability'
+import { Metrics, createLog, logStalls } from '@nutmegcourse/observability'
 import {
   agentSettingsSchema,
   formatSettingsError,
@@ -38,7 +38,7 @@
 async function run(settings: AgentSettings): Promise<void> {
   const { entryHost, zone, logLevel, metrics: endpoint } = settings
   const log = createLog({ process: 'agent', entryHost, zone }, logLevel)
-  logStandstills(log)
+  logStalls(log)
   const agent = new Agent(settings, log, new Metrics(endpoint), makeMachineWith(settings))
   const ports = await agent.start()
   process.stdout.write(`${JSON.stringify({ ready: true, ports })}\n`)
--- a/packages/coordination/__tests__/failoverCut.spec.ts
+++ b/packages/coordination/__tests__/failoverCut.spec.ts
@@ -23,8 +23,8 @@
   message: FailoverMessage,
 ) => boolean
 
-/** Stops a host for a while, from the first message on that fits the moment. */
-function standStill(simulation: FailoverSimulation, span: number, isMoment: StopMoment): void {
+/** Stalls a host for a while, from the first message on that fits the moment. */
+function stallHost(simulation: FailoverSimulation, span: number, isMoment: StopMoment): void {
   let isDone = false
   simulation.observeMessage = (host, message) => {
     if (isDone || !isMoment(simulation, host, message)) return
@@ -65,19 +65,19 @@
       },
     })),
     {
-      name: 'when another watcher stands still during it and acts before it has read what arrived',
+      name: 'when another watcher stalls during it and acts before it has read what arrived',
       act: simulation => {
-        standStill(simulation, 700, learnsOfChange)
+        stallHost(simulation, 700, learnsOfChange)
       },
     },
     {
-      name: 'when its coordinator gives it up, stands still and acts before it has read what arrived',
+      name: 'when its coordinator gives it up, stalls and acts before it has read what arrived',
       act: simulation => {
         simulation.intercept = (_host, effect) => {
           if (isAnnounced(effect, 'moving')) simulation.lag[1] = 3_000
           return true
         }
-        standStill(simulation, 400, hasAbandoned)
+        stallHost(simulation, 400, hasAbandoned)
       },
     },
   ]
--- a/packages/coordination/__tests__/failoverSimulation.ts
+++ b/packages/coordination/__tests__/failoverSimulation.ts
@@ -181,7 +181,7 @@
     this.#sendInitialMessages(index)
   }
 
-  /** Resumes a host that stood still. A process runs its expired timers before it reads what arrived. */
+  /** Resumes a host that stalled. A process runs its expired timers before it reads what arrived. */
   thawTimersFirst(index: number): void {
     const { core } = this.node(index)
     const effects = core.handle({ kind: 'tick' }, this.clock.now())
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,4 +1,4 @@
-export * from './standstillLog.js'
+export * from './stallLog.js'
 export * from './boundedOutput.js'
 export * from './log.js'
 export * from './metrics.js'
--- a/packages/proxy/__tests__/standstill.spec.ts
+++ b/packages/proxy/__tests__/stalledProxy.spec.ts
@@ -1,4 +1,4 @@
-/** The proxy binary after a time without the processor, when its sockets hold several unread events. */
+/** The proxy binary after a stall, when its sockets hold several unread events. */
 import { describe, it } from 'node:test'
 import { setTimeout as delay } from 'node:timers/promises'
 import { expect } from 'earl'
@@ -14,13 +14,13 @@
 
 interface Case {
   readonly name: string
-  /** What arrives behind the caller's write while the proxy stands still. */
+  /** What arrives behind the caller's write while the proxy is stalled. */
   readonly arrives: (proxy: ProxyProcessFixture) => void
   /** Whether the write must wait until the database is stable again. */
   readonly waits: boolean
 }
 
-describe('a write that waits unread while the proxy stands still', () => {
+describe('a write that waits unread while the proxy is stalled', () => {
   /**
    * The proxy reads the caller's write first and sends it before it reads that the server has closed
    * the connection, or that the primary is being moved. Guards against a write of unknown outcome
--- a/packages/proxy/src/proxyProcess.ts
+++ b/packages/proxy/src/proxyProcess.ts
@@ -1,6 +1,6 @@
 /** Connects the proxy's settings, core, agent link and listener, and shuts them down gracefully. */
 import type { Server } from 'node:net'
-import { Metrics, createLog, logStandstills, type Log } from '@nutmegcourse/observability'
+import { Metrics, createLog, logStalls, type Log } from '@nutmegcourse/observability'
 import type { ProxySettings } from '@nutmegcourse/settings'
 import { SystemClock, SystemRandom } from '@nutmegcourse/shared'
 import { ProxyCore, type RoutingQuestion } from '@nutmegcourse/state'
@@ -14,7 +14,7 @@
 export class ProxyProcess {
   readonly #settings: ProxySettings
   readonly #log: Log
-  readonly #stopStandstillLog: () => void
+  readonly #stopStallLog: () => void
   readonly #metrics: Metrics
   readonly #shell: ProxyShell
   readonly #agent: AgentLink
@@ -29,7 +29,7 @@
     const core = new ProxyCore({ zone, region }, random)
     this.#settings = settings
     this.#log = createLog({ process: 'proxy', entryHost, zone }, logLevel)
-    this.#stopStandstillLog = logStandstills(this.#log)
+    this.#stopStallLog = logStalls(this.#log)
     this.#metrics = new Metrics(settings.metrics)
     this.#shell = new ProxyShell({
       settings,
@@ -94,7 +94,7 @@
     this.#shell.close()
     this.#agent.close()
     this.#metrics.close()
-    this.#stopStandstillLog()
+    this.#stopStallLog()
     this.#log.info('stopped', { graceful })
     return graceful
   }
--- a/packages/transport/__tests__/controlConnection.spec.ts
+++ b/packages/transport/__tests__/controlConnection.spec.ts
@@ -38,13 +38,13 @@
   ])
 }
 
-function standStill(milliseconds: number): void {
+function stall(milliseconds: number): void {
   const end = performance.now() + milliseconds
   while (performance.now() < end);
 }
 
 describe('ControlConnection', () => {
-  // A watcher that stood still has the answer in its socket, unread, when its timers run. Taken for
+  // A watcher that stalled has the answer in its socket, unread, when its timers run. Taken for
   // a server that does not answer, a healthy connection is closed, and a fence or another position
   // query has to wait for a new one.
   it('reads an answer that arrived in time before it gives up', async () => {
@@ -55,7 +55,7 @@
         socket.write(Buffer.concat([AUTHENTICATED, READY]))
         socket.once('data', () => {
           socket.write(positionAnswer())
-          standStill(2 * timeout)
+          stall(2 * timeout)
         })
       })
     })
