fix(proxy): a write is not sent before what had already arrived is read

Callers heard connection_lost, outcome unknown, in planned work.

Such a write was never sent or never read.

Writes, and all statements that continue a transaction, now wait for two turns of the event loop (DeferredSends). Then the core is asked again (mayStillRun). A request whose connection is gone, or that is held by then, is given back with requestNotSent: it waits again within its deadline, without using up a retry, and counts in retry.not_sent. In a transaction it is refused with transaction_lost, also a COMMIT. A connection is unusable from its 'end' on, and start() says whether it sent anything. What was sent and then broke stays unknown.

Idempotent writes wait too: an attempt that broke makes every later refusal unknown. Reads of a reading class do not: they change nothing.

A canceled statement of a transaction that waits leaves the transaction failed, as a server does.

--- a/packages/proxy/__tests__/support/simpleCore.ts
+++ b/packages/proxy/__tests__/support/simpleCore.ts
@@ -33,6 +33,10 @@
     this.#options = options
   }
 
+  mayStillRun(): boolean {
+    return true
+  }
+
   nextWake(): null {
     return null
   }
@@ -86,6 +90,9 @@
           refusal: { reason: 'connection_lost', detail: 'test' },
         })
         return
+      case 'requestNotSent':
+        this.#placeAgain(message.request, effects)
+        return
       case 'requestAbandoned':
         this.#cancel(message.request, effects)
         return
@@ -113,6 +120,17 @@
     }
   }
 
+  /** Only a transaction of a writing class is known here; its statement is refused. */
+  #placeAgain(request: RequestId, effects: ProxyEffect[]): void {
+    const connection = this.#running.get(request)
+    if (connection === undefined) return
+    this.#running.delete(request)
+    const write = this.#writes.delete(request)
+    if (this.#writing.delete(connection)) {
+      effects.push({ kind: 'refuse', request, refusal: { reason: 'transaction_lost' } })
+    } else this.#waiting.push({ request, write })
+  }
+
   #cancel(request: RequestId, effects: ProxyEffect[]): void {
     const waiting = this.#waiting.findIndex(entry => entry.request === request)
     if (waiting >= 0) this.#waiting.splice(waiting, 1)
--- a/packages/proxy/src/backendConnection.ts
+++ b/packages/proxy/src/backendConnection.ts
@@ -53,6 +53,7 @@
 const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024)
 const KEEP_ALIVE_MILLISECONDS = 10_000
 const APPLICATION_NAME = 'nutmegcourse-proxy'
+const CLOSED_BY_SERVER = 'backend server closed the connection'
 const POSITION_QUERY = queryMessage(POSITION_STATEMENT)
 /** Errors after which the server's prepared statements may differ from the proxy's record of them. */
 const STATEMENT_MISMATCH_STATES: ReadonlySet<string> = new Set(['26000', '42P05', '0A000'])
@@ -120,8 +121,13 @@
     return this.#frames.insideFrame
   }
 
-  /** Sends a request, with the setup queries before it and the position query after it, in one write. */
-  start(runRequest: RunRequest): void {
+  /**
+   * Sends a request, with the setup queries before it and the position query after it, in one write.
+   * Returns false if the connection is not open, so that nothing was sent.
+   */
+  start(runRequest: RunRequest): boolean {
+    if (!this.#socket.writable) this.#closeOnError(CLOSED_BY_SERVER)
+    if (this.#state !== 'open') return false
     const { request } = runRequest
     const output = runRequest.insideTransaction
       ? []
@@ -131,13 +137,10 @@
     this.#encoder = null
     this.#sentSteps = 0
     this.#queriesPosition = runRequest.queriesPosition
-    if (this.#state !== 'open') {
-      this.#closeOnError('connection closed before the request was sent')
-      return
-    }
     if (request.shape.kind === 'simple') output.push(request.shape.frame)
     this.#encodeSteps(output)
     this.#writeAll(output)
+    return true
   }
 
   /** Sends the messages that a running request has received from its caller since. */
@@ -232,8 +235,12 @@
       const refused = 'code' in error && error.code === 'ECONNREFUSED'
       this.#closeOnError(error.message, refused ? 'refused' : 'lost')
     })
+    // After its end Node.js refuses each write, and 'close' comes later.
+    socket.on('end', () => {
+      this.#closeOnError(CLOSED_BY_SERVER)
+    })
     socket.on('close', () => {
-      this.#closeOnError('backend server closed the connection')
+      this.#closeOnError(CLOSED_BY_SERVER)
     })
   }
 
--- a/packages/proxy/src/coreDriver.ts
+++ b/packages/proxy/src/coreDriver.ts
@@ -2,7 +2,7 @@
  * Passes messages to the decision core one at a time and executes its effects in order. A single timer
  * serves all deadlines of the core, instead of one timer per request.
  */
-import type { Clock, Milliseconds } from '@nutmegcourse/shared'
+import type { Clock, Milliseconds, RequestId } from '@nutmegcourse/shared'
 import type { ProxyEffect, ProxyMessage } from '@nutmegcourse/state'
 import type { DecisionCore } from './decisionCore.js'
 
@@ -33,6 +33,10 @@
     return this.#clock.now()
   }
 
+  mayStillRun(request: RequestId): boolean {
+    return this.#core.mayStillRun(request, this.#clock.now())
+  }
+
   /** Queues messages sent during the execution of an effect until the preceding effects are done. */
   send(message: ProxyMessage): void {
     this.#queue.push(message)
--- a/packages/proxy/src/proxyShell.ts
+++ b/packages/proxy/src/proxyShell.ts
@@ -178,6 +178,7 @@
   }
 
   close(): void {
+    this.#requests.close()
     this.#positionQueries.close()
     for (const connection of this.#connections.values()) connection.close()
     this.#connections.clear()
--- a/packages/proxy/src/requestManager.ts
+++ b/packages/proxy/src/requestManager.ts
@@ -26,6 +26,7 @@
 import { CallerTransactions, type PinnedTransaction, type RunMode } from './callerTransactions.js'
 import { chooseClass } from './classChoice.js'
 import type { CoreDriver } from './coreDriver.js'
+import { DeferredSends } from './deferredSends.js'
 import { AnswerBuffer } from './answerBuffer.js'
 import { replyInLostTransaction } from './lostTransaction.js'
 import { recordSessionChanges, recordStartupSettings } from './sessionState.js'
@@ -50,6 +51,7 @@
   readonly #events: RequestManagerEvents
   readonly #active = new Map<RequestId, ActiveRequest>()
   readonly #transactions = new CallerTransactions()
+  readonly #deferredSends = new DeferredSends()
 
   constructor(
     driver: CoreDriver,
@@ -136,7 +138,7 @@
     if (active.connection !== null) return
     this.#driver.send({ kind: 'requestAbandoned', request: head.id })
     this.#events.trace(head.id, 'canceled', 'while it waited')
-    this.#finishWithError(active, CANCELED, TransactionStatus.idle)
+    this.#finishWithError(active, CANCELED, statusAfterRefusal(active))
   }
 
   pauseAnswer(caller: CallerConnection): void {
@@ -147,20 +149,20 @@
     this.#runningConnection(caller)?.resume()
   }
 
+  /** A read changes nothing, so that it can be sent at once and again on another connection. */
   run(effect: RunEffect): void {
-    const active = this.#active.get(effect.request)
-    const connection = this.#connections.get(effect.connection)
-    if (connection === undefined) {
-      if (active !== undefined) active.breakDetail = 'connection closed before the request was sent'
-      this.#driver.send({ kind: 'requestBroken', request: effect.request, partlyAnswered: false })
-      return
-    }
-    if (active === undefined) {
-      // The caller has disconnected; closing the connection stops the core from counting it as busy.
-      this.#closeAfterEffects(connection)
+    if (effect.readOnly) {
+      this.#send(effect)
       return
     }
-    this.#startRun(active, connection, effect)
+    this.#deferredSends.add(() => {
+      this.#send(effect)
+    })
+  }
+
+  /** Drops what waits to be sent. */
+  close(): void {
+    this.#deferredSends.clear()
   }
 
   acknowledge(id: RequestId): void {
@@ -290,6 +292,21 @@
     })
   }
 
+  #send(effect: RunEffect): void {
+    const active = this.#active.get(effect.request)
+    const connection = this.#connections.get(effect.connection)
+    if (connection === undefined) {
+      this.#reportNotSent(effect.request, 'its connection was closed')
+      return
+    }
+    if (active?.pendingReadyStatus !== null) {
+      // The caller has its answer or is gone; closing the connection stops the core from counting it as busy.
+      this.#closeAfterEffects(connection)
+      return
+    }
+    this.#startRun(active, connection, effect)
+  }
+
   #continueTransaction(active: ActiveRequest, transaction: PinnedTransaction): void {
     const { request } = active
     const { connection } = transaction
@@ -300,9 +317,11 @@
       request: request.id,
       connection: connection.id,
     })
-    const refused = this.#active.get(request.id) !== active || active.pendingReadyStatus !== null
-    if (refused || active.connection !== null) return
-    this.#startRun(active, connection, transaction.mode)
+    this.#deferredSends.add(() => {
+      const isRefused = this.#active.get(request.id) !== active
+      if (isRefused || active.pendingReadyStatus !== null) return
+      this.#startRun(active, connection, transaction.mode)
+    })
   }
 
   #answerInLostTransaction(active: ActiveRequest, isReported: boolean): void {
@@ -324,24 +343,38 @@
   #startRun(active: ActiveRequest, connection: BackendConnection, mode: RunMode): void {
     const { request, caller } = active
     const { readOnly, holdAnswer } = mode
-    active.mode = { readOnly, holdAnswer }
-    active.connection = connection
-    active.sentAt = this.#driver.now
-    active.breakDetail = null
-    active.outcome = null
+    if (!this.#driver.mayStillRun(request.id)) {
+      this.#reportNotSent(request.id, 'the core has withdrawn it')
+      return
+    }
     // Answers that the caller awaits before its Sync do not confirm a commit, so they are not held.
-    active.answer = new AnswerBuffer(answerTargetOf(active), holdAnswer && request.complete)
-    connection.start({
+    const answer = new AnswerBuffer(answerTargetOf(active), holdAnswer && request.complete)
+    const isSent = connection.start({
       request,
-      answer: active.answer,
+      answer,
       settings: caller.settings,
       readOnly,
       queriesPosition: holdAnswer || !readOnly,
       insideTransaction: active.insideTransaction,
     })
+    if (!isSent) {
+      this.#reportNotSent(request.id, 'its connection was closed')
+      return
+    }
+    active.mode = { readOnly, holdAnswer }
+    active.connection = connection
+    active.sentAt = this.#driver.now
+    active.breakDetail = null
+    active.outcome = null
+    active.answer = answer
     if (caller.isCongested) connection.pause()
   }
 
+  #reportNotSent(request: RequestId, detail: string): void {
+    this.#events.trace(request, 'not sent', detail)
+    this.#driver.send({ kind: 'requestNotSent', request })
+  }
+
   #recordTransaction(
     active: ActiveRequest,
     connection: BackendConnection,
--- a/packages/shared/src/counters.ts
+++ b/packages/shared/src/counters.ts
@@ -11,6 +11,8 @@
   'retry.broken': 'Idempotent requests sent again after a broken connection. Tags: class.',
   'retry.server_error':
     'Requests sent to another server after a refusal for which nothing ran. Tags: class, why.',
+  'retry.not_sent':
+    'Requests that were never sent, since their connection had closed or writes were held by then, and wait again. Tags: class.',
   'failover.completed': 'Changes of primary that this agent completed. Tags: database, planned.',
   'failover.abandoned': 'Changes of primary that this agent abandoned. Tags: database, why.',
   'store.call': 'Calls to the store. Tags: method, outcome.',
--- a/packages/state/src/database.ts
+++ b/packages/state/src/database.ts
@@ -115,6 +115,15 @@
     this.#askDue(now)
   }
 
+  notSent(request: ProxyRequest, now: Milliseconds): void {
+    this.#outcomes.notSent(request, now)
+    this.#askDue(now)
+  }
+
+  mayStillRun(request: ProxyRequest, now: Milliseconds): boolean {
+    return this.#dispatcher.mayStillRun(request, now)
+  }
+
   abandon(request: ProxyRequest, now: Milliseconds): void {
     this.#outcomes.abandon(request, now)
   }
--- a/packages/state/src/dispatcher.ts
+++ b/packages/state/src/dispatcher.ts
@@ -97,6 +97,22 @@
     return server
   }
 
+  /** Whether a request that has a connection, but was not sent yet, may still be sent on it. */
+  mayStillRun(request: ProxyRequest, now: Milliseconds): boolean {
+    const { server, connection, isContinued } = request
+    if (server === null || connection === null) return false
+    return isContinued || !isWrite(request) || this.#takesWrites(server, now)
+  }
+
+  /** Returns the connection of a request that was not sent on it. */
+  takeBack(request: ProxyRequest): BackendServer | null {
+    const { server, connection } = request
+    request.server = null
+    request.connection = null
+    if (server !== null && connection !== null) server.pool.release(connection)
+    return server
+  }
+
   /** Closes the request's connection, so that a late answer can not reach another request. */
   drop(request: ProxyRequest): void {
     const { server, connection } = request
--- a/packages/state/src/proxyCore.ts
+++ b/packages/state/src/proxyCore.ts
@@ -53,6 +53,15 @@
     return Math.max(next, now) as Milliseconds
   }
 
+  /**
+   * Whether a request that was given to a connection may still be sent there. A write may not once
+   * writes are held or another server leads. An open transaction can only go on where it is.
+   */
+  mayStillRun(id: RequestId, now: Milliseconds): boolean {
+    const request = this.#context.requests.get(id)
+    return request?.phase === 'running' && request.database.mayStillRun(request, now)
+  }
+
   /** Explains the current routing decisions to operators. */
   explain(question: RoutingQuestion, now: Milliseconds): RoutingExplanation {
     return explainRouting(question, this.#databases, this.#classes, now)
@@ -81,6 +90,11 @@
           if (request.phase === 'running') database.broken(request, message.partlyAnswered, now)
         })
         return
+      case 'requestNotSent':
+        this.#withRequest(message.request, (request, database) => {
+          if (request.phase === 'running') database.notSent(request, now)
+        })
+        return
       case 'requestAbandoned':
         this.#withRequest(message.request, (request, database) => {
           database.abandon(request, now)
--- a/packages/state/src/proxyMessages.ts
+++ b/packages/state/src/proxyMessages.ts
@@ -90,6 +90,11 @@
       /** The caller has received part of the answer. */
       readonly partlyAnswered: boolean
     }
+  /**
+   * No byte of the request that `run` or `transactionContinued` started has left the proxy: its
+   * connection was gone when it was due, or `ProxyCore.mayStillRun` denied it.
+   */
+  | { readonly kind: 'requestNotSent'; readonly request: RequestId }
   | {
       readonly kind: 'positionAnswered'
       readonly server: BackendServerId
@@ -109,7 +114,10 @@
   | { readonly kind: 'tick' }
 
 export type ProxyEffect =
-  /** Sends the request on an idle open connection. From here on its first byte may have left. */
+  /**
+   * Sends the request on an idle open connection. From here on its first byte may have left, unless
+   * the shell reports `requestNotSent`.
+   */
   | {
       readonly kind: 'run'
       readonly request: RequestId
--- a/packages/state/src/requestOutcomes.ts
+++ b/packages/state/src/requestOutcomes.ts
@@ -89,6 +89,25 @@
     this.#retry(request, 'retry.broken', 'connection_lost', now)
   }
 
+  /**
+   * Nothing of the request left this proxy. It waits again, within its deadline, without using up a
+   * retry. The deadline bounds this: each turn takes an open connection, and new ones take time.
+   */
+  notSent(request: ProxyRequest, now: Milliseconds): void {
+    if (request.isContinued) {
+      this.#dispatcher.drop(request)
+      this.#context.requests.refuse(request, 'transaction_lost')
+      return
+    }
+    const isConnectionLost = request.connection === null
+    const server = this.#dispatcher.takeBack(request)
+    if (isConnectionLost) request.avoid = server
+    this.#renewDeadline(request, now)
+    this.#context.effects.count('retry.not_sent', request.classState.tags)
+    this.place(request, now)
+    if (server !== null) this.#dispatcher.dispatch(server, now)
+  }
+
   /** The caller disconnected. */
   abandon(request: ProxyRequest, now: Milliseconds): void {
     const { server, phase } = request
