fix: a watcher that stalled reads before it judges others by time

Callers heard `connection_lost` (outcome unknown) though all was planned: a watcher that had stalled for a second took the change of another host for stuck, 870 ms after it had ended, and fenced the new primary. The record of the end lay unread, as a process runs its expired timers first.

Only the silence of the servers was counted anew after a stall. All other time limits counted the stall: a stuck change, an attempt, a move and its end, the adoption of a leader, a fence above the term, a deposed primary, a missing record, the age of opinions.

FailoverClock now gives every component its time. What would get too old unnoticed by such a time is kept apart: others' suspicions expire by the clock, and the primary's positions of before the stall are not compared with a replica's.

--- a/packages/coordination/__tests__/failoverSimulation.ts
+++ b/packages/coordination/__tests__/failoverSimulation.ts
@@ -183,10 +183,15 @@
 
   /** Resumes a host that stalled. A process runs its expired timers before it reads what arrived. */
   thawTimersFirst(index: number): void {
+    this.runTimers(index)
+    this.network.thaw(this.hostName(index))
+  }
+
+  /** Runs the expired timers of a host, also of one that has not read yet what arrived. */
+  runTimers(index: number): void {
     const { core } = this.node(index)
     const effects = core.handle({ kind: 'tick' }, this.clock.now())
     for (const effect of effects) this.executeEffect(index, effect)
-    this.network.thaw(this.hostName(index))
   }
 
   runFor(span: number): void {
--- a/packages/coordination/src/failoverAgreement.ts
+++ b/packages/coordination/src/failoverAgreement.ts
@@ -10,6 +10,7 @@
   type Term,
 } from '@nutmegcourse/shared'
 
+import type { FailoverClock } from './failoverClock.js'
 import type { Watcher, WatcherOpinion } from './failoverMessages.js'
 import type { FailoverOptions } from './failoverOptions.js'
 import type { FailoverEffectQueue } from './failoverEffectQueue.js'
@@ -17,6 +18,8 @@
 interface ReceivedOpinion {
   readonly opinion: WatcherOpinion
   readonly receivedAt: Milliseconds
+  /** By the clock, which also runs while this process stalls. */
+  readonly receivedAtClock: Milliseconds
 }
 
 /** The primary that opinions are about; opinions of an earlier primary or term do not count. */
@@ -29,6 +32,7 @@
   readonly #database: DatabaseId
   readonly #self: Watcher
   readonly #options: FailoverOptions
+  readonly #clock: FailoverClock
   readonly #effects: FailoverEffectQueue
   #watchers: readonly Watcher[] = []
   readonly #received = new Map<EntryHostId, ReceivedOpinion>()
@@ -42,11 +46,13 @@
     database: DatabaseId,
     self: Watcher,
     options: FailoverOptions,
+    clock: FailoverClock,
     effects: FailoverEffectQueue,
   ) {
     this.#database = database
     this.#self = self
     this.#options = options
+    this.#clock = clock
     this.#effects = effects
   }
 
@@ -75,10 +81,11 @@
   receive(opinion: WatcherOpinion, now: Milliseconds): void {
     const last = this.#received.get(opinion.watcher)
     // A restarted host numbers its opinions from 1 again; they count once its last one has expired.
-    if (last !== undefined && this.#isFresh(last, now)) {
+    if (last !== undefined && this.#isFreshByClock(last, now)) {
       if (last.opinion.sequence >= opinion.sequence) return
     }
-    this.#received.set(opinion.watcher, { opinion, receivedAt: now })
+    const receivedAtClock = this.#clock.toClockTime(now)
+    this.#received.set(opinion.watcher, { opinion, receivedAt: now, receivedAtClock })
   }
 
   /** Sets this watcher's own opinion of the primary; sends a changed opinion to the others at once. */
@@ -138,32 +145,39 @@
   #suspecting(now: Milliseconds): readonly Watcher[] {
     return this.#watchers.filter(watcher => {
       if (watcher.entryHost === this.#self.entryHost) return this.#suspectedSince !== null
-      return this.#opinionOf(watcher, now)?.suspected === true
+      const received = this.#opinionOf(watcher)
+      return received?.opinion.suspected === true && this.#isFreshByClock(received, now)
     })
   }
 
   #isContradicted(now: Milliseconds): boolean {
-    return this.#watchers.some(
-      watcher =>
-        watcher.entryHost !== this.#self.entryHost &&
-        this.#opinionOf(watcher, now)?.suspected === false,
-    )
+    return this.#watchers.some(watcher => {
+      if (watcher.entryHost === this.#self.entryHost) return false
+      const received = this.#opinionOf(watcher)
+      return received?.opinion.suspected === false && this.#isFresh(received, now)
+    })
   }
 
-  /** The watcher's opinion on the current subject; null if there is none or it has expired. */
-  #opinionOf(watcher: Watcher, now: Milliseconds): WatcherOpinion | null {
+  /** The watcher's last opinion if it is on the current subject; it may have expired. */
+  #opinionOf(watcher: Watcher): ReceivedOpinion | null {
     const received = this.#received.get(watcher.entryHost)
-    if (received === undefined || !this.#isFresh(received, now)) return null
-    const { opinion } = received
     const isOnSubject =
-      opinion.about === this.#subject?.server && opinion.term === this.#subject.term
-    return isOnSubject ? opinion : null
+      received?.opinion.about === this.#subject?.server &&
+      received?.opinion.term === this.#subject?.term
+    return received !== undefined && isOnSubject ? received : null
   }
 
+  /** A contradiction prevents a change: during a stall of this process it does not expire. */
   #isFresh(received: ReceivedOpinion, now: Milliseconds): boolean {
     return now - received.receivedAt < this.#options.opinionLifetimeMilliseconds
   }
 
+  /** A suspicion permits a change: it expires even while this process stalls. */
+  #isFreshByClock(received: ReceivedOpinion, now: Milliseconds): boolean {
+    const age = this.#clock.toClockTime(now) - received.receivedAtClock
+    return age < this.#options.opinionLifetimeMilliseconds
+  }
+
   #isResendDue(now: Milliseconds): boolean {
     if (this.#lastSentAt === null) return true
     return now - this.#lastSentAt >= this.#options.opinionIntervalMilliseconds
--- a/packages/coordination/src/failoverAttempt.ts
+++ b/packages/coordination/src/failoverAttempt.ts
@@ -117,7 +117,8 @@
     const wait = failure === 'timeout' ? 0 : this.#options.callRetryMilliseconds
     const at = addMilliseconds(now, wait)
     this.#retries = [...this.#retries, { step: pending.step, server: pending.server, at }]
-    return this.advance(now)
+    this.#sendDue(now)
+    return NO_RESULT
   }
 
   /** Confirms a promotion from a polled position, in case the promotion's own answer was lost. */
@@ -130,9 +131,7 @@
       this.#takeCall(call.call)
       this.#retries = [...this.#retries, { step: call.step, server: call.server, at: now }]
     }
-    const due = this.#retries.filter(retry => now >= retry.at)
-    this.#retries = this.#retries.filter(retry => now < retry.at)
-    for (const retry of due) this.#send(retry.step, retry.server, now)
+    this.#sendDue(now)
     if (now - this.#startedAt >= this.#options.attemptMilliseconds) {
       return { kind: 'failed', detail: this.#describeTimeout() }
     }
@@ -185,6 +184,12 @@
     return addMilliseconds(this.#startedAt, this.#options.callTimeoutMilliseconds)
   }
 
+  #sendDue(now: Milliseconds): void {
+    const due = this.#retries.filter(retry => now >= retry.at)
+    this.#retries = this.#retries.filter(retry => now < retry.at)
+    for (const retry of due) this.#send(retry.step, retry.server, now)
+  }
+
   #send(step: 'fence' | 'promote', server: BackendServerId, now: Milliseconds): void {
     const call = this.#effects.nextCallId()
     const timeoutMilliseconds = this.#options.callTimeoutMilliseconds
--- a/packages/coordination/src/failoverCore.ts
+++ b/packages/coordination/src/failoverCore.ts
@@ -6,19 +6,18 @@
  * docs/design/02-failover.md.
  */
 import {
-  addMilliseconds,
   assertNever,
   milliseconds,
   type AttemptId,
-  type BackendServerId,
   type DatabaseId,
   type Milliseconds,
   type RandomSource,
 } from '@nutmegcourse/shared'
-import type { GroupRecord, PositionReport } from '@nutmegcourse/protocol'
+import type { GroupRecord } from '@nutmegcourse/protocol'
 
 import { FailoverAgreement, type OpinionSubject } from './failoverAgreement.js'
 import { FailoverChangeController } from './failoverChangeController.js'
+import { FailoverClock } from './failoverClock.js'
 import type { FailoverContext } from './failoverContext.js'
 import { FailoverFollowers } from './failoverFollowers.js'
 import { FailoverGroup } from './failoverGroup.js'
@@ -38,23 +37,23 @@
   readonly options?: Partial<FailoverOptions>
 }
 
-/** More than this many watch intervals between two messages mean that this process stalled. */
-const STALL_INTERVALS = 2
+type PositionAnswer = Extract<FailoverMessage, { kind: 'positionAnswered' }>
 
 export class FailoverCore {
+  readonly #clock: FailoverClock
   readonly #context: FailoverContext
   readonly #suspicion: FailoverSuspicion
   readonly #followers: FailoverFollowers
   readonly #changeController: FailoverChangeController
   readonly #moveController: FailoverMoveController
   readonly #leaderSearch: FailoverLeaderSearch
-  #lastHandledAt: Milliseconds | null = null
   #lastSuspicion: Suspicion | null = null
 
   constructor(setup: FailoverSetup, random: RandomSource, makeAttemptId: () => AttemptId) {
     const { database, self } = setup
     const options = { ...DEFAULT_FAILOVER_OPTIONS, ...setup.options }
     const effects = new FailoverEffectQueue(random)
+    this.#clock = new FailoverClock(options.watchIntervalMilliseconds)
     this.#context = {
       database,
       self,
@@ -66,8 +65,8 @@
       records: new FailoverRecordTracker(options, effects, (record, now) => {
         this.#recordChanged(record, now)
       }),
-      agreement: new FailoverAgreement(database, self, options, effects),
-      eventLog: new FailoverEventLog(database, effects),
+      agreement: new FailoverAgreement(database, self, options, this.#clock, effects),
+      eventLog: new FailoverEventLog(database, this.#clock, effects),
     }
     this.#suspicion = new FailoverSuspicion(options, this.#context.group)
     this.#followers = new FailoverFollowers(options, effects)
@@ -88,28 +87,37 @@
     return this.#context.eventLog.events
   }
 
-  handle(message: FailoverMessage, now: Milliseconds): readonly FailoverEffect[] {
-    this.#detectStall(now)
+  handle(message: FailoverMessage, at: Milliseconds): readonly FailoverEffect[] {
+    const { agreement, effects, group } = this.#context
+    const hasStalled = this.#clock.advance(at)
+    const now = this.#clock.toOwnTime(at)
+    if (hasStalled) group.noteStall(now)
     this.#receive(message, now)
-    if (this.#context.agreement.isWatcher) this.#advance(now)
-    else this.#changeController.yieldTo(null, now)
-    return this.#context.effects.takeAll()
+    if (!agreement.isWatcher) this.#stopWatching(now)
+    else if (this.#clock.isReading) group.advance(this.#changeController.isInProgress, now)
+    else this.#advance(now)
+    return effects.takeAll()
   }
 
   /** The latest time for the next `tick`; null while this host does not watch the database. */
-  nextWake(now: Milliseconds): Milliseconds | null {
-    const { agreement, group, options, records } = this.#context
-    if (!agreement.isWatcher) return null
-    const times = [
+  nextWake(at: Milliseconds): Milliseconds | null {
+    if (!this.#context.agreement.isWatcher) return null
+    const now = this.#clock.toOwnTime(at)
+    const times = this.#wakeTimes(now).flatMap(time => (time !== null && time > now ? [time] : []))
+    const clockTimes = times.map(time => this.#clock.toClockTime(time))
+    return milliseconds(Math.min(this.#clock.latestWake(at), ...clockTimes))
+  }
+
+  #wakeTimes(now: Milliseconds): readonly (Milliseconds | null)[] {
+    const { agreement, group, records } = this.#context
+    if (this.#clock.isReading) return [group.nextWake(now)]
+    return [
       group.nextWake(now),
       agreement.nextWake(),
       records.nextWake(),
       this.#changeController.nextWake(now),
       this.#moveController.nextWake(),
-    ].flatMap(time => (time !== null && time > now ? [time] : []))
-    // A longer time without a message would be taken for a stall of this process.
-    const latest = addMilliseconds(now, options.watchIntervalMilliseconds)
-    return milliseconds(Math.min(latest, ...times))
+    ]
   }
 
   #receive(message: FailoverMessage, now: Milliseconds): void {
@@ -130,7 +138,7 @@
         agreement.receive(message.opinion, now)
         return
       case 'positionAnswered':
-        this.#notePosition(message.server, message.report, message.askedAt, now)
+        this.#notePosition(message, now)
         return
       case 'positionFailed':
         group.watch(message.server)?.failed(message.failure, now)
@@ -164,15 +172,9 @@
     this.#context.group.advance(this.#changeController.isInProgress, now)
   }
 
-  /**
-   * After a stall of this process every position request looks unanswered. Treating that as
-   * unresponsive servers would replace a healthy primary, so the silence timers start again.
-   */
-  #detectStall(now: Milliseconds): void {
-    const last = this.#lastHandledAt
-    this.#lastHandledAt = now
-    const stallMilliseconds = this.#context.options.watchIntervalMilliseconds * STALL_INTERVALS
-    if (last !== null && now - last > stallMilliseconds) this.#context.group.resetSilence(now)
+  #stopWatching(now: Milliseconds): void {
+    this.#changeController.yieldTo(null, now)
+    this.#clock.pause()
   }
 
   #recordChanged(record: GroupRecord, now: Milliseconds): void {
@@ -186,17 +188,13 @@
     this.#moveController.recordChanged(record, now)
   }
 
-  #notePosition(
-    server: BackendServerId,
-    report: PositionReport,
-    askedAt: Milliseconds,
-    now: Milliseconds,
-  ): void {
+  #notePosition(answer: PositionAnswer, now: Milliseconds): void {
+    const { server, report } = answer
     const { group, records } = this.#context
     const watch = group.watch(server)
     if (watch === null) return
     if (watch.wasProcessGone) this.#followers.restarted(server, now)
-    group.notePosition(server, report, askedAt, now)
+    group.notePosition(server, report, this.#clock.toOwnTime(answer.askedAt), now)
     this.#changeController.observed(server, report, now)
     const leader = group.report(records.record?.primary ?? null)
     this.#followers.observe(server, report, leader, this.#followRank(), now)
--- a/packages/coordination/src/failoverEventLog.ts
+++ b/packages/coordination/src/failoverEventLog.ts
@@ -1,6 +1,7 @@
 /** Keeps the steps of a database's changes of primary for `nutmegcoursectl explain` and the log. */
 import type { DatabaseId, Milliseconds, Term } from '@nutmegcourse/shared'
 
+import type { FailoverClock } from './failoverClock.js'
 import type { FailoverEvent } from './failoverMessages.js'
 import type { FailoverEffectQueue } from './failoverEffectQueue.js'
 
@@ -8,11 +9,13 @@
 
 export class FailoverEventLog {
   readonly #database: DatabaseId
+  readonly #clock: FailoverClock
   readonly #effects: FailoverEffectQueue
   readonly #events: FailoverEvent[] = []
 
-  constructor(database: DatabaseId, effects: FailoverEffectQueue) {
+  constructor(database: DatabaseId, clock: FailoverClock, effects: FailoverEffectQueue) {
     this.#database = database
+    this.#clock = clock
     this.#effects = effects
   }
 
@@ -22,7 +25,8 @@
   }
 
   append(step: FailoverEvent['step'], term: Term, detail: string, now: Milliseconds): void {
-    const event = { at: now, database: this.#database, step, term, detail }
+    const at = this.#clock.toClockTime(now)
+    const event = { at, database: this.#database, step, term, detail }
     this.#events.push(event)
     if (this.#events.length > MAX_EVENTS) this.#events.shift()
     this.#effects.emit({ kind: 'event', event })
--- a/packages/coordination/src/failoverGroup.ts
+++ b/packages/coordination/src/failoverGroup.ts
@@ -34,6 +34,8 @@
   /** Whether position requests to all servers but the primary are withheld. */
   #pollsPrimaryOnly = false
   #primarySamples: readonly DatedReport[] = []
+  /** When this process last resumed after a stall. */
+  #resumedAt: Milliseconds = milliseconds(0)
 
   constructor(options: FailoverOptions, effects: FailoverEffectQueue) {
     this.#options = options
@@ -96,7 +98,7 @@
     now: Milliseconds,
   ): void {
     this.#watches.get(server)?.answered(report, askedAt, now)
-    if (server !== this.#primary) return
+    if (server !== this.#primary || askedAt < this.#resumedAt) return
     this.#primarySamples = [...this.#primarySamples, { report, askedAt }].slice(-MAX_SAMPLES)
   }
 
@@ -111,7 +113,10 @@
     for (const watch of this.#polledWatches()) watch.advance(now, this.#effects)
   }
 
-  resetSilence(now: Milliseconds): void {
+  /** Called after a stall of this process; what the primary held before it is too old to compare with. */
+  noteStall(now: Milliseconds): void {
+    this.#primarySamples = []
+    this.#resumedAt = now
     for (const watch of this.#watches.values()) watch.resetSilence(now)
   }
 
