fix(agent): an answer that arrived during the agent's own stall counts before a time limit does

Cause: after a stall Node runs due timers before it reads sockets. The time limit of a position query and the tick of the failover machine then fire while the answer lies unread in the socket. The machine's own guard only knows gaps of more than two watch intervals between two messages. Evidence: "counts an answer that arrived while this process stalled" failed before with answerTimeout. Why it holds: time limits of the control connection and of its opening, and the tick, now take effect in setImmediate, which Node runs after it has read the sockets.

--- a/packages/agent/src/databaseWatch.ts
+++ b/packages/agent/src/databaseWatch.ts
@@ -87,10 +87,20 @@
     if (wake === null || this.#closed) return
     const wait = Math.max(0, Math.ceil(wake - now)) + TIMER_SLACK_MILLISECONDS
     this.#timer = setTimeout(() => {
-      this.receive({ kind: 'tick' })
+      this.#tickAfterSockets()
     }, wait)
   }
 
+  /**
+   * After a stall of this process its timers run before its sockets are read. The tick waits until they
+   * were, so that a server whose answer arrived during the stall is not taken for silent.
+   */
+  #tickAfterSockets(): void {
+    setImmediate(() => {
+      this.receive({ kind: 'tick' })
+    })
+  }
+
   #updateLinks(servers: readonly ListedBackendServer[]): void {
     const listed = new Map(servers.map(server => [server.id, server]))
     for (const [id, link] of this.#links) {
--- a/packages/agent/src/withTimeout.ts
+++ b/packages/agent/src/withTimeout.ts
@@ -1,4 +1,8 @@
-/** Bounds the wait for a result. The operation itself continues, and a later caller may use its result. */
+/**
+ * Bounds the wait for a result. The operation itself continues, and a later caller may use its result.
+ * After a stall of this process its timers run before its sockets are read; the bound takes effect only
+ * once they were, so that a result that arrived during the stall counts.
+ */
 import { ResultAsync, err, type Result } from 'neverthrow'
 
 export function withTimeout<Value, Failure>(
@@ -9,7 +13,9 @@
   let timer: NodeJS.Timeout | undefined
   const timeout = new Promise<Result<Value, Failure>>(resolve => {
     timer = setTimeout(() => {
-      resolve(err(failure))
+      setImmediate(() => {
+        resolve(err(failure))
+      })
     }, timeoutMilliseconds)
   })
   const settled = Promise.race([Promise.resolve(result), timeout]).finally(() => {
--- a/packages/transport/__tests__/controlConnection.spec.ts
+++ b/packages/transport/__tests__/controlConnection.spec.ts
@@ -2,6 +2,7 @@
 import type { Server, Socket } from 'node:net'
 import { expect } from 'earl'
 import { ControlConnection, listen } from '../src/index.js'
+import { startPositionServer } from './positionServer.js'
 
 /** An ErrorResponse as the server sends it when it refuses a connection at startup. */
 function errorFrame(sqlState: string): Buffer {
@@ -51,3 +52,36 @@
     })
   }
 })
+
+describe('ControlConnection.position', () => {
+  const TIME_LIMIT_MILLISECONDS = 50
+  const LATE_MILLISECONDS = 150
+  const servers: Server[] = []
+  after(() => {
+    for (const server of servers) server.close()
+  })
+
+  async function connect(
+    onStatement: Parameters<typeof startPositionServer>[0],
+  ): Promise<ControlConnection> {
+    const { server, port } = await startPositionServer(onStatement)
+    servers.push(server)
+    const options = { address: '127.0.0.1', port, database: 'any', user: 'any' }
+    return (await ControlConnection.open(options, 1000))._unsafeUnwrap()
+  }
+
+  const stallThisProcess = (span: number): void => {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, span)
+  }
+
+  // Guards against a healthy server that is taken for silent after a stall of the asking process.
+  it('counts an answer that arrived while this process stalled', async () => {
+    const connection = await connect((_, answer) => {
+      answer()
+      stallThisProcess(LATE_MILLISECONDS)
+    })
+    const report = await connection.position(TIME_LIMIT_MILLISECONDS)
+    expect(report._unsafeUnwrap().position.offset as number).toEqual(7)
+    connection.close()
+  })
+})
--- a/packages/transport/src/controlConnection.ts
+++ b/packages/transport/src/controlConnection.ts
@@ -148,10 +148,16 @@
   return typeof value === 'number' || typeof value === 'bigint' ? String(value) : null
 }
 
+/**
+ * After a stall of this process its timers run before its sockets are read. The limit takes effect
+ * only once they were, so that an answer that arrived during the stall counts.
+ */
 function withTimeout<Value>(promise: Promise<Value>, timeoutMilliseconds: number): Promise<Value> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => {
-      reject(new Error('no answer in time'))
+      setImmediate(() => {
+        reject(new Error('no answer in time'))
+      })
     }, timeoutMilliseconds)
     promise.then(resolve, reject).finally(() => {
       clearTimeout(timer)
