fix(agent): a position that misses its time limit still counts when it arrives

Seen by callers: a healthy primary was replaced after the links between zones stood still for 0.4 to 0.7 s; writes waited for the change. Cause: at 400 ms without an answer the agent suspected the server and closed the connection, and with it the answer on its way. The suspicion lasted until a new connection was open and asked, some 20 ms and two more ways through the link, which another watcher's suspicion overtook. Evidence: "passes on an answer that missed its time limit" failed before. Why it holds: such a connection takes no further statement, so that no answer is matched to another statement, and is read for one more second; the late report ends the suspicion. A statement queued behind it fails at once as before. A connection that the agent itself closed is no longer told as lost.

--- a/packages/agent/src/databaseWatch.ts
+++ b/packages/agent/src/databaseWatch.ts
@@ -173,14 +173,12 @@
       })
       return
     }
-    void link.position(timeoutMilliseconds).match(
-      report => {
-        this.receive({ kind: 'positionAnswered', server, report, askedAt })
-      },
-      failure => {
-        this.receive({ kind: 'positionFailed', server, failure, askedAt })
-      },
-    )
+    const answered = (report: PositionReport): void => {
+      this.receive({ kind: 'positionAnswered', server, report, askedAt })
+    }
+    void link.position(timeoutMilliseconds, answered).match(answered, failure => {
+      this.receive({ kind: 'positionFailed', server, failure, askedAt })
+    })
   }
 
   #control(effect: ControlEffect): void {
--- a/packages/agent/src/serverLink.ts
+++ b/packages/agent/src/serverLink.ts
@@ -34,8 +34,18 @@
     return this.#server
   }
 
-  position(timeoutMilliseconds: number): ResultAsync<PositionReport, ControlFailure> {
-    return this.#run(connection => connection.position(timeoutMilliseconds), timeoutMilliseconds)
+  /** `onLateReport` is called if the answer arrives after the time limit was reported. */
+  position(
+    timeoutMilliseconds: number,
+    onLateReport: (report: PositionReport) => void,
+  ): ResultAsync<PositionReport, ControlFailure> {
+    const reportUnlessClosed = (report: PositionReport): void => {
+      if (!this.#closed) onLateReport(report)
+    }
+    return this.#run(
+      connection => connection.position(timeoutMilliseconds, reportUnlessClosed),
+      timeoutMilliseconds,
+    )
   }
 
   fence(term: Term, timeoutMilliseconds: number): ResultAsync<PositionReport, ControlFailure> {
@@ -75,6 +85,7 @@
       })
       .mapErr(error => {
         this.#pendingQueries -= 1
+        if (error.kind === 'answerTimeout') this.#discardConnection()
         return toControlFailure(error)
       })
   }
@@ -96,7 +107,8 @@
       .map(connection => {
         this.#connection = connection
         connection.onClose(() => {
-          if (!this.#closed && this.#pendingQueries === 0) this.#onLost()
+          const isInUse = !this.#closed && this.#connection === connection
+          if (isInUse && this.#pendingQueries === 0) this.#onLost()
         })
         if (this.#closed) connection.close()
         return connection
--- a/packages/transport/__tests__/controlConnection.spec.ts
+++ b/packages/transport/__tests__/controlConnection.spec.ts
@@ -1,5 +1,6 @@
 import { after, describe, it } from 'node:test'
 import type { Server, Socket } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
 import { expect } from 'earl'
 import { ControlConnection, listen } from '../src/index.js'
 import { startPositionServer } from './positionServer.js'
@@ -84,4 +85,28 @@
     expect(report._unsafeUnwrap().position.offset as number).toEqual(7)
     connection.close()
   })
+
+  // Guards against a suspicion that outlives a short pause of a link by the time that a new connection takes.
+  it('passes on an answer that missed its time limit, and sends no further statement', async () => {
+    const connection = await connect((_, answer) => {
+      setTimeout(answer, LATE_MILLISECONDS)
+    })
+    const offsets: number[] = []
+    const report = await connection.position(TIME_LIMIT_MILLISECONDS, late => {
+      offsets.push(late.position.offset)
+    })
+    expect(report._unsafeUnwrapErr().kind).toEqual('answerTimeout')
+    expect(connection.closed).toEqual(true)
+    await delay(2 * LATE_MILLISECONDS)
+    expect(offsets).toEqual([7])
+  })
+
+  // Guards against a fence that waits for its own time limit behind a position that is not answered.
+  it('fails a statement queued behind one that missed its time limit at once', async () => {
+    const connection = await connect(() => undefined)
+    const position = connection.position(TIME_LIMIT_MILLISECONDS, () => undefined)
+    const queued = connection.position(100 * TIME_LIMIT_MILLISECONDS)
+    expect((await position)._unsafeUnwrapErr().kind).toEqual('answerTimeout')
+    expect((await queued)._unsafeUnwrapErr().kind).toEqual('connectionLost')
+  })
 })
--- a/packages/transport/src/controlConnection.ts
+++ b/packages/transport/src/controlConnection.ts
@@ -29,9 +29,21 @@
   readonly user: string
 }
 
+/**
+ * How long an answer that missed its time limit is still awaited. It shows that the server and the
+ * link work again sooner than a new connection could.
+ */
+const LATE_ANSWER_MILLISECONDS = 1000
+
+type Answer = pg.QueryArrayResult<(string | null)[]>
+type LateReportListener = (report: PositionReport) => void
+
+class TimeLimitExceeded extends Error {}
+
 /** Sends one statement at a time; further statements are queued in order. */
 export class ControlConnection {
   readonly #client: Client
+  #pendingStatements = 0
   #closed = false
 
   private constructor(client: Client) {
@@ -69,8 +81,12 @@
     this.#client.once('end', listener)
   }
 
-  position(timeoutMilliseconds: number): ResultAsync<PositionReport, TransportError> {
-    return this.#query(POSITION_STATEMENT, timeoutMilliseconds)
+  /** `onLateReport` is called if the answer arrives after the time limit was reported. */
+  position(
+    timeoutMilliseconds: number,
+    onLateReport: LateReportListener | null = null,
+  ): ResultAsync<PositionReport, TransportError> {
+    return this.#query(POSITION_STATEMENT, timeoutMilliseconds, onLateReport)
   }
 
   fence(term: Term, timeoutMilliseconds: number): ResultAsync<PositionReport, TransportError> {
@@ -95,16 +111,22 @@
     this.#client.end().catch(() => undefined)
   }
 
-  /** Closes the connection on a time-out, so that a late answer is never matched to a later statement. */
+  /** After a time-out no further statement is sent, so that a late answer is never matched to one. */
   #query(
     statement: string,
     timeoutMilliseconds: number,
+    onLateReport: LateReportListener | null = null,
   ): ResultAsync<PositionReport, TransportError> {
-    const answer = this.#client.query<(string | null)[]>({ text: statement, rowMode: 'array' })
+    this.#pendingStatements += 1
+    const answer = this.#client
+      .query<(string | null)[]>({ text: statement, rowMode: 'array' })
+      .finally(() => {
+        this.#pendingStatements -= 1
+      })
     return ResultAsync.fromPromise(withTimeout(answer, timeoutMilliseconds), error =>
-      this.#describeError(error),
+      this.#describeError(error, answer, onLateReport),
     ).andThen(result => {
-      const report = readPositionReport((result.rows[0] ?? []).map(toText))
+      const report = toReport(result)
       if (report !== null) return okAsync(report)
       return errAsync<PositionReport, TransportError>({
         kind: 'remote',
@@ -114,15 +136,44 @@
     })
   }
 
-  #describeError(error: unknown): TransportError {
+  #describeError(
+    error: unknown,
+    answer: Promise<Answer>,
+    onLateReport: LateReportListener | null,
+  ): TransportError {
     const detail = error instanceof Error ? error.message : String(error)
     if (error instanceof DatabaseError) {
       const code = error.code === STALE_TERM_SQL_STATE ? STALE_TERM_CODE : SERVER_ERROR_CODE
       return { kind: 'remote', code, detail }
     }
-    const lost = this.#closed
-    this.close()
-    return { kind: lost ? 'connectionLost' : 'answerTimeout', detail }
+    const isLate = error instanceof TimeLimitExceeded && !this.#closed
+    // Statements queued behind the late one fail at once only if the connection is closed.
+    if (isLate && onLateReport !== null && this.#pendingStatements === 1) {
+      this.#awaitLateAnswer(answer, onLateReport)
+    } else {
+      this.close()
+    }
+    return { kind: isLate ? 'answerTimeout' : 'connectionLost', detail }
+  }
+
+  #awaitLateAnswer(answer: Promise<Answer>, onLateReport: LateReportListener): void {
+    this.#closed = true
+    const timer = setTimeout(() => {
+      this.close()
+    }, LATE_ANSWER_MILLISECONDS)
+    answer
+      .then(
+        result => {
+          const report = toReport(result)
+          if (report !== null) onLateReport(report)
+        },
+        // The caller was told of the time-out; that no answer followed is no news.
+        () => undefined,
+      )
+      .finally(() => {
+        clearTimeout(timer)
+        this.close()
+      })
   }
 }
 
@@ -148,6 +199,9 @@
   return typeof value === 'number' || typeof value === 'bigint' ? String(value) : null
 }
 
+const toReport = (result: Answer): PositionReport | null =>
+  readPositionReport((result.rows[0] ?? []).map(toText))
+
 /**
  * After a stall of this process its timers run before its sockets are read. The limit takes effect
  * only once they were, so that an answer that arrived during the stall counts.
@@ -156,7 +210,7 @@
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => {
       setImmediate(() => {
-        reject(new Error('no answer in time'))
+        reject(new TimeLimitExceeded('no answer in time'))
       })
     }, timeoutMilliseconds)
     promise.then(resolve, reject).finally(() => {
