fix(coordination): a suspicion that a pause of the links held up does not replace a healthy primary at once

Seen by callers: a healthy primary was replaced after the links between zones stood still for 0.4 to 0.7 s. Cause: during such a pause every watcher behind it suspects the primary on its own. Once the links work again, the opinions held up in them arrive together with the primary's answers. If an opinion came first, two of three watchers agreed and the change began some milliseconds before the answer that would have ended the suspicion. Evidence: in the simulation "keeps the primary when the links between zones pause for 560, 600, 650, 700 ms" failed before, all four. Why it holds: another's suspicion counts at once if it arrived before this watcher's own, or up to 25 ms after: its link worked while the primary was silent. One that arrives later counts after 150 ms, within which the answers held up as well arrive. Left: a pause that ends within 25 ms of the suspicion, when the primary's answer is 30 ms or more behind the opinion (26 of 120 simulated pauses of 405 and 420 ms with 30, 60 and 100; 0 of 80 with 0 and 10).

--- a/packages/coordination/__tests__/failoverHealthy.spec.ts
+++ b/packages/coordination/__tests__/failoverHealthy.spec.ts
@@ -119,4 +119,23 @@
     expect(simulation.steps().includes('suspected')).toEqual(true)
     expect(simulation.steps().includes('termTaken')).toEqual(false)
   })
+
+  /*
+   * Guards against a change of primary after every link between zones paused for a moment: the other
+   * watcher's suspicion arrives some milliseconds before the answer of the healthy primary.
+   */
+  for (const pause of [560, 600, 650, 700]) {
+    test(`keeps the primary when the links between zones pause for ${pause} ms`, () => {
+      for (const phase of [0, 20, 40, 60, 80]) {
+        const simulation = new FailoverSimulation()
+        simulation.runFor(WARM_UP_MILLISECONDS + phase)
+        simulation.network.pauseLinks()
+        simulation.runFor(pause)
+        simulation.network.resumeLinks('tanger-nord', 60)
+        simulation.runFor(4_000)
+        expect(simulation.steps().includes('suspected')).toEqual(true)
+        expect(simulation.steps().includes('termTaken')).toEqual(false)
+      }
+    })
+  }
 })
--- a/packages/coordination/__tests__/virtualNetwork.ts
+++ b/packages/coordination/__tests__/virtualNetwork.ts
@@ -20,6 +20,12 @@
 const INTER_REGION_LATENCY_MILLISECONDS = 20
 const INTRA_ZONE_LATENCY_MILLISECONDS = 0.1
 
+interface HeldMessage {
+  readonly from: string
+  readonly to: string
+  readonly deliver: () => void
+}
+
 interface ScheduledEvent {
   readonly at: number
   readonly order: number
@@ -36,6 +42,8 @@
   readonly #killed = new Set<string>()
   readonly #stalledCallbacks = new Map<string, (() => void)[]>()
   readonly #cuts = new Set<string>()
+  /** Messages between zones that wait for `resumeLinks`; null while the links work. */
+  #heldMessages: HeldMessage[] | null = null
   #order = 0
 
   constructor(layout: ZoneLayout) {
@@ -78,6 +86,23 @@
     this.#cuts.delete(name)
   }
 
+  /** Holds all messages between zones until `resumeLinks`; none is lost. */
+  pauseLinks(): void {
+    this.#heldMessages ??= []
+  }
+
+  /** Delivers the held messages, those from or to the slow zone later than the others. */
+  resumeLinks(slowZone: string, slowMilliseconds: number): void {
+    const held = this.#heldMessages ?? []
+    this.#heldMessages = null
+    for (const { from, to, deliver } of held) {
+      const isSlow = [from, to].some(name => this.#zoneOf.get(name) === slowZone)
+      this.schedule(isSlow ? slowMilliseconds : 0, () => {
+        this.whenRunning(to, deliver)
+      })
+    }
+  }
+
   isDead(name: string): boolean {
     return this.#killed.has(name)
   }
@@ -116,7 +141,13 @@
   /** Delivers after the link's latency, unless the two are cut off from each other; delayed while the receiver is stalled. */
   send(from: string, to: string, deliver: () => void): void {
     this.schedule(this.#latency(from, to), () => {
-      if (!this.#isDisconnected(from, to)) this.whenRunning(to, deliver)
+      if (this.#isDisconnected(from, to)) return
+      const isBetweenZones = this.#zoneOf.get(from) !== this.#zoneOf.get(to)
+      if (isBetweenZones && this.#heldMessages !== null) {
+        this.#heldMessages.push({ from, to, deliver })
+      } else {
+        this.whenRunning(to, deliver)
+      }
     })
   }
 
--- a/packages/coordination/src/failoverAgreement.ts
+++ b/packages/coordination/src/failoverAgreement.ts
@@ -17,6 +17,8 @@
 interface ReceivedOpinion {
   readonly opinion: WatcherOpinion
   readonly receivedAt: Milliseconds
+  /** When the first of its opinions in a row that say the same arrived. */
+  readonly heldSince: Milliseconds
 }
 
 /** The primary that opinions are about; opinions of an earlier primary or term do not count. */
@@ -78,7 +80,9 @@
     if (last !== undefined && this.#isFresh(last, now)) {
       if (last.opinion.sequence >= opinion.sequence) return
     }
-    this.#received.set(opinion.watcher, { opinion, receivedAt: now })
+    const isRepeated = last !== undefined && isSameOpinion(last.opinion, opinion)
+    const heldSince = isRepeated ? last.heldSince : now
+    this.#received.set(opinion.watcher, { opinion, receivedAt: now, heldSince })
   }
 
   /** Sets this watcher's own opinion of the primary; sends a changed opinion to the others at once. */
@@ -110,13 +114,14 @@
     return index === -1 ? suspecting.length : index
   }
 
-  nextWake(): Milliseconds | null {
+  nextWake(now: Milliseconds): Milliseconds | null {
     if (this.#subject === null) return null
     if (this.#lastSentAt === null) return milliseconds(0)
     const resendAt = addMilliseconds(this.#lastSentAt, this.#options.opinionIntervalMilliseconds)
     if (this.#suspectedSince === null || this.#agreedSince !== null) return resendAt
     const actsAloneAt = this.#suspectedSince + this.#options.soleWatcherMilliseconds
-    return milliseconds(actsAloneAt > this.#lastSentAt ? Math.min(resendAt, actsAloneAt) : resendAt)
+    const later = [actsAloneAt, ...this.#lateOpinionTimes()].filter(time => time > now)
+    return milliseconds(Math.min(resendAt, ...later))
   }
 
   /**
@@ -126,7 +131,7 @@
    */
   #isAgreed(now: Milliseconds): boolean {
     if (this.#suspectedSince === null) return false
-    const suspecting = this.#suspecting(now)
+    const suspecting = this.#suspecting(now).filter(watcher => this.#counts(watcher, now))
     const zonesWanted = Math.min(2, countZones(this.#watchers))
     if (suspecting.length >= majorityOf(this.#watchers.length)) {
       if (countZones(suspecting) >= zonesWanted) return true
@@ -142,6 +147,28 @@
     })
   }
 
+  /**
+   * When a link pauses, every watcher behind it suspects the primary, and once it works again their
+   * opinions arrive together with the primary's answers, in any order. A suspicion that arrived while
+   * this watcher still heard from the primary, or soon after, came over a link that worked.
+   */
+  #counts(watcher: Watcher, now: Milliseconds): boolean {
+    const received = this.#received.get(watcher.entryHost)
+    if (watcher.entryHost === this.#self.entryHost || received === undefined) return true
+    return now >= this.#countsFrom(received)
+  }
+
+  #countsFrom({ heldSince }: ReceivedOpinion): Milliseconds {
+    const { promptOpinionMilliseconds, lateOpinionMilliseconds } = this.#options
+    const suspectedSince = this.#suspectedSince ?? heldSince
+    const isPrompt = heldSince - suspectedSince <= promptOpinionMilliseconds
+    return isPrompt ? heldSince : addMilliseconds(heldSince, lateOpinionMilliseconds)
+  }
+
+  #lateOpinionTimes(): readonly Milliseconds[] {
+    return [...this.#received.values()].map(received => this.#countsFrom(received))
+  }
+
   #isContradicted(now: Milliseconds): boolean {
     return this.#watchers.some(
       watcher =>
@@ -186,5 +213,8 @@
   }
 }
 
+const isSameOpinion = (left: WatcherOpinion, right: WatcherOpinion): boolean =>
+  left.about === right.about && left.term === right.term && left.suspected === right.suspected
+
 const countZones = (watchers: readonly Watcher[]): number =>
   new Set(watchers.map(watcher => watcher.zone)).size
--- a/packages/coordination/src/failoverCore.ts
+++ b/packages/coordination/src/failoverCore.ts
@@ -102,7 +102,7 @@
     if (!agreement.isWatcher) return null
     const times = [
       group.nextWake(now),
-      agreement.nextWake(),
+      agreement.nextWake(now),
       records.nextWake(),
       this.#changeController.nextWake(now),
       this.#moveController.nextWake(),
--- a/packages/coordination/src/failoverOptions.ts
+++ b/packages/coordination/src/failoverOptions.ts
@@ -16,6 +16,13 @@
   readonly opinionIntervalMilliseconds: number
   /** An opinion that was not sent again for this long no longer counts. */
   readonly opinionLifetimeMilliseconds: number
+  /**
+   * Another's suspicion that arrives at most this long after this watcher's own counts at once. One that
+   * arrives later may have been held up by the same pause of a link that made this watcher suspect.
+   */
+  readonly promptOpinionMilliseconds: number
+  /** Until a suspicion that arrived late counts. The primary's answers, held up as well, arrive before. */
+  readonly lateOpinionMilliseconds: number
   /** Added to a watcher's delay before it starts a change, for each watcher that ranks before it. */
   readonly rankDelayMilliseconds: number
   /** Timeout of one fence, promotion or follow. */
@@ -62,6 +69,8 @@
   soleWatcherMilliseconds: 2_000,
   opinionIntervalMilliseconds: 1_000,
   opinionLifetimeMilliseconds: 2_500,
+  promptOpinionMilliseconds: 25,
+  lateOpinionMilliseconds: 150,
   rankDelayMilliseconds: 50,
   callTimeoutMilliseconds: 300,
   callRetryMilliseconds: 50,
