fix(coordination): a watcher that stalled does not act alone before it read the others' contradictions

Cause: a watcher acts alone when nobody contradicts its suspicion for 2 s. If it stalled for longer than an opinion's lifetime, the others' contradictions had expired and the newer ones lay unread, so its first message after the stall started a change. The stall guard reset only the servers' silence. Why it holds: after a stall the 2 s start again, within which the others repeat their opinions twice.

--- a/packages/coordination/__tests__/failoverHealthy.spec.ts
+++ b/packages/coordination/__tests__/failoverHealthy.spec.ts
@@ -138,4 +138,27 @@
       }
     })
   }
+
+  // Guards against a watcher that acts alone because the others' contradictions expired while it stalled.
+  test('keeps the primary when the only watcher that is refused by it stalls', () => {
+    const simulation = new FailoverSimulation()
+    simulation.runFor(WARM_UP_MILLISECONDS)
+    const primary = simulation.server(0).id
+    simulation.intercept = (host, effect) => {
+      const isRefused = host === 1 && effect.kind === 'askPosition' && effect.server === primary
+      if (!isRefused) return true
+      simulation.network.schedule(1, () => {
+        const askedAt = simulation.clock.now()
+        simulation.send(1, { kind: 'positionFailed', server: primary, failure: 'refused', askedAt })
+      })
+      return false
+    }
+    simulation.runFor(700)
+    simulation.network.freeze('host-1')
+    simulation.runFor(3_000)
+    simulation.network.thaw('host-1')
+    simulation.runFor(4_000)
+    expect(simulation.steps().includes('suspected')).toEqual(true)
+    expect(simulation.steps().includes('termTaken')).toEqual(false)
+  })
 })
--- a/packages/coordination/src/failoverAgreement.ts
+++ b/packages/coordination/src/failoverAgreement.ts
@@ -100,6 +100,14 @@
     }
   }
 
+  /**
+   * Called after a stall of this process, in which the opinions held here may have expired while newer
+   * ones lie unread: the time after which this watcher acts alone starts again.
+   */
+  resetSuspicionTime(now: Milliseconds): void {
+    if (this.#suspectedSince !== null) this.#suspectedSince = now
+  }
+
   /** Since when the watchers agree that the primary must be replaced; null while they do not. */
   agreedSince(now: Milliseconds): Milliseconds | null {
     if (this.#isAgreed(now)) this.#agreedSince ??= now
--- a/packages/coordination/src/failoverCore.ts
+++ b/packages/coordination/src/failoverCore.ts
@@ -166,13 +166,16 @@
 
   /**
    * After a stall of this process every position request looks unanswered. Treating that as
-   * unresponsive servers would replace a healthy primary, so the silence timers start again.
+   * unresponsive servers would replace a healthy primary, so the silence timers start again. So does
+   * the time after which a watcher that nobody contradicts acts alone.
    */
   #detectStall(now: Milliseconds): void {
     const last = this.#lastHandledAt
     this.#lastHandledAt = now
     const stallMilliseconds = this.#context.options.watchIntervalMilliseconds * STALL_INTERVALS
-    if (last !== null && now - last > stallMilliseconds) this.#context.group.resetSilence(now)
+    if (last === null || now - last <= stallMilliseconds) return
+    this.#context.group.resetSilence(now)
+    this.#context.agreement.resetSuspicionTime(now)
   }
 
   #recordChanged(record: GroupRecord, now: Milliseconds): void {
