fix(coordination): a probe is not given up because the prober itself stalled

Why it holds: open probes get the time by which a tick comes later than a heartbeat. Ticks come twice a heartbeat, so up to half a heartbeat of a stall still counts, a third of the probe's time.

--- a/packages/coordination/__tests__/membership.spec.ts
+++ b/packages/coordination/__tests__/membership.spec.ts
@@ -1,7 +1,21 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { entryHostId, incarnation } from '@nutmegcourse/shared'
-import { DEFAULT_NEIGHBOUR_OPTIONS, type MembershipOptions } from '../src/index.js'
+import type { Member } from '@nutmegcourse/protocol'
+import {
+  SeededRandom,
+  availabilityZoneId,
+  entryHostId,
+  incarnation,
+  milliseconds,
+  regionId,
+} from '@nutmegcourse/shared'
+import {
+  DEFAULT_NEIGHBOUR_OPTIONS,
+  MembershipCore,
+  type MembershipEffect,
+  type MembershipMessage,
+  type MembershipOptions,
+} from '../src/index.js'
 import { FleetSimulation, type SimulatedHost } from './fleetSimulation.js'
 
 const ZONES = [
@@ -24,6 +38,16 @@
 const idsIn = (zone: string): readonly string[] =>
   HOSTS.filter(host => host.zone === zone).map(host => host.id)
 
+const memberOf = ({ id, zone, region, address }: SimulatedHost): Member => ({
+  entryHost: id,
+  zone: availabilityZoneId(zone),
+  region: regionId(region),
+  address,
+  port: 1,
+  incarnation: incarnation(1),
+  status: 'alive',
+})
+
 function startSimulation(options: Partial<MembershipOptions> = {}): FleetSimulation {
   const fleet = new FleetSimulation(options)
   for (const host of HOSTS) fleet.list(host)
@@ -233,6 +257,37 @@
     })
   }
 
+  /*
+   * Guards against a healthy host that is declared failed because the prober stalled while its helper's
+   * answer lay unread. The second case shows that a probe without an answer still ends.
+   */
+  for (const { name, answered, declared } of [
+    { name: 'no host failed when the helper answers', answered: true, declared: 0 },
+    { name: 'one host failed when the helper does not answer', answered: false, declared: 1 },
+  ]) {
+    it(`declares ${name} a probe during which the prober stalled`, () => {
+      const [self, peer, helper] = HOSTS.slice(0, 3).map(memberOf)
+      if (self === undefined || peer === undefined || helper === undefined) throw new Error('hosts')
+      const core = new MembershipCore(self, new SeededRandom(1), milliseconds(0))
+      const effects: MembershipEffect[] = []
+      const handle = (message: MembershipMessage, now: number): void => {
+        effects.push(...core.handle(message, milliseconds(now)))
+      }
+      for (const member of [peer, helper]) handle({ kind: 'news', member }, 0)
+      handle({ kind: 'heard', peer: helper.entryHost }, 900)
+      handle({ kind: 'tick' }, 1000)
+      handle({ kind: 'linkLost', peer: peer.entryHost }, 1000)
+      handle({ kind: 'tick' }, 2700)
+      const subject = peer.entryHost
+      if (answered) handle({ kind: 'probeAnswered', subject, reached: true }, 2701)
+      handle({ kind: 'tick' }, 3700)
+      const failures = effects.filter(
+        effect => effect.kind === 'changed' && effect.change === 'failed',
+      )
+      expect(failures.length).toEqual(declared)
+    })
+  }
+
   it('keeps a resumed host failed when its refutation is not gossiped', () => {
     const fleet = startSimulation()
     fleet.dropRefutations()
--- a/packages/coordination/src/indirectProbes.ts
+++ b/packages/coordination/src/indirectProbes.ts
@@ -1,8 +1,8 @@
 /** Tracks the indirect probes of silent hosts that are in progress. */
-import type { EntryHostId, Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, type EntryHostId, type Milliseconds } from '@nutmegcourse/shared'
 
 interface IndirectProbe {
-  readonly deadline: Milliseconds
+  deadline: Milliseconds
   pendingHelpers: number
 }
 
@@ -27,6 +27,11 @@
     this.#open.delete(subject)
   }
 
+  /** Gives the open probes more time. */
+  extend(span: number): void {
+    for (const probe of this.#open.values()) probe.deadline = addMilliseconds(probe.deadline, span)
+  }
+
   clear(): void {
     this.#open.clear()
   }
--- a/packages/coordination/src/membershipCore.ts
+++ b/packages/coordination/src/membershipCore.ts
@@ -232,6 +232,8 @@
     const gap = now - lastTickAt
     this.#lastTickAt = now
     if (gap > stallHeartbeats * heartbeatIntervalMilliseconds) this.#resetSilenceTimers(now)
+    // While this process stalled, the helpers' answers lay unread.
+    this.#indirectProbes.extend(Math.max(0, gap - heartbeatIntervalMilliseconds))
     if (now >= this.#retryAt) {
       this.#retriedHost = this.#pickHostToRetry()
       this.#retryAt = (now + retryIntervalMilliseconds) as Milliseconds
