--- a/packages/coordination/src/failoverCore.ts
+++ b/packages/coordination/src/failoverCore.ts
@@ -113,7 +113,7 @@
     if (this.#clock.isReading) return [group.nextWake(now)]
     return [
       group.nextWake(now),
-      agreement.nextWake(),
+      agreement.nextWake(now),
       records.nextWake(),
       this.#changeController.nextWake(now),
       this.#moveController.nextWake(),
--- a/packages/transport/__tests__/controlConnection.spec.ts
+++ b/packages/transport/__tests__/controlConnection.spec.ts
@@ -1,7 +1,9 @@
 import { after, describe, it } from 'node:test'
 import type { Server, Socket } from 'node:net'
+import { setTimeout as delay } from 'node:timers/promises'
 import { expect } from 'earl'
 import { ControlConnection, listen } from '../src/index.js'
+import { startPositionServer } from './positionServer.js'
 
 /** An ErrorResponse as the server sends it when it refuses a connection at startup. */
 function errorFrame(sqlState: string): Buffer {
@@ -107,3 +109,60 @@
     })
   }
 })
+
+describe('ControlConnection.position', () => {
+  const TIME_LIMIT_MILLISECONDS = 50
+  const LATE_MILLISECONDS = 150
+  const servers: Server[] = []
+  after(() => {
+    for (const server of servers) server.close()
+  })
+
+  async function connect(
+    onStatement: Parameters<typeof startPositionServer>[0],
+  ): Promise<ControlConnection> {
+    const { server, port } = await startPositionServer(onStatement)
+    servers.push(server)
+    const options = { address: '127.0.0.1', port, database: 'any', user: 'any' }
+    return (await ControlConnection.open(options, 1000))._unsafeUnwrap()
+  }
+
+  const stallThisProcess = (span: number): void => {
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, span)
+  }
+
+  // Guards against a healthy server that is taken for silent after a stall of the asking process.
+  it('counts an answer that arrived while this process stalled', async () => {
+    const connection = await connect((_, answer) => {
+      answer()
+      stallThisProcess(LATE_MILLISECONDS)
+    })
+    const report = await connection.position(TIME_LIMIT_MILLISECONDS)
+    expect(report._unsafeUnwrap().position.offset as number).toEqual(7)
+    connection.close()
+  })
+
+  // Guards against a suspicion that outlives a short pause of a link by the time that a new connection takes.
+  it('passes on an answer that missed its time limit, and sends no further statement', async () => {
+    const connection = await connect((_, answer) => {
+      setTimeout(answer, LATE_MILLISECONDS)
+    })
+    const offsets: number[] = []
+    const report = await connection.position(TIME_LIMIT_MILLISECONDS, late => {
+      offsets.push(late.position.offset)
+    })
+    expect(report._unsafeUnwrapErr().kind).toEqual('answerTimeout')
+    expect(connection.closed).toEqual(true)
+    await delay(2 * LATE_MILLISECONDS)
+    expect(offsets).toEqual([7])
+  })
+
+  // Guards against a fence that waits for its own time limit behind a position that is not answered.
+  it('fails a statement queued behind one that missed its time limit at once', async () => {
+    const connection = await connect(() => undefined)
+    const position = connection.position(TIME_LIMIT_MILLISECONDS, () => undefined)
+    const queued = connection.position(100 * TIME_LIMIT_MILLISECONDS)
+    expect((await position)._unsafeUnwrapErr().kind).toEqual('answerTimeout')
+    expect((await queued)._unsafeUnwrapErr().kind).toEqual('connectionLost')
+  })
+})
