--- a/packages/coordination/__tests__/membership.spec.ts
+++ b/packages/coordination/__tests__/membership.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { entryHostId, incarnation } from '@nutmegcourse/shared'
+import { entryHostId, incarnation, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import { DEFAULT_NEIGHBOUR_OPTIONS, type MembershipOptions } from '../src/index.js'
 import { FleetSimulation, type SimulatedHost } from './fleetSimulation.js'
 
@@ -32,6 +32,9 @@
   return fleet
 }
 
+/** After the start of a simulation. */
+const PROBE_MOMENT_MILLISECONDS = 3_000
+
 interface Scenario {
   readonly name: string
   readonly arrange: (fleet: FleetSimulation) => void
@@ -214,6 +217,35 @@
     expect(fleet.failureDeclarations).toEqual([])
   })
 
+  // A host loses its link to another, asks helpers and stalls for less than the stall limit. Guards
+  // against a live host that is declared failed because timers run before the helpers' answers are read.
+  for (const { name, reached, alive } of [
+    { name: 'keeps a host that a helper reached', reached: true, alive: true },
+    { name: 'declares a host failed that no helper reached', reached: false, alive: false },
+  ]) {
+    it(`${name} when it reads the answer after a stall`, () => {
+      const core = startSimulation().membership(FIRST)
+      const at = (span: number): Milliseconds => milliseconds(PROBE_MOMENT_MILLISECONDS + span)
+      core.handle({ kind: 'tick' }, at(0))
+      core.handle({ kind: 'linkLost', peer: SECOND }, at(0))
+      core.handle({ kind: 'tick' }, at(1_600))
+      for (let helper = 0; helper < 3; helper += 1) {
+        core.handle({ kind: 'probeAnswered', subject: SECOND, reached }, at(1_601))
+      }
+      for (const span of [2_100, 2_600, 3_100]) core.handle({ kind: 'tick' }, at(span))
+      expect(core.isAlive(SECOND)).toEqual(alive)
+    })
+  }
+
+  it('declares a host failed after a stall when no helper answers', () => {
+    const core = startSimulation().membership(FIRST)
+    const at = (span: number): Milliseconds => milliseconds(PROBE_MOMENT_MILLISECONDS + span)
+    core.handle({ kind: 'tick' }, at(0))
+    core.handle({ kind: 'linkLost', peer: SECOND }, at(0))
+    for (const span of [1_600, 2_100, 2_600, 3_100]) core.handle({ kind: 'tick' }, at(span))
+    expect(core.isAlive(SECOND)).toEqual(false)
+  })
+
   // A host stalls for a long time and resumes. By its own clock it received nothing for all that time,
   // and in a fleet this small its helpers appear just as silent.
   for (const { stallHeartbeats, declared } of [
--- a/packages/coordination/src/indirectProbes.ts
+++ b/packages/coordination/src/indirectProbes.ts
@@ -1,8 +1,8 @@
 /** Tracks the indirect probes of silent hosts that are in progress. */
-import type { EntryHostId, Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, type EntryHostId, type Milliseconds } from '@nutmegcourse/shared'
 
 interface IndirectProbe {
-  readonly deadline: Milliseconds
+  deadline: Milliseconds
   pendingHelpers: number
 }
 
@@ -19,10 +19,15 @@
   }
 
   open(subject: EntryHostId, helperCount: number, now: Milliseconds): void {
-    const deadline = (now + this.#timeoutMilliseconds) as Milliseconds
+    const deadline = addMilliseconds(now, this.#timeoutMilliseconds)
     this.#open.set(subject, { deadline, pendingHelpers: helperCount })
   }
 
+  /** Called when this process was late by `span`: answers that came meanwhile are still unread. */
+  postpone(span: number): void {
+    for (const probe of this.#open.values()) probe.deadline = addMilliseconds(probe.deadline, span)
+  }
+
   close(subject: EntryHostId): void {
     this.#open.delete(subject)
   }
--- a/packages/coordination/src/membershipCore.ts
+++ b/packages/coordination/src/membershipCore.ts
@@ -232,6 +232,7 @@
     const gap = now - lastTickAt
     this.#lastTickAt = now
     if (gap > stallHeartbeats * heartbeatIntervalMilliseconds) this.#resetSilenceTimers(now)
+    else this.#indirectProbes.postpone(Math.max(0, gap - heartbeatIntervalMilliseconds))
     if (now >= this.#retryAt) {
       this.#retriedHost = this.#pickHostToRetry()
       this.#retryAt = (now + retryIntervalMilliseconds) as Milliseconds
