--- a/packages/coordination/src/indirectProbes.ts
+++ b/packages/coordination/src/indirectProbes.ts
@@ -19,17 +19,17 @@
   }
 
   open(subject: EntryHostId, helperCount: number, now: Milliseconds): void {
-    const deadline = (now + this.#timeoutMilliseconds) as Milliseconds
+    const deadline = addMilliseconds(now, this.#timeoutMilliseconds)
     this.#open.set(subject, { deadline, pendingHelpers: helperCount })
   }
 
-  close(subject: EntryHostId): void {
-    this.#open.delete(subject)
+  /** Called when this process was late by `span`: answers that came meanwhile are still unread. */
+  postpone(span: number): void {
+    for (const probe of this.#open.values()) probe.deadline = addMilliseconds(probe.deadline, span)
   }
 
-  /** Gives the open probes more time. */
-  extend(span: number): void {
-    for (const probe of this.#open.values()) probe.deadline = addMilliseconds(probe.deadline, span)
+  close(subject: EntryHostId): void {
+    this.#open.delete(subject)
   }
 
   clear(): void {
