--- a/packages/proxy/__tests__/support/fakeBackend.ts
+++ b/packages/proxy/__tests__/support/fakeBackend.ts
@@ -137,6 +137,11 @@
     this.#socket.destroy()
   }
 
+  /** Sends something that no request asked for. */
+  reportParameter(): void {
+    this.#socket.write(parameterStatus('application_name', 'fake'))
+  }
+
   end(): void {
     this.#socket.destroy()
   }
@@ -373,6 +378,11 @@
     for (const session of this.#sessions.values()) session.end()
   }
 
+  /** Sends something unasked for over every connection. */
+  reportParameter(): void {
+    for (const session of this.#sessions.values()) session.reportParameter()
+  }
+
   close(): void {
     this.#server?.close()
     this.dropSessions()
