fix: a planned move fences only when every live host holds its writes

Callers of a host whose proxies learned of a planned move more than 100 ms late heard connection_lost (outcome unknown) for writes that the fence cut, though nothing had failed.

Cause: the coordinator waited a fixed time and for the primary's log to rest, which the held writes of the other hosts make likely. It did not know whether every proxy had heard.

A proxy that holds its writes and has none in flight now reports the attempt to its agent, again after a reconnect; the agent reports it to the coordinator once all its proxies have, over the link or else a connection of its own. The coordinator fences when each live host has confirmed this attempt. A host that does not makes it give the move up, with back-off; after two such moves the next one goes on without the host and names it. A core that does not know the membership behaves as before. A write that waits for its confirmation is not in flight: position reports of the servers decide it. A transaction that has rested for 250 ms is not waited for, or its caller could hold the move up for ever; the move ends it, as before.

Why it holds: a proxy that confirmed starts no write while the record is in force. The coordinator acts on the record for at most 1 s; a proxy uses the old primary again after 4 s. Safety rests on fences and majorities as before.

Evidence: failoverCut.spec.ts, "when the proxies of one host learn of it 150, 300, 60000 ms late", red before and green now, the test unchanged; the simulation learned to deliver the reports.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -12,6 +12,7 @@
   ListedHost,
   Member,
   GossipItem,
+  HeldWrites,
   ProxyReport,
 } from '@nutmegcourse/protocol'
 import type { AgentSettings } from '@nutmegcourse/settings'
@@ -22,6 +23,7 @@
   databaseId,
   incarnation,
   type DatabaseId,
+  type EntryHostId,
   type Milliseconds,
 } from '@nutmegcourse/shared'
 import { HostListClient, StoreClient, listen } from '@nutmegcourse/transport'
@@ -33,6 +35,7 @@
 import { GroupRecordStore } from './groupRecordStore.js'
 import { HostListPoll } from './hostListPoll.js'
 import { KnownHosts } from './knownHosts.js'
+import { MoveReporter } from './moveReporter.js'
 import { ProxyServer } from './proxyServer.js'
 import { describeStatus, describeUsage, type ReportSources } from './agentReport.js'
 import { buildSnapshot } from './routingSnapshot.js'
@@ -75,6 +78,7 @@
   readonly #poll: HostListPoll
   readonly #follower: StoreFollower
   readonly #proxies: ProxyServer
+  readonly #moveReporter: MoveReporter
   readonly #events: EventLog
   readonly #watchManager: WatchManager
   readonly #plan = new Coalescer(PLAN_DELAY_MILLISECONDS, () => {
@@ -119,8 +123,20 @@
         log.error('unreadable value in the store', { key })
       },
     })
-    this.#proxies = new ProxyServer(report => {
-      this.#logProxyReport(report)
+    this.#proxies = new ProxyServer({
+      reported: report => {
+        this.#logProxyReport(report)
+      },
+      heldWritesChanged: database => {
+        this.#moveReporter.check(database)
+      },
+    })
+    this.#moveReporter = new MoveReporter({
+      records: () => this.#groupRecords(),
+      holdsWrites: held => this.#proxies.holdsWrites(held),
+      send: (coordinator, held) => {
+        this.#reportHeldWrites(coordinator, held)
+      },
     })
     this.#events = new EventLog(settings.entryHost)
     this.#watchManager = new WatchManager({
@@ -241,6 +257,16 @@
         opinionReceived: opinion => {
           this.#watchManager.opinionReceived(opinion)
         },
+        heldWritesReceived: held => {
+          this.#watchManager.heldWritesReceived(held)
+        },
+        heldWritesLost: (coordinator, error) => {
+          this.#metrics.count('move.report_lost', { why: error.kind })
+          this.#log.warn('the coordinator of a planned move can not be told that writes are held', {
+            coordinator,
+            error: error.detail,
+          })
+        },
         repairTargets: (document, expectedRevision) => {
           this.#log.warn('the store holds older targets; restoring the newest', {
             version: document.version,
@@ -271,6 +297,7 @@
         break
       case 'group':
         this.#watchManager.recordChanged(item.record, item.revision)
+        this.#moveReporter.check(item.record.database)
         break
       case 'member':
         return
@@ -311,7 +338,9 @@
 
   #planWatches(): void {
     if (this.#fleet === null) return
-    const workers = this.#fleet.membership.workers(this.#clock.now())
+    const now = this.#clock.now()
+    this.#watchManager.setWriters(this.#fleet.membership.writers(now))
+    const workers = this.#fleet.membership.workers(now)
     this.#watchManager.plan(workers, this.#hosts.byDatabase)
   }
 
@@ -345,6 +374,8 @@
     const { database, step, term, detail } = event
     this.#log.info('failover', { database, step, term, detail })
     if (step === 'completed') this.#metrics.count('failover.completed', { database })
+    if (step === 'moveAbandoned') this.#metrics.count('move.abandoned', { database })
+    if (step === 'moveUnconfirmed') this.#metrics.count('move.unconfirmed', { database })
     if (step === 'abandoned') this.#metrics.count('failover.abandoned', { database })
   }
 
@@ -368,6 +399,20 @@
     this.#publication.request()
   }
 
+  #reportHeldWrites(coordinator: EntryHostId, held: HeldWrites): void {
+    const { entryHost } = this.#settings
+    const report = { ...held, host: entryHost }
+    this.#log.info('the proxies of this host hold their writes', { ...held })
+    if (coordinator !== entryHost) {
+      void this.#fleet?.reportHeldWrites(coordinator, report)
+      return
+    }
+    // The watch may be announcing the move just now.
+    setImmediate(() => {
+      this.#watchManager.heldWritesReceived(report)
+    })
+  }
+
   #logProxyReport(report: ProxyReport): void {
     this.#log.debug('proxy report received', { ...report })
   }
--- a/packages/agent/src/fleetTask.ts
+++ b/packages/agent/src/fleetTask.ts
@@ -21,6 +21,7 @@
   PeerCompareResult,
   PeerFetchParams,
   PeerFetchResult,
+  PeerHeldWrites,
   PeerHello,
   PeerGossipParams,
   PeerPingParams,
@@ -36,11 +37,13 @@
   type Milliseconds,
   type RandomSource,
 } from '@nutmegcourse/shared'
-import type { RpcHandlers } from '@nutmegcourse/transport'
+import type { RpcHandlers, TransportError } from '@nutmegcourse/transport'
 import { PeerNetwork } from './peerNetwork.js'
 
 const GOSSIP_TIMEOUT_MILLISECONDS = 5000
 const PROBE_TIMEOUT_MILLISECONDS = 500
+/** Of one attempt to report to a move's coordinator; a second one fits into the time that it waits. */
+const HELD_WRITES_TIMEOUT_MILLISECONDS = 300
 /** Leaves time for the helper's own attempts: a ping on its link, then a call on a new connection. */
 const PROBE_ANSWER_TIMEOUT_MILLISECONDS = 1400
 
@@ -52,6 +55,10 @@
   /** This host became able or unable to confirm its targets as the newest. */
   confirmationChanged(confirmed: boolean): void
   opinionReceived(opinion: WatcherOpinion): void
+  /** All proxies of another host hold their writes for a planned move that this host coordinates. */
+  heldWritesReceived(held: PeerHeldWrites): void
+  /** The report on held writes did not reach the coordinator. */
+  heldWritesLost(coordinator: EntryHostId, error: TransportError): void
   /** Writes the document to the store; resolves after the attempt, whether or not it succeeded. */
   repairTargets(document: VersionedTargets, expectedRevision: number): Promise<void>
 }
@@ -138,6 +145,17 @@
     this.#updateLinks()
   }
 
+  /** Reports to the coordinator of a planned move that all proxies of this host hold their writes. */
+  async reportHeldWrites(coordinator: EntryHostId, held: PeerHeldWrites): Promise<void> {
+    const answer = await this.network.deliver(
+      coordinator,
+      'peer.writesHeld',
+      held,
+      HELD_WRITES_TIMEOUT_MILLISECONDS,
+    )
+    if (answer.isErr()) this.#options.listener.heldWritesLost(coordinator, answer.error)
+  }
+
   learn(item: GossipItem): void {
     this.#handleGossip({ kind: 'learned', item })
   }
@@ -352,6 +370,10 @@
         this.#options.listener.opinionReceived(params as WatcherOpinion)
         return null
       },
+      'peer.writesHeld': params => {
+        this.#options.listener.heldWritesReceived(params as PeerHeldWrites)
+        return null
+      },
     }
   }
 }
--- a/packages/agent/src/peerNetwork.ts
+++ b/packages/agent/src/peerNetwork.ts
@@ -3,7 +3,7 @@
  * of agents, and sends heartbeats. Owns the sockets of the links.
  */
 import type { Socket } from 'node:net'
-import { errAsync, type ResultAsync } from 'neverthrow'
+import { err, errAsync, type Result, type ResultAsync } from 'neverthrow'
 import type {
   PeerHello,
   PeerPingParams,
@@ -133,6 +133,25 @@
     return true
   }
 
+  /** Sends a request over the link to the peer or, if that fails, over a connection of its own. */
+  async deliver(
+    peer: EntryHostId,
+    method: string,
+    params: unknown,
+    timeoutMilliseconds: number,
+  ): Promise<Result<unknown, TransportError>> {
+    const answer = await this.request(peer, method, params, timeoutMilliseconds)
+    const endpoint = this.#options.endpointOf(peer)
+    // A remote error was sent by the peer itself, which would not answer otherwise a second time.
+    if (answer.isOk() || answer.error.kind === 'remote' || endpoint === null) return answer
+    const { address, port } = endpoint
+    const opened = await openJsonRpc(address, port, {}, timeoutMilliseconds)
+    if (opened.isErr()) return err(opened.error)
+    const second = await opened.value.request(method, params, timeoutMilliseconds)
+    opened.value.close()
+    return second
+  }
+
   /** Closes a link that does not work; it is dialed again if the peer is still wanted. */
   drop(peer: EntryHostId): void {
     this.#links.get(peer)?.connection.close()
--- a/packages/agent/src/proxyServer.ts
+++ b/packages/agent/src/proxyServer.ts
@@ -1,6 +1,7 @@
 /** Serves this entry host's proxies: sends them routing snapshots and receives their reports. */
 import type { Server } from 'node:net'
-import type { ProxyReport, RoutingSnapshot } from '@nutmegcourse/protocol'
+import type { HeldWrites, ProxyReport, RoutingSnapshot } from '@nutmegcourse/protocol'
+import type { AttemptId, DatabaseId } from '@nutmegcourse/shared'
 import { JsonRpcConnection, listen } from '@nutmegcourse/transport'
 
 /**
@@ -16,17 +17,25 @@
   readonly lines: readonly string[]
 }
 
+export interface ProxyServerListener {
+  reported(report: ProxyReport): void
+  /** `holdsWrites` may have become true for the database, or for any if it is null. */
+  heldWritesChanged(database: DatabaseId | null): void
+}
+
 export class ProxyServer {
-  readonly #onReport: (report: ProxyReport) => void
+  readonly #listener: ProxyServerListener
   readonly #proxies = new Set<JsonRpcConnection>()
+  /** By proxy and database: the last planned move for which the proxy holds its writes. */
+  readonly #heldWrites = new WeakMap<JsonRpcConnection, Map<DatabaseId, AttemptId>>()
   /** Proxies to which the newest snapshot was not sent because too many bytes are still unsent. */
   readonly #lagging = new Set<JsonRpcConnection>()
   #snapshot: RoutingSnapshot | null = null
   #server: Server | null = null
   #retry: NodeJS.Timeout | undefined
 
-  constructor(onReport: (report: ProxyReport) => void) {
-    this.#onReport = onReport
+  constructor(listener: ProxyServerListener) {
+    this.#listener = listener
   }
 
   get subscribers(): number {
@@ -41,7 +50,11 @@
           return null
         },
         'agent.report': params => {
-          this.#onReport(params as ProxyReport)
+          this.#listener.reported(params as ProxyReport)
+          return null
+        },
+        'agent.writesHeld': params => {
+          this.#receiveHeldWrites(connection, params as HeldWrites)
           return null
         },
       })
@@ -50,6 +63,11 @@
     return listening.port
   }
 
+  /** Whether every proxy of this host holds its writes for the planned move. */
+  holdsWrites({ database, attempt }: HeldWrites): boolean {
+    return [...this.#proxies].every(proxy => this.#heldWrites.get(proxy)?.get(database) === attempt)
+  }
+
   publish(snapshot: RoutingSnapshot): void {
     this.#snapshot = snapshot
     for (const proxy of this.#proxies) this.#send(proxy)
@@ -79,10 +97,18 @@
     connection.onClose(() => {
       this.#proxies.delete(connection)
       this.#lagging.delete(connection)
+      this.#listener.heldWritesChanged(null)
     })
     this.#send(connection)
   }
 
+  #receiveHeldWrites(connection: JsonRpcConnection, { database, attempt }: HeldWrites): void {
+    const held = this.#heldWrites.get(connection) ?? new Map<DatabaseId, AttemptId>()
+    held.set(database, attempt)
+    this.#heldWrites.set(connection, held)
+    this.#listener.heldWritesChanged(database)
+  }
+
   #send(proxy: JsonRpcConnection): void {
     if (this.#snapshot === null) return
     if (proxy.unsentBytes <= UNSENT_LIMIT_BYTES) {
--- a/packages/agent/src/watchManager.ts
+++ b/packages/agent/src/watchManager.ts
@@ -5,7 +5,7 @@
   type WatcherOpinion,
   type HostLocation,
 } from '@nutmegcourse/coordination'
-import type { GroupRecord, ListedBackendServer } from '@nutmegcourse/protocol'
+import type { GroupRecord, ListedBackendServer, PeerHeldWrites } from '@nutmegcourse/protocol'
 import type { DatabaseId, EntryHostId } from '@nutmegcourse/shared'
 import type { DatabaseWatch } from './databaseWatch.js'
 import type { WatchTiming } from './watchTiming.js'
@@ -37,6 +37,7 @@
 export class WatchManager {
   readonly #options: WatchManagerOptions
   readonly #activeWatches = new Map<DatabaseId, ActiveWatch>()
+  #writers: readonly EntryHostId[] = []
 
   constructor(options: WatchManagerOptions) {
     this.#options = options
@@ -76,6 +77,17 @@
     this.#activeWatches.get(record.database)?.watch.receive({ kind: 'record', record, revision })
   }
 
+  /** Sets the hosts whose proxies may send writes. */
+  setWriters(hosts: readonly EntryHostId[]): void {
+    if (isSame(hosts, this.#writers)) return
+    this.#writers = hosts
+    for (const { watch } of this.#activeWatches.values()) watch.receive({ kind: 'writers', hosts })
+  }
+
+  heldWritesReceived({ database, host, attempt }: PeerHeldWrites): void {
+    this.#activeWatches.get(database)?.watch.receive({ kind: 'writesHeld', host, attempt })
+  }
+
   opinionReceived(opinion: WatcherOpinion): void {
     this.#activeWatches.get(opinion.database)?.watch.receive({ kind: 'opinion', opinion })
   }
@@ -135,6 +147,7 @@
     const entry: ActiveWatch = { watch, timing, watchers: [], servers: [] }
     this.#activeWatches.set(database, entry)
     this.#sendRecord(database, watch)
+    watch.receive({ kind: 'writers', hosts: this.#writers })
     return entry
   }
 
--- a/packages/bench/__tests__/agentFleet.ts
+++ b/packages/bench/__tests__/agentFleet.ts
@@ -64,18 +64,29 @@
   },
 })
 
-/** An agent with the last snapshot that its proxy received. */
+/** An agent with a stand-in for its proxy, which sends no writes and says so, as proxies do. */
 export class SubscribedAgent {
   readonly process: AgentProcess
-  readonly #received: { snapshot: RoutingSnapshot | null }
+  readonly #proxy: StandInProxy
 
-  constructor(process: AgentProcess, received: { snapshot: RoutingSnapshot | null }) {
+  constructor(process: AgentProcess, proxy: StandInProxy) {
     this.process = process
-    this.#received = received
+    this.#proxy = proxy
   }
 
+  /** The last snapshot that the proxy received. */
   get snapshot(): RoutingSnapshot | null {
-    return this.#received.snapshot
+    return this.#proxy.snapshot
+  }
+
+  /** Whether the proxy reports that it holds its writes for a planned move. */
+  set reportsMoves(reports: boolean) {
+    this.#proxy.reportsMoves = reports
+    reportHeldWrites(this.#proxy)
+  }
+
+  get phase(): string | null {
+    return this.snapshot?.groups[0]?.record.phase.kind ?? null
   }
 
   get changeId(): string | null {
@@ -94,6 +105,21 @@
   }
 }
 
+interface StandInProxy {
+  snapshot: RoutingSnapshot | null
+  connection: JsonRpcConnection | null
+  reportsMoves: boolean
+}
+
+function reportHeldWrites({ snapshot, connection, reportsMoves }: StandInProxy): void {
+  if (!reportsMoves) return
+  for (const { record } of snapshot?.groups ?? []) {
+    const { database, attempt } = record
+    if (record.phase.kind === 'moving')
+      connection?.notify('agent.writesHeld', { database, attempt })
+  }
+}
+
 export class AgentFleet {
   readonly agents: SubscribedAgent[] = []
   readonly #servers: BackendServer[] = []
@@ -118,14 +144,16 @@
     const { listen, proxyListen } = process.ports
     const host = { address: LOOPBACK, port: listen, ...locationOf(index), state: 'live' } as const
     await this.#listHosts([{ kind: 'entryHost', id, ...host }])
-    const received: { snapshot: RoutingSnapshot | null } = { snapshot: null }
-    const proxy = await this.#connect(proxyListen, {
+    const proxy: StandInProxy = { snapshot: null, connection: null, reportsMoves: true }
+    const connection = await this.#connect(proxyListen, {
       'proxy.snapshot': params => {
-        received.snapshot = params as RoutingSnapshot
+        proxy.snapshot = params as RoutingSnapshot
+        reportHeldWrites(proxy)
       },
     })
-    await proxy.request('agent.subscribe', null, TIMEOUT_MILLISECONDS)
-    const agent = new SubscribedAgent(process, received)
+    proxy.connection = connection
+    await connection.request('agent.subscribe', null, TIMEOUT_MILLISECONDS)
+    const agent = new SubscribedAgent(process, proxy)
     this.agents.push(agent)
     return agent
   }
--- a/packages/bench/__tests__/agents.spec.ts
+++ b/packages/bench/__tests__/agents.spec.ts
@@ -1,9 +1,13 @@
 import { afterEach, describe, it } from 'node:test'
+import { setTimeout as delay } from 'node:timers/promises'
 import { expect } from 'earl'
 import { DRAINS_KEY, TARGETS_KEY, type VersionedTargets } from '@nutmegcourse/protocol'
 import { AgentFleet, targetsDocument } from './agentFleet.js'
 import { eventually } from './eventually.js'
 
+/** Longer than the fixed wait of a planned move, and shorter than the wait for confirmations. */
+const MOVE_WAIT_MILLISECONDS = 250
+
 describe('agents as processes', () => {
   let fleet: AgentFleet | null = null
   const start = async (): Promise<AgentFleet> => {
@@ -82,6 +86,22 @@
     await waitUntilTrue(() => running.agents.every(agent => isNewPrimary(agent.primary)))
   })
 
+  // A proxy has heard of the move and still has a write in flight. Guards against a fence that cuts
+  // it: the whole way from the proxy over its agent to the coordinator must work, whoever coordinates.
+  for (const index of [0, 1, 2]) {
+    it(`wait for the proxy of host ${index} before they fence a drained primary`, async () => {
+      const running = await start()
+      const late = running.agent(index)
+      late.reportsMoves = false
+      await running.put(DRAINS_KEY, { version: 1, backendServers: ['quai-0'] })
+      await waitUntilTrue(() => late.phase === 'moving')
+      await delay(MOVE_WAIT_MILLISECONDS)
+      expect(late.phase).toEqual('moving')
+      late.reportsMoves = true
+      await waitUntilTrue(() => running.agents.every(agent => isNewPrimary(agent.primary)))
+    })
+  }
+
   it('leave the fleet on SIGTERM with exit code 0', async () => {
     const running = await start()
     expect(await running.agent(2).process.end('SIGTERM')).toEqual(0)
--- a/packages/bench/src/routing/virtualLoad.ts
+++ b/packages/bench/src/routing/virtualLoad.ts
@@ -176,6 +176,7 @@
         case 'count':
         case 'reportHealth':
         case 'stopped':
+        case 'writesHeld':
           break
         default:
           assertNever(effect)
--- a/packages/coordination/__tests__/failoverSimulation.ts
+++ b/packages/coordination/__tests__/failoverSimulation.ts
@@ -12,6 +12,7 @@
   entryHostId,
   regionId,
   type BackendServerId,
+  type EntryHostId,
   type VirtualClock,
 } from '@nutmegcourse/shared'
 import type { GroupRecord, ListedBackendServer } from '@nutmegcourse/protocol'
@@ -35,6 +36,8 @@
 const DATABASE = databaseId('quai-sched-1')
 /** Between two transmissions of a primary's log. */
 const REPLICATION_INTERVAL_MILLISECONDS = 5
+/** Until the other hosts know that a host was killed. */
+const MEMBERSHIP_DELAY_MILLISECONDS = 1_000
 
 interface WatcherNode {
   readonly watcher: Watcher
@@ -56,6 +59,8 @@
   readonly lag?: readonly number[]
   /** Between two writes of each host, in milliseconds. */
   readonly writeIntervals?: readonly number[]
+  /** False if the hosts are never told which hosts are alive. */
+  readonly isMembershipKnown?: boolean
 }
 
 export class FailoverSimulation {
@@ -72,6 +77,8 @@
   lag: number[]
   /** How much later than a host its proxies learn of a record, by host index, in milliseconds. */
   snapshotDelay: readonly number[] = []
+  /** Hosts of an earlier version, by index: they do not report that they hold their writes. */
+  readonly silentHosts = new Set<number>()
   /** Calls that wait for the single control connection from a host to a server; absent while idle. */
   readonly #queuedCalls = new Map<string, (() => void)[]>()
   #listedServers: readonly ListedBackendServer[]
@@ -141,7 +148,12 @@
   kill(name: string): void {
     this.network.kill(name)
     const server = this.servers.find(each => each.id === name)
-    if (server === undefined) return
+    if (server === undefined) {
+      this.network.schedule(MEMBERSHIP_DELAY_MILLISECONDS, () => {
+        this.sendWriters()
+      })
+      return
+    }
     this.nodes.forEach((node, host) => {
       this.network.send(name, node.watcher.entryHost, () => {
         const askedAt = this.clock.now()
@@ -173,6 +185,18 @@
     for (const index of [...indexes, former]) this.send(index, { kind: 'watchers', watchers })
   }
 
+  /** Tells every host which hosts are alive, but for those that left. */
+  sendWriters(left: readonly number[] = []): void {
+    this.nodes.forEach((_, host) => {
+      this.#sendWritersTo(host, left)
+    })
+  }
+
+  #sendWritersTo(host: number, left: readonly number[]): void {
+    if (this.#options.isMembershipKnown === false) return
+    this.send(host, { kind: 'writers', hosts: this.#liveHosts(left) })
+  }
+
   /** Starts a new incarnation of the host: its machine loses all state. */
   restart(index: number): void {
     const node = this.node(index)
@@ -293,19 +317,43 @@
 
   #sendInitialMessages(index: number): void {
     const watchers = this.nodes.map(node => node.watcher)
+    this.#sendWritersTo(index, [])
     this.send(index, { kind: 'watchers', watchers })
     this.send(index, { kind: 'backendServers', servers: this.#listedServers })
   }
 
+  #liveHosts(left: readonly number[]): readonly EntryHostId[] {
+    return this.nodes
+      .filter((_, index) => !left.includes(index))
+      .map(node => node.watcher.entryHost)
+      .filter(host => !this.network.isDead(host))
+  }
+
   #route(node: WatcherNode, known: KnownRecord): void {
     const delay = this.snapshotDelay[this.nodes.indexOf(node)] ?? 0
     const apply = (): void => {
-      if (isNewerRecord(known, node.routed)) node.routed = known
+      if (!isNewerRecord(known, node.routed)) return
+      node.routed = known
+      if (known.record.phase.kind === 'moving') this.#confirmWhenIdle(node, known.record)
     }
     if (delay === 0) apply()
     else this.network.schedule(delay, apply)
   }
 
+  /** The proxies of a host report once no write of theirs is in flight. */
+  #confirmWhenIdle(node: WatcherNode, { coordinator, attempt }: GroupRecord): void {
+    const { entryHost } = node.watcher
+    const index = this.nodes.indexOf(node)
+    const coordinatorIndex = this.nodes.findIndex(each => each.watcher.entryHost === coordinator)
+    if (coordinator === null || attempt === null || this.silentHosts.has(index)) return
+    this.writers.whenIdle(index, () => {
+      if (node.routed?.record.attempt !== attempt) return
+      this.network.send(entryHost, coordinator, () => {
+        this.send(coordinatorIndex, { kind: 'writesHeld', host: entryHost, attempt })
+      })
+    })
+  }
+
   #scheduleWake(host: number): void {
     const node = this.node(host)
     const wakeAt = node.core.nextWake(this.clock.now())
--- a/packages/coordination/__tests__/majorityWriters.ts
+++ b/packages/coordination/__tests__/majorityWriters.ts
@@ -36,6 +36,10 @@
   readonly #intervals: readonly number[]
   /** By host and server: how many times the host saw the server close its connections. */
   readonly #closures = new Map<string, number>()
+  /** By host: its writes that are sent and not yet answered. */
+  readonly #inFlight = new Map<string, number>()
+  /** By host: called once when no write of it is in flight. */
+  readonly #idleCallbacks = new Map<string, (() => void)[]>()
   #lastWrite = 0
 
   constructor(
@@ -66,6 +70,13 @@
     return points.slice(1).reduce((gap, at, index) => Math.max(gap, at - (points[index] ?? at)), 0)
   }
 
+  /** Calls back once no write of the host is in flight. */
+  whenIdle(host: number, callback: () => void): void {
+    const name = this.#hosts[host] ?? ''
+    if ((this.#inFlight.get(name) ?? 0) === 0) callback()
+    else this.#idleCallbacks.set(name, [...(this.#idleCallbacks.get(name) ?? []), callback])
+  }
+
   #scheduleWrites(host: number): void {
     this.#network.schedule(this.#intervals[host] ?? WRITE_INTERVAL_MILLISECONDS, () => {
       this.#write(this.#hosts[host] ?? '', this.#primaryOf(host))
@@ -79,7 +90,12 @@
     this.#lastWrite += 1
     const write = this.#lastWrite
     const closures = this.#closures.get(`${host} ${primary.id}`) ?? 0
+    this.#inFlight.set(host, (this.#inFlight.get(host) ?? 0) + 1)
     this.#network.send(host, primary.id, () => {
+      // Its answer, or the end of its connection.
+      this.#network.send(primary.id, host, () => {
+        this.#ended(host)
+      })
       if (this.#network.isDead(primary.id)) return
       if (closures < primary.demotions) {
         this.cut.push(write)
@@ -91,6 +107,15 @@
     })
   }
 
+  #ended(host: string): void {
+    const left = (this.#inFlight.get(host) ?? 0) - 1
+    this.#inFlight.set(host, left)
+    if (left > 0) return
+    const callbacks = this.#idleCallbacks.get(host) ?? []
+    this.#idleCallbacks.delete(host)
+    for (const callback of callbacks) callback()
+  }
+
   #closeConnections(server: FakeBackendServer): void {
     const { demotions } = server
     for (const host of this.#hosts) {
--- a/packages/coordination/src/failoverCore.ts
+++ b/packages/coordination/src/failoverCore.ts
@@ -129,6 +129,12 @@
       case 'opinion':
         agreement.receive(message.opinion, now)
         return
+      case 'writers':
+        this.#moveController.setWriters(message.hosts)
+        return
+      case 'writesHeld':
+        this.#moveController.writesHeld(message.host, message.attempt, now)
+        return
       case 'positionAnswered':
         this.#notePosition(message.server, message.report, message.askedAt, now)
         return
--- a/packages/coordination/src/failoverMessages.ts
+++ b/packages/coordination/src/failoverMessages.ts
@@ -3,6 +3,7 @@
  * The agent executes each effect and reports its result; any answer may be lost or late.
  */
 import type {
+  AttemptId,
   AvailabilityZoneId,
   BackendServerId,
   Brand,
@@ -63,6 +64,10 @@
   /** The watchers of this database, in the order in which they try to coordinate. */
   | { readonly kind: 'watchers'; readonly watchers: readonly Watcher[] }
   | { readonly kind: 'opinion'; readonly opinion: WatcherOpinion }
+  /** The live entry hosts, whose proxies may send writes. */
+  | { readonly kind: 'writers'; readonly hosts: readonly EntryHostId[] }
+  /** The proxies of a host hold their writes for a planned move and have none in flight. */
+  | { readonly kind: 'writesHeld'; readonly host: EntryHostId; readonly attempt: AttemptId }
   | {
       readonly kind: 'positionAnswered'
       readonly server: BackendServerId
@@ -136,6 +141,8 @@
     | 'completed'
     | 'moveStarted'
     | 'moveAbandoned'
+    /** A move goes on though not every host has confirmed that it holds its writes. */
+    | 'moveUnconfirmed'
     | 'abandoned'
   readonly term: Term
   readonly detail: string
--- a/packages/coordination/src/failoverMoveController.ts
+++ b/packages/coordination/src/failoverMoveController.ts
@@ -1,22 +1,38 @@
 /** Starts planned moves of the primary role and drives each one until it is done or abandoned. */
-import { addMilliseconds, assertNever, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  assertNever,
+  milliseconds,
+  type AttemptId,
+  type EntryHostId,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { GroupRecord } from '@nutmegcourse/protocol'
 
 import type { FailoverChangeController } from './failoverChangeController.js'
 import type { FailoverContext } from './failoverContext.js'
 import { FailoverMove, type MovePlan } from './failoverMove.js'
 import { backOffMilliseconds } from './failoverOptions.js'
+import { MoveConfirmations } from './moveConfirmations.js'
 
 const MAX_RETRY_FACTOR = 16
 /** Added to a watcher's delay for each watcher that ranks before it. */
 const RANK_DELAY_MILLISECONDS = 500
+/**
+ * After this many moves that were given up for missing confirmations, a move goes on without them:
+ * the leaving server ends in any case, and an unplanned change would cut more.
+ */
+const MOST_UNCONFIRMED_MOVES = 2
 
 export class FailoverMoveController {
   readonly #context: FailoverContext
   readonly #changes: FailoverChangeController
   #move: FailoverMove | null = null
   #possibleSince: Milliseconds | null = null
+  /** The entry hosts whose proxies may write; null while the membership is not known. */
+  #writers: readonly EntryHostId[] | null = null
   #failures = 0
+  #unconfirmedMoves = 0
   #retryAt: Milliseconds = milliseconds(0)
   /** By when the store must hold the phase `stable` again after an abandoned move. */
   #rollbackBy: Milliseconds | null = null
@@ -26,12 +42,22 @@
     this.#changes = changes
   }
 
+  setWriters(hosts: readonly EntryHostId[]): void {
+    this.#writers = hosts
+    this.#move?.confirmations.setWriters(hosts)
+  }
+
+  /** The proxies of the host hold their writes and have none in flight. */
+  writesHeld(host: EntryHostId, attempt: AttemptId, now: Milliseconds): void {
+    this.#move?.confirmations.receive(host, attempt, now)
+  }
+
   /** Called when the term or phase of the known record has changed. */
   recordChanged(record: GroupRecord, now: Milliseconds): void {
     const move = this.#move
     if (record.phase.kind !== 'moving') this.#noteRolledBack()
     if (move === null) return
-    if (record.attempt !== move.plan.record.attempt) this.#move = null
+    if (record.attempt !== move.plan.attempt) this.#move = null
     else if (record.phase.kind === 'moving') this.#announce(move, now)
   }
 
@@ -71,12 +97,14 @@
     const attempt = makeAttemptId()
     const coordinator = self.entryHost
     const moving = { ...record, phase: { kind: 'moving', target }, coordinator, attempt } as const
-    return { primary: primary.id, target, record: moving }
+    return { primary: primary.id, target, attempt, record: moving }
   }
 
   #start(plan: MovePlan, now: Milliseconds): void {
     const { group, eventLog, options, records } = this.#context
-    this.#move = new FailoverMove(plan, options, group, now)
+    const confirmations = new MoveConfirmations(plan.attempt, this.#writers)
+    const mustBeConfirmed = this.#unconfirmedMoves < MOST_UNCONFIRMED_MOVES
+    this.#move = new FailoverMove(plan, confirmations, mustBeConfirmed, options, group, now)
     eventLog.append('moveStarted', plan.record.term, `${plan.primary} to ${plan.target}`, now)
     records.propose(plan.record, now)
   }
@@ -102,9 +130,11 @@
       case 'wait':
         return
       case 'ready':
-        this.#move = null
-        this.#failures = 0
-        this.#changes.start(`${move.plan.primary} is leaving`, move.plan, now)
+        this.#startChange(move.plan, status.unconfirmed, now)
+        return
+      case 'unconfirmed':
+        this.#unconfirmedMoves += 1
+        this.#abandon(move, `${status.hosts.join(', ')} did not confirm`, now)
         return
       case 'abandoned':
         this.#abandon(move, status.detail, now)
@@ -114,17 +144,29 @@
     }
   }
 
+  #startChange(plan: MovePlan, unconfirmed: readonly EntryHostId[], now: Milliseconds): void {
+    this.#move = null
+    this.#failures = 0
+    this.#unconfirmedMoves = 0
+    if (unconfirmed.length > 0) {
+      const detail = `goes on without ${unconfirmed.join(', ')}`
+      this.#context.eventLog.append('moveUnconfirmed', plan.record.term, detail, now)
+    }
+    this.#changes.start(`${plan.primary} is leaving`, plan, now)
+  }
+
+  #noteFailure(now: Milliseconds): void {
+    this.#failures += 1
+    const { moveRetryMilliseconds } = this.#context.options
+    const wait = backOffMilliseconds(moveRetryMilliseconds, this.#failures, MAX_RETRY_FACTOR)
+    this.#retryAt = addMilliseconds(now, wait)
+  }
+
   #abandon(move: FailoverMove, detail: string, now: Milliseconds): void {
     const { eventLog, options, records } = this.#context
     const { record } = move.plan
     this.#move = null
-    this.#failures += 1
-    const wait = backOffMilliseconds(
-      options.moveRetryMilliseconds,
-      this.#failures,
-      MAX_RETRY_FACTOR,
-    )
-    this.#retryAt = addMilliseconds(now, wait)
+    this.#noteFailure(now)
     this.#rollbackBy = addMilliseconds(now, options.callTimeoutMilliseconds)
     eventLog.append('moveAbandoned', record.term, detail, now)
     records.propose({ ...record, phase: { kind: 'stable' } }, now)
--- a/packages/coordination/src/membershipCore.ts
+++ b/packages/coordination/src/membershipCore.ts
@@ -99,6 +99,17 @@
     return [...workers, ...this.#listedButUnknown()]
   }
 
+  /**
+   * Hosts whose proxies may send writes and can report on them: also those that are marked as
+   * leaving, as they still have callers, but not those that failed.
+   */
+  writers(now: Milliseconds): readonly EntryHostId[] {
+    const alive = this.members().filter(member => member.status === 'alive')
+    const isSettled = now - this.#startedAt >= this.#options.settlingMilliseconds
+    const hosts = isSettled ? alive : [...alive, ...this.#listedButUnknown()]
+    return hosts.map(host => host.entryHost)
+  }
+
   #listedButUnknown(): readonly HostLocation[] {
     return [...this.#listed.values()]
       .filter(host => host.state === 'live' && !this.#members.has(host.id))
--- /dev/null
+++ b/packages/coordination/src/moveConfirmations.ts
@@ -0,0 +1,46 @@
+/** Which entry hosts have reported that their proxies hold their writes for one planned move. */
+import type { AttemptId, EntryHostId, Milliseconds } from '@nutmegcourse/shared'
+
+export class MoveConfirmations {
+  readonly #attempt: AttemptId
+  readonly #confirmed = new Set<EntryHostId>()
+  /** The hosts whose proxies may write; null while the membership is not known. */
+  #writers: readonly EntryHostId[] | null
+  /** Those of them that were known when the move was announced; later ones start with its record. */
+  #awaited = new Set<EntryHostId>()
+  #lastAt: Milliseconds | null = null
+
+  constructor(attempt: AttemptId, writers: readonly EntryHostId[] | null) {
+    this.#attempt = attempt
+    this.#writers = writers
+  }
+
+  /** When the last report arrived; null before the first. */
+  get lastAt(): Milliseconds | null {
+    return this.#lastAt
+  }
+
+  /** The hosts that may still send writes: they have neither confirmed nor left. */
+  get missing(): ReadonlySet<EntryHostId> {
+    return this.#awaited
+  }
+
+  announced(): void {
+    const hosts = this.#writers ?? []
+    this.#awaited = new Set(hosts.filter(host => !this.#confirmed.has(host)))
+  }
+
+  setWriters(writers: readonly EntryHostId[]): void {
+    this.#writers = writers
+    const live = new Set(writers)
+    for (const host of this.#awaited) if (!live.has(host)) this.#awaited.delete(host)
+  }
+
+  /** A report on another attempt says nothing about this one. */
+  receive(host: EntryHostId, attempt: AttemptId, now: Milliseconds): void {
+    if (attempt !== this.#attempt || this.#confirmed.has(host)) return
+    this.#confirmed.add(host)
+    this.#awaited.delete(host)
+    this.#lastAt = now
+  }
+}
--- a/packages/protocol/src/peerCalls.ts
+++ b/packages/protocol/src/peerCalls.ts
@@ -1,6 +1,7 @@
 /** JSON-RPC between agents, on the agents' `listen` port; either side of a link may call. */
 import type { AvailabilityZoneId, EntryHostId, Incarnation, RegionId } from '@nutmegcourse/shared'
 import type { GossipItem, GossipVersion } from './gossip.js'
+import type { HeldWrites } from './snapshot.js'
 
 /** `peer.hello`: the first call on a link; the answer identifies the agent that was reached. */
 export interface PeerHello {
@@ -54,4 +55,9 @@
   readonly reached: boolean
 }
 
+/** `peer.writesHeld`: sent to the coordinator of a planned move once all proxies of a host hold. Returns null. */
+export interface PeerHeldWrites extends HeldWrites {
+  readonly host: EntryHostId
+}
+
 // `peer.opinion` is a notification that carries a watcher's opinion; see packages/coordination.
--- a/packages/protocol/src/snapshot.ts
+++ b/packages/protocol/src/snapshot.ts
@@ -3,7 +3,7 @@
  * A proxy keeps using its last snapshot when its agent is gone; a stale one may make requests slower, but never
  * inconsistent.
  */
-import type { BackendServerId, DatabaseId, EntryHostId } from '@nutmegcourse/shared'
+import type { AttemptId, BackendServerId, DatabaseId, EntryHostId } from '@nutmegcourse/shared'
 import type { GroupRecord } from './databaseGroup.js'
 import type { ListedHost } from './platform.js'
 import type { Targets } from './targets.js'
@@ -53,3 +53,12 @@
   readonly backendServer: BackendServerId
   readonly health: 'reachable' | 'unreachable'
 }
+
+/**
+ * `agent.writesHeld`: this proxy sends no write while the planned move `attempt` is announced, and has
+ * none in flight. Sent once for each attempt, and again after a reconnect.
+ */
+export interface HeldWrites {
+  readonly database: DatabaseId
+  readonly attempt: AttemptId
+}
--- a/packages/proxy/src/agentLink.ts
+++ b/packages/proxy/src/agentLink.ts
@@ -2,8 +2,8 @@
  * The proxy's connection to the agent of its entry host: receives snapshots, sends health reports and
  * answers operators' queries. Reconnects indefinitely; meanwhile the last snapshot stays in use.
  */
-import type { ProxyReport, RoutingSnapshot } from '@nutmegcourse/protocol'
-import type { BackendServerId, RandomSource } from '@nutmegcourse/shared'
+import type { HeldWrites, ProxyReport, RoutingSnapshot } from '@nutmegcourse/protocol'
+import type { BackendServerId, DatabaseId, RandomSource } from '@nutmegcourse/shared'
 import { openJsonRpc, type JsonRpcConnection, type RpcHandlers } from '@nutmegcourse/transport'
 import type { ResultAsync } from 'neverthrow'
 import { Backoff } from './backoff.js'
@@ -36,6 +36,8 @@
   readonly #backoff: Backoff
   /** The last report about each backend server, sent again after a reconnect. */
   readonly #reports = new Map<BackendServerId, ProxyReport>()
+  /** The last planned move of each database for which this proxy held its writes; sent again too. */
+  readonly #heldWrites = new Map<DatabaseId, HeldWrites>()
   #connection: JsonRpcConnection | null = null
   #timer: NodeJS.Timeout | null = null
   #awaitsFirstSnapshot = true
@@ -70,6 +72,11 @@
     this.#connection?.notify('agent.report', report)
   }
 
+  reportHeldWrites(held: HeldWrites): void {
+    this.#heldWrites.set(held.database, held)
+    this.#connection?.notify('agent.writesHeld', held)
+  }
+
   close(): void {
     this.#closed = true
     if (this.#timer !== null) clearTimeout(this.#timer)
@@ -111,6 +118,7 @@
     this.#connection = connection
     this.#backoff.reset()
     for (const report of this.#reports.values()) connection.notify('agent.report', report)
+    for (const held of this.#heldWrites.values()) connection.notify('agent.writesHeld', held)
     this.#events.connected()
     connection.onClose(() => {
       this.#connection = null
--- a/packages/proxy/src/proxyProcess.ts
+++ b/packages/proxy/src/proxyProcess.ts
@@ -39,7 +39,14 @@
       metrics: this.#metrics,
       log: shellLog(this.#log),
       report: effect => {
-        const { database, server, health } = effect
+        const { database } = effect
+        if (effect.kind === 'writesHeld') {
+          const { attempt } = effect
+          this.#log.info('writes held for a planned move', { database, attempt })
+          this.#agent.reportHeldWrites({ database, attempt })
+          return
+        }
+        const { server, health } = effect
         this.#agent.report({ database, backendServer: server, health })
       },
     })
--- a/packages/proxy/src/proxyShell.ts
+++ b/packages/proxy/src/proxyShell.ts
@@ -45,8 +45,8 @@
   readonly random: RandomSource
   readonly metrics: Metrics
   readonly log: ShellLog
-  /** Reports to the agent the health of a backend server as seen by this proxy. */
-  readonly report: (effect: Extract<ProxyEffect, { kind: 'reportHealth' }>) => void
+  /** Reports to the agent the health of a backend server, or that writes are held for a move. */
+  readonly report: (effect: Extract<ProxyEffect, { kind: 'reportHealth' | 'writesHeld' }>) => void
 }
 
 const STARTUP_TIMEOUT_MILLISECONDS = 10_000
@@ -294,6 +294,7 @@
         return
       }
       case 'reportHealth':
+      case 'writesHeld':
         this.#dependencies.report(effect)
         return
       case 'count':
--- a/packages/shared/src/counters.ts
+++ b/packages/shared/src/counters.ts
@@ -13,6 +13,11 @@
     'Requests sent to another server after a refusal for which nothing ran. Tags: class, why.',
   'failover.completed': 'Changes of primary that this agent completed. Tags: database, planned.',
   'failover.abandoned': 'Changes of primary that this agent abandoned. Tags: database, why.',
+  'move.abandoned': 'Planned moves that this agent gave up. Tags: database.',
+  'move.unconfirmed':
+    'Planned moves that this agent went on with though hosts had not confirmed. Tags: database.',
+  'move.report_lost':
+    'Reports on held writes that did not reach the coordinator of a planned move. Tags: why.',
   'store.call': 'Calls to the store. Tags: method, outcome.',
   'membership.changed': 'Entry hosts that joined, left or failed. Tags: change.',
 } as const
--- a/packages/state/__tests__/differential/fakeShell.ts
+++ b/packages/state/__tests__/differential/fakeShell.ts
@@ -125,6 +125,7 @@
         this.stopped = true
         return
       case 'reportHealth':
+      case 'writesHeld':
       case 'count':
         return
       default:
--- a/packages/state/src/database.ts
+++ b/packages/state/src/database.ts
@@ -4,7 +4,7 @@
  *
  * @internal
  */
-import type { Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, type AttemptId, type Milliseconds } from '@nutmegcourse/shared'
 import type { GroupRecord, GroupSnapshot, PositionReport, Targets } from '@nutmegcourse/protocol'
 import type { BackendServer } from './backendServer.js'
 import { ConnectionManager, type ConnectionOwners } from './connectionManager.js'
@@ -13,7 +13,7 @@
 import { DeadlineEnforcer } from './deadlineEnforcer.js'
 import { Dispatcher } from './dispatcher.js'
 import type { ConnectFailure, ConnectionId } from './proxyMessages.js'
-import type { ProxyRequest } from './proxyRequest.js'
+import { isWrite, type ProxyRequest } from './proxyRequest.js'
 import { LONGEST_INTERVAL_MILLISECONDS, QuestionPlanner } from './questionPlanner.js'
 import { ReadPath } from './readPath.js'
 import { RequestOutcomes, type RunOutcome } from './requestOutcomes.js'
@@ -27,6 +27,13 @@
 }
 
 const SHORTEST_INTERVAL_MILLISECONDS = 50
+/**
+ * A transaction whose last statement began longer ago is not waited for in a planned move, which ends
+ * it: its caller may keep it open for as long as it likes.
+ */
+const IDLE_TRANSACTION_MILLISECONDS = 250
+/** Between two checks of the transactions that a planned move waits for. */
+const HELD_WRITES_CHECK_MILLISECONDS = 50
 /** Position questions per server within the shortest data age that a class accepts. */
 const QUESTIONS_PER_FRESHNESS = 4
 
@@ -41,6 +48,8 @@
   readonly #dispatcher: Dispatcher<ConnectionOwner>
   readonly #outcomes: RequestOutcomes<ConnectionOwner>
   readonly #deadlines: DeadlineEnforcer
+  /** The last planned move for which this proxy reported that it holds its writes. */
+  #reportedAttempt: AttemptId | null = null
 
   constructor(
     record: GroupRecord,
@@ -185,10 +194,21 @@
     this.#askDue(now)
   }
 
+  /** Reports, once for each planned move, that no write starts and none is in flight. */
+  reportHeldWrites(now: Milliseconds): void {
+    const { attempt, database } = this.group.record
+    if (attempt === null || !this.#awaitsReport(now) || this.#hasWriteInFlight(now)) return
+    this.#reportedAttempt = attempt
+    this.#context.effects.push({ kind: 'writesHeld', database, attempt })
+  }
+
   nextWake(now: Milliseconds): Milliseconds {
     const due = this.#questions.nextDueAt
     const deadline = this.#deadlines.nextWake(now)
-    return due < deadline ? due : deadline
+    const next = due < deadline ? due : deadline
+    if (!this.#awaitsReport(now)) return next
+    const check = addMilliseconds(now, HELD_WRITES_CHECK_MILLISECONDS)
+    return next < check ? next : check
   }
 
   /** Requests that wait for a bound, a server or a connection. */
@@ -202,6 +222,20 @@
     for (const server of this.group.servers) this.#connections.closeAll(server)
   }
 
+  /** Whether this proxy has yet to report that it holds its writes for the planned move in force. */
+  #awaitsReport(now: Milliseconds): boolean {
+    if (!this.group.isMoving(now)) return false
+    const { attempt } = this.group.record
+    return attempt !== null && attempt !== this.#reportedAttempt
+  }
+
+  /** A write holds its connection from before it is sent until its answer or its transaction ends. */
+  #hasWriteInFlight(now: Milliseconds): boolean {
+    return this.group.servers.some(server =>
+      server.pool.holders().some(holder => isWrite(holder) && !isIdleTransaction(holder, now)),
+    )
+  }
+
   #positionsChanged(now: Milliseconds): void {
     this.group.findLeader(now)
     this.writes.settle(now)
@@ -263,6 +297,10 @@
   return Math.max(interval, SHORTEST_INTERVAL_MILLISECONDS)
 }
 
+function isIdleTransaction(holder: ProxyRequest, now: Milliseconds): boolean {
+  return holder.phase === 'inTransaction' && now - holder.startedAt > IDLE_TRANSACTION_MILLISECONDS
+}
+
 function isChanged(before: PositionReport, after: PositionReport): boolean {
   return (
     before.role !== after.role ||
--- a/packages/state/src/proxyCore.ts
+++ b/packages/state/src/proxyCore.ts
@@ -25,6 +25,8 @@
   readonly #classes = new Map<ClassName, ClassState>()
   readonly #owners: ConnectionOwners<ConnectionOwner> = new Map()
   readonly #serverOwners = new Map<BackendServerId, Database>()
+  /** Databases whose record announces a planned move. */
+  readonly #moving = new Set<Database>()
   #targets: VersionedTargets | null = null
   #sequence = -1
   #stopped = false
@@ -39,6 +41,7 @@
   handle(message: ProxyMessage, now: Milliseconds): readonly ProxyEffect[] {
     this.#context.moment += 1
     this.#process(message, now)
+    for (const database of this.#moving) database.reportHeldWrites(now)
     if (this.#context.stopping) this.#finishStop()
     return this.#context.effects.take()
   }
@@ -188,7 +191,9 @@
     const isNewer = snapshot.sequence > this.#sequence || message.firstOfConnection === true
     if (!isNewer) {
       for (const { record } of snapshot.groups) {
-        this.#databases.get(record.database)?.updateRecord(record, now)
+        const database = this.#databases.get(record.database)
+        database?.updateRecord(record, now)
+        if (database !== undefined) this.#noteMoving(database)
       }
       return
     }
@@ -207,9 +212,15 @@
       }
       for (const server of group.backendServers) this.#serverOwners.set(server.id, database)
       database.update(group, this.#targets?.targets ?? null, now)
+      this.#noteMoving(database)
     }
   }
 
+  #noteMoving(database: Database): void {
+    if (database.group.record.phase.kind === 'moving') this.#moving.add(database)
+    else this.#moving.delete(database)
+  }
+
   /** Ignores any version that is not newer than the current one, so targets never revert. */
   #updateTargets(targets: VersionedTargets | null): void {
     if (targets === null) return
--- a/packages/state/src/proxyMessages.ts
+++ b/packages/state/src/proxyMessages.ts
@@ -4,6 +4,7 @@
  * as a message.
  */
 import type {
+  AttemptId,
   BackendServerId,
   Brand,
   ClassName,
@@ -139,6 +140,11 @@
       readonly server: BackendServerId
       readonly health: 'reachable' | 'unreachable'
     }
+  /**
+   * Reports to the agent that no write starts while this planned move is announced, and none is in
+   * flight on a connection. Writes that wait for their confirmation need the old primary no more.
+   */
+  | { readonly kind: 'writesHeld'; readonly database: DatabaseId; readonly attempt: AttemptId }
   /** Adds one to a counter. */
   | {
       readonly kind: 'count'
