fix: a planned move that leaves the role where it was counts as failed

A write that slipped in before the fence makes the old primary the greatest, so that it is chosen again. The move then began again after about 0.5 s, and each round cut writes again.

Cause: the back-off counted abandoned moves only, and only at their coordinator: the watcher of the next rank began the next move 0.5 s after one was given up.

Every watcher now notes the outcome of each announced move. When a primary leads again and it is the old one, the move counts as failed, and all wait, in the order of their ranks. The count ends when another server leads.

Evidence: without the call that notes the outcome, three cases of failoverConfirmation.spec.ts fail: "gives the move up twice, with back-off", "goes on without a host that never confirms" and "are missing, and the next move waits when the old primary was chosen again" (a second move within 5 s of virtual time). With it they pass.

--- a/packages/coordination/__tests__/failoverConfirmation.spec.ts
+++ b/packages/coordination/__tests__/failoverConfirmation.spec.ts
@@ -7,6 +7,7 @@
 
 const WARM_UP_MILLISECONDS = 1_000
 const LONG_DELAY_MILLISECONDS = 60_000
+const MOVE_RETRY_MILLISECONDS = 5_000
 
 /** The far host writes seldom enough that the primary's log rests between two of its writes. */
 const SELDOM = { writeIntervals: [5, 5, 40] }
@@ -49,6 +50,18 @@
   }
 }
 
+/** A proxy that did not hear of the move writes once more when the log rests and the fences leave. */
+function writeBeforeFence(simulation: FailoverSimulation): void {
+  let isDone = false
+  simulation.intercept = (_host, effect) => {
+    if (effect.kind !== 'fence' || isDone) return true
+    isDone = true
+    simulation.lag = [0, 1_000, 1_000]
+    simulation.server(0).write(1_000_000)
+    return true
+  }
+}
+
 /** Reports for the late host, to every host, that it holds its writes for an earlier attempt. */
 function confirmAnotherAttempt(simulation: FailoverSimulation): void {
   simulation.nodes.forEach((_, index) => {
@@ -68,6 +81,35 @@
         expect(firstOf(steps, 'fenced') - firstOf(steps, 'moveStarted')).toBeLessThan(120)
       },
     },
+    {
+      // Guards against a fence that cuts the writes of a host that has not heard of the move.
+      name: 'gives the move up twice, with back-off, while a host does not confirm',
+      options: SELDOM,
+      act: makeLate,
+      runMilliseconds: 16_000,
+      check: (steps, simulation) => {
+        const round = ['moveStarted', 'moveAbandoned']
+        expect(namesOf(steps)).toEqual([...round, ...round])
+        const [first = 0, second = 0] = timesOf(steps, 'moveStarted')
+        expect(second - first).toBeGreaterThanOrEqual(MOVE_RETRY_MILLISECONDS)
+        expect(steps[1]?.detail).toEqual('host-2 did not confirm')
+        expect(simulation.writers.cut).toEqual([])
+      },
+    },
+    {
+      // Guards against a leaving primary that keeps its role for ever, for one host that is lost.
+      name: 'goes on without a host that never confirms, and names it',
+      options: SELDOM,
+      act: makeLate,
+      runMilliseconds: 20_000,
+      check: (steps, simulation) => {
+        const round = ['moveStarted', 'moveAbandoned']
+        const last = ['moveStarted', 'moveUnconfirmed', 'fenced', 'completed']
+        expect(namesOf(steps).slice(0, 8)).toEqual([...round, ...round, ...last])
+        expect(steps[5]?.detail).toEqual('goes on without host-2')
+        expect(simulation.leader()?.id as string).toEqual('server-1')
+      },
+    },
     {
       // Guards against a host of an earlier version, which holds its writes but never reports it.
       name: 'cuts no write of a host that holds its writes without a report',
@@ -125,6 +167,17 @@
         expect(namesOf(steps)).toEqual(['moveStarted', 'fenced', 'completed'])
       },
     },
+    {
+      // Guards against a move that begins again at once, and cuts again, when the role has stayed.
+      name: 'are missing, and the next move waits when the old primary was chosen again',
+      options: { isMembershipKnown: false },
+      act: writeBeforeFence,
+      runMilliseconds: 5_000,
+      check: (steps, simulation) => {
+        expect(simulation.leader()?.id as string).toEqual('server-0')
+        expect(namesOf(steps)).toEqual(['moveStarted', 'fenced', 'completed'])
+      },
+    },
   ]
   for (const { name, options, act, runMilliseconds, check } of cases) {
     test(name, () => {
--- a/packages/coordination/src/failoverMoveController.ts
+++ b/packages/coordination/src/failoverMoveController.ts
@@ -29,6 +29,8 @@
   readonly #changes: FailoverChangeController
   #move: FailoverMove | null = null
   #possibleSince: Milliseconds | null = null
+  /** The newest record in phase `moving`, of any watcher, until its outcome is known. */
+  #announcedRecord: GroupRecord | null = null
   /** The entry hosts whose proxies may write; null while the membership is not known. */
   #writers: readonly EntryHostId[] | null = null
   #failures = 0
@@ -55,6 +57,7 @@
   /** Called when the term or phase of the known record has changed. */
   recordChanged(record: GroupRecord, now: Milliseconds): void {
     const move = this.#move
+    this.#noteOutcome(record, now)
     if (record.phase.kind !== 'moving') this.#noteRolledBack()
     if (move === null) return
     if (record.attempt !== move.plan.attempt) this.#move = null
@@ -82,7 +85,8 @@
     this.#possibleSince ??= now
     if (now < this.#retryAt || this.#changes.isInProgress || !records.isStored) return
     if (!records.isStoreResponding || agreement.agreedSince(now) !== null) return
-    if (now - this.#possibleSince < agreement.rank * RANK_DELAY_MILLISECONDS) return
+    const since = Math.max(this.#possibleSince, this.#retryAt)
+    if (now - since < agreement.rank * RANK_DELAY_MILLISECONDS) return
     this.#start(plan, now)
   }
 
@@ -146,8 +150,6 @@
 
   #startChange(plan: MovePlan, unconfirmed: readonly EntryHostId[], now: Milliseconds): void {
     this.#move = null
-    this.#failures = 0
-    this.#unconfirmedMoves = 0
     if (unconfirmed.length > 0) {
       const detail = `goes on without ${unconfirmed.join(', ')}`
       this.#context.eventLog.append('moveUnconfirmed', plan.record.term, detail, now)
@@ -155,6 +157,23 @@
     this.#changes.start(`${plan.primary} is leaving`, plan, now)
   }
 
+  /**
+   * A move has failed, whoever coordinated it, when a primary leads again and it is the old one: the
+   * move was abandoned, or a write that slipped in made the old primary the greatest.
+   */
+  #noteOutcome(record: GroupRecord, now: Milliseconds): void {
+    if (record.phase.kind === 'moving') this.#announcedRecord = record
+    const announced = this.#announcedRecord
+    if (record.phase.kind !== 'stable' || announced === null) return
+    this.#announcedRecord = null
+    if (record.primary === announced.primary) {
+      this.#noteFailure(now)
+      return
+    }
+    this.#failures = 0
+    this.#unconfirmedMoves = 0
+  }
+
   #noteFailure(now: Milliseconds): void {
     this.#failures += 1
     const { moveRetryMilliseconds } = this.#context.options
@@ -166,6 +185,7 @@
     const { eventLog, options, records } = this.#context
     const { record } = move.plan
     this.#move = null
+    this.#announcedRecord = null
     this.#noteFailure(now)
     this.#rollbackBy = addMilliseconds(now, options.callTimeoutMilliseconds)
     eventLog.append('moveAbandoned', record.term, detail, now)
