fix: of two planned moves that begin at once, the first goes on

Two hosts may begin a move at once, while their orders of the watchers differ. The second answered the store's conflict by writing again, which replaced the first record. It had already dropped its own move for the first one. The record in force then had a coordinator that drove no move, and the first host drove an attempt on which no proxy reports any more. With the fixed wait this did no harm; with reports the move is given up and held up by 5 s.

Cause: two announcements of one term are ordered by revision alone, so a proposal that the store refused counted as newer than the stored one.

A stored move of another attempt now overtakes the proposal, and a host that learns of it otherwise withdraws its own. So an announced move is not replaced by another, and its coordinator drives it.

Evidence: failoverConfirmation.spec.ts "reach the coordinator of the move in force when two hosts begin one at once", red before.

--- a/packages/coordination/__tests__/failoverConfirmation.spec.ts
+++ b/packages/coordination/__tests__/failoverConfirmation.spec.ts
@@ -155,6 +155,19 @@
         expect(firstOf(steps, 'fenced') - firstOf(steps, 'moveStarted')).toBeGreaterThan(300)
       },
     },
+    {
+      // Guards against two moves at once, of which the one in force has no coordinator any more.
+      name: 'reach the coordinator of the move in force when two hosts begin one at once',
+      act: simulation => {
+        const watchers = [1, 0, 2].map(index => simulation.node(index).watcher)
+        simulation.send(1, { kind: 'watchers', watchers })
+      },
+      runMilliseconds: 3_000,
+      check: (steps, simulation) => {
+        expect(namesOf(steps)).toEqual(['moveStarted', 'moveStarted', 'fenced', 'completed'])
+        expect(simulation.writers.cut).toEqual([])
+      },
+    },
     {
       // Guards against a move that can not start or end before the membership is known.
       name: 'are not needed while the membership is not known',
--- a/packages/coordination/src/failoverMoveController.ts
+++ b/packages/coordination/src/failoverMoveController.ts
@@ -60,7 +60,7 @@
     this.#noteOutcome(record, now)
     if (record.phase.kind !== 'moving') this.#noteRolledBack()
     if (move === null) return
-    if (record.attempt !== move.plan.attempt) this.#move = null
+    if (record.attempt !== move.plan.attempt) this.#giveWay(move)
     else if (record.phase.kind === 'moving') this.#announce(move, now)
   }
 
@@ -118,6 +118,12 @@
     move.announced(now)
   }
 
+  /** Another watcher changes the primary or has announced a move of its own. */
+  #giveWay(move: FailoverMove): void {
+    this.#context.records.withdraw(move.plan.record)
+    this.#move = null
+  }
+
   #noteRolledBack(): void {
     if (this.#rollbackBy !== null) this.#announceKnownRecord()
     this.#rollbackBy = null
--- a/packages/coordination/src/failoverRecord.ts
+++ b/packages/coordination/src/failoverRecord.ts
@@ -47,6 +47,16 @@
 export const isSameStep = (left: GroupRecord, right: GroupRecord): boolean =>
   left.term === right.term && left.attempt === right.attempt && left.phase.kind === right.phase.kind
 
+/**
+ * Whether both announce planned moves of the same term by different attempts. The first that the store
+ * holds goes on: proxies report to its coordinator, which would not drive one that replaces it.
+ */
+export const isOtherMove = (left: GroupRecord, right: GroupRecord): boolean =>
+  left.term === right.term &&
+  left.attempt !== right.attempt &&
+  left.phase.kind === 'moving' &&
+  right.phase.kind === 'moving'
+
 /** The record while the chosen server is being promoted. */
 export function withChosen(
   record: GroupRecord,
--- a/packages/coordination/src/failoverRecordStoreClient.ts
+++ b/packages/coordination/src/failoverRecordStoreClient.ts
@@ -10,7 +10,7 @@
 import type { CallId, StoreOutcome } from './failoverMessages.js'
 import { backOffMilliseconds, type FailoverOptions } from './failoverOptions.js'
 import type { FailoverEffectQueue } from './failoverEffectQueue.js'
-import { isNewerRecord, isSameStep, type KnownRecord } from './failoverRecord.js'
+import { isNewerRecord, isOtherMove, isSameStep, type KnownRecord } from './failoverRecord.js'
 
 interface StoreCall {
   readonly call: CallId
@@ -77,7 +77,7 @@
     this.advance(now)
   }
 
-  /** Discards the pending record; called when a newer term is known. */
+  /** Discards the pending record; called when a newer term or another planned move is known. */
   cancelWrite(): void {
     this.#pendingRecord = null
   }
@@ -127,7 +127,10 @@
       this.#pendingRecord = null
       return { kind: 'stored', known }
     }
-    if (!isNewerRecord(known, { record: this.#pendingRecord, revision })) return { kind: 'none' }
+    const isOvertaken =
+      isOtherMove(stored, this.#pendingRecord) ||
+      isNewerRecord(known, { record: this.#pendingRecord, revision })
+    if (!isOvertaken) return { kind: 'none' }
     this.#pendingRecord = null
     return { kind: 'overtaken', known }
   }
--- a/packages/coordination/src/failoverRecordTracker.ts
+++ b/packages/coordination/src/failoverRecordTracker.ts
@@ -76,6 +76,11 @@
     this.#store.write(record, now)
   }
 
+  /** Withdraws a proposal that the store does not hold. */
+  withdraw(record: GroupRecord): void {
+    if (this.#store.pendingRecord === record) this.#store.cancelWrite()
+  }
+
   answered(call: CallId, outcome: StoreOutcome, rank: number, now: Milliseconds): void {
     const result = this.#store.answered(call, outcome, now)
     switch (result.kind) {
