fix(proxy): a tick that was due during a stall comes after what arrived in it

Cause: the core's tick ran straight from its timer. After a stall of the proxy that is before its sockets are read, so a request whose answer lay unread was past its time, and the open position question, whose answer lay unread as well, made its server look unresponsive.

The tick now waits for the same three turns of the event loop as a write does (DeferredSends, now DeferredActions).

--- a/packages/proxy/__tests__/deferredSends.spec.ts
+++ b/packages/proxy/__tests__/deferredSends.spec.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import type { ConnectionId } from '@nutmegcourse/state'
-import { DeferredSends } from '../src/deferredSends.js'
+import { DeferredActions } from '../src/deferredActions.js'
 import { WRITE_CLASS, withProxy, type ProxyFixture } from './support/proxyFixture.js'
 import { RawCaller, bind, execute, flush, parse, query, sync } from './support/rawCaller.js'
 
@@ -11,7 +11,7 @@
 describe('deferred sends', () => {
   /** An end of the connection that is read in the third turn must be known before the send. */
   it('are handed over in order, each after three turns', async () => {
-    const sends = new DeferredSends()
+    const sends = new DeferredActions()
     const sent: string[] = []
     sends.add(() => sent.push('first'))
     sends.add(() => sent.push('second'))
@@ -27,7 +27,7 @@
 
   /** A proxy that has closed its connections must not open new ones. */
   it('are dropped when the proxy closes', async () => {
-    const sends = new DeferredSends()
+    const sends = new DeferredActions()
     const sent: string[] = []
     sends.add(() => sent.push('dropped'))
     sends.clear()
--- a/packages/proxy/src/coreDriver.ts
+++ b/packages/proxy/src/coreDriver.ts
@@ -5,6 +5,7 @@
 import type { Clock, Milliseconds, RequestId } from '@nutmegcourse/shared'
 import type { ProxyEffect, ProxyMessage } from '@nutmegcourse/state'
 import type { DecisionCore } from './decisionCore.js'
+import { DeferredActions } from './deferredActions.js'
 
 export type EffectRunner = (effect: ProxyEffect) => void
 
@@ -20,6 +21,7 @@
   #queue: ProxyMessage[] = []
   #deferredActions: (() => void)[] = []
   #isProcessing = false
+  readonly #deferredTicks = new DeferredActions()
   #timer: NodeJS.Timeout | null = null
   #timerDueAt = NOT_SCHEDULED
 
@@ -53,6 +55,7 @@
     if (this.#timer !== null) clearTimeout(this.#timer)
     this.#timer = null
     this.#timerDueAt = NOT_SCHEDULED
+    this.#deferredTicks.clear()
   }
 
   #process(): void {
@@ -77,7 +80,11 @@
     for (const action of actions) action()
   }
 
-  /** Keeps a timer that is due earlier than needed: an extra tick costs less than a timer per request. */
+  /**
+   * Keeps a timer that is due earlier than needed: an extra tick costs less than a timer per request. After a
+   * stall of this process its timers run before its sockets are read, and a tick would end requests whose
+   * answers have arrived.
+   */
   #armTimer(): void {
     const now = this.#clock.now()
     const wake = this.#core.nextWake(now)
@@ -87,8 +94,10 @@
     const wait = Math.max(0, Math.ceil(wake - now)) + TIMER_SLACK_MILLISECONDS
     this.#timer = setTimeout(() => {
       this.#timer = null
-      this.#timerDueAt = NOT_SCHEDULED
-      this.send({ kind: 'tick' })
+      this.#deferredTicks.add(() => {
+        this.#timerDueAt = NOT_SCHEDULED
+        this.send({ kind: 'tick' })
+      })
     }, wait)
   }
 }
--- a/packages/proxy/src/deferredSends.ts
+++ b/packages/proxy/src/deferredActions.ts
@@ -1,6 +1,6 @@
 /**
- * Holds back requests that must not be sent twice for some turns of the event loop, so that whatever has
- * arrived already is read before they are sent: the end of their connection, or a newer snapshot.
+ * Holds back actions for some turns of the event loop, so that whatever has arrived already is read before
+ * they run: an answer, the end of a connection, or a newer snapshot.
  */
 
 /**
@@ -9,19 +9,19 @@
  */
 const TURNS = 3
 
-interface DeferredSend {
-  readonly send: () => void
+interface DeferredAction {
+  readonly run: () => void
   readonly dueTurn: number
 }
 
-export class DeferredSends {
+export class DeferredActions {
   /** In the order in which they were added, in which they are due as well. */
-  #waiting: DeferredSend[] = []
+  #waiting: DeferredAction[] = []
   #turnsPassed = 0
   #turn: NodeJS.Immediate | null = null
 
-  add(send: () => void): void {
-    this.#waiting.push({ send, dueTurn: this.#turnsPassed + TURNS })
+  add(run: () => void): void {
+    this.#waiting.push({ run, dueTurn: this.#turnsPassed + TURNS })
     this.#awaitTurn()
   }
 
@@ -45,6 +45,6 @@
     const dueCount = firstLater === -1 ? this.#waiting.length : firstLater
     const due = this.#waiting.splice(0, dueCount)
     if (this.#waiting.length > 0) this.#awaitTurn()
-    for (const { send } of due) send()
+    for (const { run } of due) run()
   }
 }
--- a/packages/proxy/src/requestManager.ts
+++ b/packages/proxy/src/requestManager.ts
@@ -26,7 +26,7 @@
 import { CallerTransactions, type PinnedTransaction, type RunMode } from './callerTransactions.js'
 import { chooseClass } from './classChoice.js'
 import type { CoreDriver } from './coreDriver.js'
-import { DeferredSends } from './deferredSends.js'
+import { DeferredActions } from './deferredActions.js'
 import { AnswerBuffer } from './answerBuffer.js'
 import { replyInLostTransaction } from './lostTransaction.js'
 import { recordSessionChanges, recordStartupSettings } from './sessionState.js'
@@ -51,7 +51,7 @@
   readonly #events: RequestManagerEvents
   readonly #active = new Map<RequestId, ActiveRequest>()
   readonly #transactions = new CallerTransactions()
-  readonly #deferredSends = new DeferredSends()
+  readonly #deferredSends = new DeferredActions()
 
   constructor(
     driver: CoreDriver,
