--- a/packages/host/src/failoverController.ts
+++ b/packages/host/src/failoverController.ts
@@ -263,7 +263,7 @@
   }
 
   /**
-   * The server that was ordered to be promoted under this claim, if it leads by now. A host that stood still, or waited
+   * The server that was ordered to be promoted under this claim, if it leads by now. A host that stalled, or waited
    * in vain for the platform, would otherwise take it for an old primary and replace it.
    */
   async #promotedMeanwhile(claim: Claim): Promise<BackendServerId | null> {
--- a/packages/host/src/waiting.ts
+++ b/packages/host/src/waiting.ts
@@ -56,9 +56,6 @@
     return this.#waiting.size > 0
   }
 
-  /** Resolves after the event loop has read its sockets. */
-  readSockets = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
-
   /** Wakes all current waiters. */
   raise(): void {
     const waiting = this.#waiting
--- a/packages/proxy/src/requestManager.ts
+++ b/packages/proxy/src/requestManager.ts
@@ -149,7 +149,7 @@
     this.#runningConnection(caller)?.resume()
   }
 
-  /** A read changes nothing, so that it can be sent at once and again on another connection. */
+  /** A read is sent at once: it changes nothing, so that it can be sent again on another connection. */
   run(effect: RunEffect): void {
     if (effect.readOnly) {
       this.#send(effect)
