fix(state): a proxy that has confirmed a planned move sends no more of its transactions

What callers would hear: a COMMIT of unknown outcome in a planned move.

The statement is refused with transaction_lost instead, which is true: nothing of it was sent and its connection is closed.

--- a/packages/state/__tests__/notSent.spec.ts
+++ b/packages/state/__tests__/notSent.spec.ts
@@ -1,7 +1,7 @@
 /** Requests that were given to a connection and never sent on it. */
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { REASONS, backendServerId, requestId, term } from '@nutmegcourse/shared'
+import { attemptId, REASONS, backendServerId, requestId, term } from '@nutmegcourse/shared'
 import type { ConnectionId } from '../src/index.js'
 import { CoreFixture, groupRecord, pick, reasonsOf } from './coreFixture.js'
 
@@ -156,6 +156,9 @@
   })
 })
 
+/** A move no longer waits for a transaction after this time. */
+const IDLE_MILLISECONDS = 300
+
 describe('a statement of a transaction that was not sent', () => {
   function withTransaction(): CoreFixture {
     const fixture = new CoreFixture().start()
@@ -184,6 +187,20 @@
     expect(may).toEqual(true)
   })
 
+  /** Guards against a COMMIT that is cut by the fence of a move that no longer waits for it. */
+  it('may not be sent once the proxy has reported that it holds its writes', () => {
+    const fixture = new CoreFixture().start()
+    fixture.arrive('assign')
+    fixture.ran('r1', [1, 1], { transactionOpen: true })
+    const connection = connectionOf(fixture, 'r1')
+    fixture.snapshot({ ...MOVING, attempt: attemptId('first') })
+    fixture.advance(IDLE_MILLISECONDS)
+    fixture.send({ kind: 'transactionContinued', request: requestId('commit'), connection })
+    const may = fixture.core.mayStillRun(requestId('commit'), fixture.clock.now())
+    expect(may).toEqual(false)
+    expect(reasonsOf(notSent(fixture, 'commit'))).toEqual(['transaction_lost'])
+  })
+
   /** A connection with part of a transaction would give the rest of it to the next caller. */
   it('has its connection closed if that is still open', () => {
     const fixture = withTransaction()
--- a/packages/state/src/database.ts
+++ b/packages/state/src/database.ts
@@ -130,6 +130,7 @@
   }
 
   mayStillRun(request: ProxyRequest, now: Milliseconds): boolean {
+    if (request.isContinued && isWrite(request) && this.#hasReportedMove(now)) return false
     return this.#dispatcher.mayStillRun(request, now)
   }
 
@@ -238,6 +239,12 @@
     return attempt !== null && attempt !== this.#reportedAttempt
   }
 
+  /** Whether the planned move in force no longer waits for this proxy. */
+  #hasReportedMove(now: Milliseconds): boolean {
+    const { attempt } = this.group.record
+    return attempt !== null && attempt === this.#reportedAttempt && this.group.isMoving(now)
+  }
+
   /** A write holds its connection from before it is sent until its answer or its transaction ends. */
   #hasWriteInFlight(now: Milliseconds): boolean {
     return this.group.servers.some(server =>
