--- a/packages/coordination/src/failoverMove.ts
+++ b/packages/coordination/src/failoverMove.ts
@@ -76,7 +76,7 @@
   announced(now: Milliseconds): void {
     if (this.#announcedAt !== null) return
     this.#announcedAt = now
-    this.confirmations.announced()
+    this.confirmations.startWaiting()
   }
 
   advance(now: Milliseconds): MoveStatus {
@@ -86,10 +86,10 @@
     if (now >= this.#deadline()) return this.#missedDeadline()
     if (this.#announcedAt === null) return { kind: 'wait' }
     this.#pollSoon(now)
-    const { missing } = this.confirmations
-    if (this.#mustBeConfirmed && missing.size > 0) return { kind: 'wait' }
+    const { unconfirmed } = this.confirmations
+    if (this.#mustBeConfirmed && unconfirmed.size > 0) return { kind: 'wait' }
     if (!this.#hasCaughtUp(this.#announcedAt)) return { kind: 'wait' }
-    return { kind: 'ready', unconfirmed: [...missing] }
+    return { kind: 'ready', unconfirmed: [...unconfirmed] }
   }
 
   nextWake(): Milliseconds {
@@ -100,7 +100,7 @@
     if (!this.isAnnounced) {
       return { kind: 'abandoned', detail: 'the store did not accept the move in time' }
     }
-    const hosts = [...this.confirmations.missing]
+    const hosts = [...this.confirmations.unconfirmed]
     if (this.#mustBeConfirmed && hosts.length > 0) return { kind: 'unconfirmed', hosts }
     return { kind: 'abandoned', detail: `${this.plan.target} did not catch up in time` }
   }
--- a/packages/coordination/src/failoverMoveController.ts
+++ b/packages/coordination/src/failoverMoveController.ts
@@ -22,7 +22,7 @@
  * After this many moves that were given up for missing confirmations, a move goes on without them:
  * the leaving server ends in any case, and an unplanned change would cut more.
  */
-const MOST_UNCONFIRMED_MOVES = 2
+const MAX_UNCONFIRMED_MOVES = 2
 
 export class FailoverMoveController {
   readonly #context: FailoverContext
@@ -107,7 +107,7 @@
   #start(plan: MovePlan, now: Milliseconds): void {
     const { group, eventLog, options, records } = this.#context
     const confirmations = new MoveConfirmations(plan.attempt, this.#writers)
-    const mustBeConfirmed = this.#unconfirmedMoves < MOST_UNCONFIRMED_MOVES
+    const mustBeConfirmed = this.#unconfirmedMoves < MAX_UNCONFIRMED_MOVES
     this.#move = new FailoverMove(plan, confirmations, mustBeConfirmed, options, group, now)
     eventLog.append('moveStarted', plan.record.term, `${plan.primary} to ${plan.target}`, now)
     records.propose(plan.record, now)
--- a/packages/coordination/src/moveConfirmations.ts
+++ b/packages/coordination/src/moveConfirmations.ts
@@ -7,7 +7,7 @@
   /** The hosts whose proxies may write; null while the membership is not known. */
   #writers: readonly EntryHostId[] | null
   /** Those of them that were known when the move was announced; later ones start with its record. */
-  #awaited = new Set<EntryHostId>()
+  #unconfirmed = new Set<EntryHostId>()
   #lastAt: Milliseconds | null = null
 
   constructor(attempt: AttemptId, writers: readonly EntryHostId[] | null) {
@@ -21,26 +21,27 @@
   }
 
   /** The hosts that may still send writes: they have neither confirmed nor left. */
-  get missing(): ReadonlySet<EntryHostId> {
-    return this.#awaited
+  get unconfirmed(): ReadonlySet<EntryHostId> {
+    return this.#unconfirmed
   }
 
-  announced(): void {
+  /** Called when the move is announced: from then on the hosts are waited for. */
+  startWaiting(): void {
     const hosts = this.#writers ?? []
-    this.#awaited = new Set(hosts.filter(host => !this.#confirmed.has(host)))
+    this.#unconfirmed = new Set(hosts.filter(host => !this.#confirmed.has(host)))
   }
 
   setWriters(writers: readonly EntryHostId[]): void {
     this.#writers = writers
     const live = new Set(writers)
-    for (const host of this.#awaited) if (!live.has(host)) this.#awaited.delete(host)
+    for (const host of this.#unconfirmed) if (!live.has(host)) this.#unconfirmed.delete(host)
   }
 
   /** A report on another attempt says nothing about this one. */
   receive(host: EntryHostId, attempt: AttemptId, now: Milliseconds): void {
     if (attempt !== this.#attempt || this.#confirmed.has(host)) return
     this.#confirmed.add(host)
-    this.#awaited.delete(host)
+    this.#unconfirmed.delete(host)
     this.#lastAt = now
   }
 }
