--- a/packages/coordination/__tests__/failoverConfirmation.spec.ts
+++ b/packages/coordination/__tests__/failoverConfirmation.spec.ts
@@ -9,7 +9,7 @@
 const LONG_DELAY_MILLISECONDS = 60_000
 const MOVE_RETRY_MILLISECONDS = 5_000
 
-/** The far host writes seldom enough that the primary's log rests between two of its writes. */
+/** The far host writes seldom enough that the primary's log is idle between two of its writes. */
 const SELDOM = { writeIntervals: [5, 5, 40] }
 
 interface Step {
@@ -124,7 +124,7 @@
       },
     },
     {
-      // Guards against a late report on a move that was given up, which would let the next one fence.
+      // Guards against a late confirmation of an abandoned move that counts for the next one.
       name: 'does not count a confirmation of another attempt',
       options: SELDOM,
       act: simulation => {
--- a/packages/coordination/__tests__/failoverCut.spec.ts
+++ b/packages/coordination/__tests__/failoverCut.spec.ts
@@ -14,7 +14,7 @@
   readonly act: (simulation: FailoverSimulation) => void
 }
 
-/** The far host writes seldom enough that the primary's log rests between two of its writes. */
+/** The far host writes seldom enough that the primary's log is idle between two of its writes. */
 const SELDOM = { writeIntervals: [5, 5, 40] }
 
 type StopMoment = (
--- a/packages/coordination/__tests__/failoverStall.spec.ts
+++ b/packages/coordination/__tests__/failoverStall.spec.ts
@@ -19,7 +19,7 @@
 const MOMENT_WITHIN_MILLISECONDS = 5_000
 /** How long the watcher runs after its stall. */
 const AFTERWARDS_MILLISECONDS = 1_000
-/** Until a watcher that nobody told anything has to act after its stall. */
+/** Time within which a watcher that receives no message must act after its stall. */
 const ACTS_WITHIN_MILLISECONDS = 2_500
 
 interface StallCase {
--- a/packages/coordination/src/failoverAgreement.ts
+++ b/packages/coordination/src/failoverAgreement.ts
@@ -158,7 +158,7 @@
   /**
    * When a link pauses, every watcher behind it suspects the primary, and once it works again their
    * opinions arrive together with the primary's answers, in any order. A suspicion that arrived while
-   * this watcher still heard from the primary, or soon after, came over a link that worked.
+   * this watcher still received answers of the primary, or soon after, came over a working link.
    */
   #counts(watcher: Watcher, now: Milliseconds): boolean {
     const received = this.#received.get(watcher.entryHost)
--- a/packages/transport/src/controlConnection.ts
+++ b/packages/transport/src/controlConnection.ts
@@ -167,7 +167,7 @@
           const report = toReport(result)
           if (report !== null) onLateReport(report)
         },
-        // The caller was told of the time-out; that no answer followed is no news.
+        // The caller has already received the time-out.
         () => undefined,
       )
       .finally(() => {
