--- a/packages/agent/src/withTimeout.ts
+++ b/packages/agent/src/withTimeout.ts
@@ -1,8 +1,7 @@
 /**
  * Bounds the wait for a result. The operation itself continues, and a later caller may use its result.
- * After a stall of this process its timers run before its sockets are read; the bound takes effect only
- * once they were, so that a result that arrived during the stall counts.
  */
+import { startReadTimeout } from '@nutmegcourse/transport'
 import { ResultAsync, err, type Result } from 'neverthrow'
 
 export function withTimeout<Value, Failure>(
@@ -10,16 +9,12 @@
   timeoutMilliseconds: number,
   failure: Failure,
 ): ResultAsync<Value, Failure> {
-  let timer: NodeJS.Timeout | undefined
+  let stopTimeout: (() => void) | undefined
   const timeout = new Promise<Result<Value, Failure>>(resolve => {
-    timer = setTimeout(() => {
-      setImmediate(() => {
-        resolve(err(failure))
-      })
+    stopTimeout = startReadTimeout(() => {
+      resolve(err(failure))
     }, timeoutMilliseconds)
   })
-  const settled = Promise.race([Promise.resolve(result), timeout]).finally(() => {
-    clearTimeout(timer)
-  })
+  const settled = Promise.race([Promise.resolve(result), timeout]).finally(() => stopTimeout?.())
   return new ResultAsync(settled)
 }
--- a/packages/transport/src/controlConnection.ts
+++ b/packages/transport/src/controlConnection.ts
@@ -12,6 +12,7 @@
 } from '@nutmegcourse/protocol'
 import type { Term } from '@nutmegcourse/shared'
 
+import { startReadTimeout } from './readTimeout.js'
 import type { TransportError } from './transportError.js'
 
 const { Client, DatabaseError } = pg
@@ -202,19 +203,11 @@
 const toReport = (result: Answer): PositionReport | null =>
   readPositionReport((result.rows[0] ?? []).map(toText))
 
-/**
- * After a stall of this process its timers run before its sockets are read. The limit takes effect
- * only once they were, so that an answer that arrived during the stall counts.
- */
 function withTimeout<Value>(promise: Promise<Value>, timeoutMilliseconds: number): Promise<Value> {
   return new Promise((resolve, reject) => {
-    const timer = setTimeout(() => {
-      setImmediate(() => {
-        reject(new TimeLimitExceeded('no answer in time'))
-      })
+    const stopTimeout = startReadTimeout(() => {
+      reject(new TimeLimitExceeded('no answer in time'))
     }, timeoutMilliseconds)
-    promise.then(resolve, reject).finally(() => {
-      clearTimeout(timer)
-    })
+    promise.then(resolve, reject).finally(stopTimeout)
   })
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,6 +1,7 @@
 export * from './jsonRpcConnection.js'
 export * from './transportError.js'
 export * from './controlConnection.js'
+export * from './readTimeout.js'
 export * from './reconnectingClient.js'
 export * from './silenceLimit.js'
 export * from './storeClient.js'
--- a/packages/transport/src/jsonRpcConnection.ts
+++ b/packages/transport/src/jsonRpcConnection.ts
@@ -9,6 +9,7 @@
 } from 'json-rpc-2.0'
 import { ResultAsync } from 'neverthrow'
 import split2 from 'split2'
+import { startReadTimeout } from './readTimeout.js'
 import type { TransportError } from './transportError.js'
 
 /** A longer line closes the connection. Values of the store are at most 1 MB. */
@@ -104,18 +105,11 @@
     this.#socket.destroy()
   }
 
-  /**
-   * After a stall of this process its timers may run before its sockets are read, although the answer has arrived. So
-   * the socket is read once more before the request fails.
-   */
   #startTimeout(id: number, timeoutMilliseconds: number): () => void {
     const fail = (): void => {
       this.#client.receive(createJSONRPCErrorResponse(id, ANSWER_TIMEOUT_CODE, 'no answer in time'))
     }
-    const timer = setTimeout(() => setImmediate(fail), timeoutMilliseconds)
-    return () => {
-      clearTimeout(timer)
-    }
+    return startReadTimeout(fail, timeoutMilliseconds)
   }
 
   #write(message: unknown): void {
