--- a/packages/host/__tests__/customers.spec.ts
+++ b/packages/host/__tests__/customers.spec.ts
@@ -15,7 +15,7 @@
   name: string,
   keys: readonly string[],
   limit: OperationLimit | null = null,
-): Customer => ({ name: customerName(name), keys: keys.map(digestOfKey), limit })
+): Customer => ({ name: customerName(name), keys: keys.map(digestOfKey), priority: 0, limit })
 
 const REFUSAL_PAUSE_MILLISECONDS = 5
 
--- a/packages/host/__tests__/support/hostFixture.ts
+++ b/packages/host/__tests__/support/hostFixture.ts
@@ -61,6 +61,7 @@
   limitTolerance: HostSettings['limitTolerance'],
   requiresKeys: boolean,
   revocation: HostSettings['revocation'],
+  schedulesSlots: boolean,
 ): HostSettings {
   const zone = availabilityZoneId(zoneName)
   const region = regionId('region-1')
@@ -86,6 +87,7 @@
     drainMilliseconds: 7000,
     configurationMilliseconds: 4000,
     requiresKeys,
+    schedulesSlots,
     limitTolerance,
     revocation,
     graceMilliseconds: grace,
@@ -127,6 +129,8 @@
    * milliseconds.
    */
   readonly strictRevocation?: number
+  /** Enables the scheduling of server slots by class and customer. */
+  readonly schedulesSlots?: boolean
 }
 
 const ONLY_ZONE = 'zone-1'
@@ -139,6 +143,7 @@
   readonly #customers: readonly Customer[] | null
   readonly #connectionLimit: number
   readonly #revocation: HostSettings['revocation']
+  readonly #schedulesSlots: boolean
   readonly store = new MemoryStore()
   readonly group: MemoryGroup
   readonly dialer: MemoryDialer
@@ -157,6 +162,7 @@
       isStrict: options.strictRevocation !== undefined,
       withinMilliseconds: options.strictRevocation ?? 5000,
     }
+    this.#schedulesSlots = options.schedulesSlots ?? false
     this.group = new MemoryGroup({
       service: SERVICE,
       servers: [P, A, B],
@@ -213,6 +219,7 @@
         this.#limitTolerance,
         this.#customers !== null,
         this.#revocation,
+        this.#schedulesSlots,
       ),
       {
         dialer,
--- a/packages/protocol/src/host/directory.ts
+++ b/packages/protocol/src/host/directory.ts
@@ -39,6 +39,8 @@
 export interface Customer {
   readonly name: CustomerName
   readonly keys: readonly KeyDigest[]
+  /** 0 has the largest share of a contended server; see `customerWeight`. */
+  readonly priority: number
   /** Null for no limit. */
   readonly limit: OperationLimit | null
 }
--- a/packages/protocol/src/host/hostSettings.ts
+++ b/packages/protocol/src/host/hostSettings.ts
@@ -51,6 +51,8 @@
   readonly configurationMilliseconds: number
   /** Whether callers identify themselves by keys, and each customer has connections of its own. */
   readonly requiresKeys: boolean
+  /** Whether one dispatcher a region shares out each backend server's slots, by class and customer. */
+  readonly schedulesSlots: boolean
   /** How exactly limits of customers must hold; null where no limits are in force. */
   readonly limitTolerance: LimitTolerance | null
   readonly revocation: RevocationRule
--- a/packages/state/__tests__/synchronous/customers.spec.ts
+++ b/packages/state/__tests__/synchronous/customers.spec.ts
@@ -14,6 +14,7 @@
 const customer = (name: string, ...keys: string[]): Customer => ({
   name: customerName(name),
   keys: keys.map(digestOfKey),
+  priority: 0,
   limit: null,
 })
 
