feat(host): a gate in front of each backend server where slots are scheduled

Statements enter the gate before they take a connection and leave it with their answer; later statements of a transaction go ahead of new work.

--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -8,6 +8,7 @@
 import { LatencyEstimate, ReplicaProgress, WriteConfirmation } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { ServerPool } from './serverPool.js'
+import { SlotGate } from './slotGate.js'
 
 /**
  * Latency in milliseconds that is due to the distance of the server alone. Estimates start there before the first
@@ -25,6 +26,8 @@
 
 export class BackendServerState {
   readonly pool: ServerPool
+  /** Null where slots are not scheduled. */
+  readonly gate: SlotGate | null
   readonly latency: LatencyEstimate
   readonly progress = new ReplicaProgress()
   readonly writes = new WriteConfirmation()
@@ -45,6 +48,9 @@
     this.#context = context
     this.#entry = entry
     this.pool = new ServerPool(context, addressOf(entry), connectionLimit, holdingHosts)
+    this.gate = context.settings.schedulesSlots
+      ? new SlotGate(context, entry.server, entry.slots)
+      : null
     this.distance = distanceOf(context, entry)
     const floors = [
       INITIAL_LATENCY_IN_ZONE,
@@ -72,6 +78,17 @@
     return customer === null ? usual : usual + this.pool.openingMilliseconds(customer)
   }
 
+  /** This host's statements that run or wait there. */
+  get load(): number {
+    return this.gate?.load ?? this.pool.busy + this.pool.waiting
+  }
+
+  /** Fails all requests that wait for a slot or a connection; they then look for another server. */
+  withdrawWaiting(): void {
+    this.gate?.withdrawWaiting()
+    this.pool.withdrawWaiting('withdrawn')
+  }
+
   /** Whether a write may be sent now: writes are likely to be confirmed, or it is time to test whether they are. */
   mayWrite(now: Milliseconds): boolean {
     return this.writes.mayWrite(this.latency.at(now), now)
@@ -132,6 +149,7 @@
 
   close(): void {
     this.discardProbes()
+    this.gate?.withdrawWaiting()
     this.pool.close()
   }
 
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -248,6 +248,22 @@
       tookMilliseconds: 'since it was sent',
     },
   },
+  slot_refused: {
+    when: 'A statement was refused at once, because its turn at the server would come too late to answer it in time.',
+    fields: {
+      request: 'id of the statement',
+      route: 'its route',
+      customer: 'its customer; null where customers are not distinguished',
+      server: 'the server',
+      ahead: 'statements that would be served before it',
+      forecastMilliseconds: 'until its turn',
+      leftMilliseconds: 'until the latest time at which it could start',
+      retryAfterMilliseconds: 'when the caller should return',
+      limit: 'statements that the server may have in flight',
+      inFlight: 'statements in flight there',
+      waiting: 'statements that wait for a slot',
+    },
+  },
   read_hedged: {
     when: 'A read took long at one server and was sent to a second one too.',
     fields: { request: 'id of the statement', first: 'the slow server', second: 'the other one' },
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -17,6 +17,8 @@
 import type { HostContext } from './hostContext.js'
 import type { AcquireFailure, PooledLink } from './pooledLink.js'
 import type { StatementRequest } from './statements.js'
+import { UNSCHEDULED_SLOT, type SlotUse } from './slotGate.js'
+import { enterSlot, slotResultOf } from './statementSlots.js'
 import { earlier, sleep } from './waiting.js'
 
 /** Delay before a busy or full server is tried again; about the duration of one statement. */
@@ -42,9 +44,16 @@
 /** How long a read waits for a connection before it considers other servers. */
 export const READ_ACQUIRE_MILLISECONDS = 200
 
+/** A connection, and the slot in which the statement runs. */
+export interface Connected {
+  readonly kind: 'connected'
+  readonly link: PooledLink
+  readonly slot: SlotUse
+}
+
 /** The result of requesting a connection. */
 export type Access =
-  | { readonly kind: 'connected'; readonly link: PooledLink }
+  | Connected
   /** No connection, after a short delay; the request may try again. */
   | { readonly kind: 'none' }
   /** The statement can no longer be answered by its deadline. */
@@ -100,15 +109,27 @@
   ): Promise<Access> {
     const { priority, latencyTargetMilliseconds } = request.route
     const latestStart = this.#latestStart(request, server)
+    const slot = await this.#enterGate(
+      request,
+      server,
+      latestStart,
+      earlier(acquireBy, latestStart),
+    )
+    if ('kind' in slot) return slot
     const startedAt = this.#context.clock.now()
     const acquired = await server.pool.acquire(request.session.values, {
       priority,
       deadline: earlier(acquireBy, latestStart),
-      maximumWaitMilliseconds: latencyTargetMilliseconds * MAXIMUM_WAIT_SHARE,
+      // Where slots are scheduled, the statement's turn has come already.
+      maximumWaitMilliseconds:
+        server.gate === null
+          ? latencyTargetMilliseconds * MAXIMUM_WAIT_SHARE
+          : Number.POSITIVE_INFINITY,
       use: { kind: 'customer', customer: request.customer },
     })
     request.timing.connectionMilliseconds += this.#context.clock.now() - startedAt
-    if ('link' in acquired) return { kind: 'connected', link: acquired.link }
+    if ('link' in acquired) return { kind: 'connected', link: acquired.link, slot }
+    slot.end({ kind: 'unknown' })
     if (acquired.failure === 'overloaded') {
       return { kind: 'overloaded', waitMilliseconds: this.jitter(acquired.waitMilliseconds) }
     }
@@ -117,6 +138,27 @@
     return { kind: 'none' }
   }
 
+  /** Waits for the statement's turn at the server. */
+  async #enterGate(
+    request: StatementRequest,
+    server: BackendServerState,
+    latestStart: Milliseconds,
+    waitUntil: Milliseconds,
+  ): Promise<SlotUse | Exclude<Access, Connected>> {
+    if (server.gate === null) return UNSCHEDULED_SLOT
+    const access = await enterSlot(request, server.gate, { latestStart, waitUntil })
+    switch (access.kind) {
+      case 'entered':
+        return access.slot
+      case 'overloaded':
+        return { kind: 'overloaded', waitMilliseconds: access.waitMilliseconds }
+      case 'overdue':
+        return { kind: this.#context.clock.now() >= latestStart ? 'tooLate' : 'none' }
+      case 'withdrawn':
+        return { kind: 'none' }
+    }
+  }
+
   /**
    * The latest time at which the statement may start at the server. A statement that starts later times out there: its
    * slot is wasted, and its connection is closed and reopened (an overloaded primary lost 0.8 of its 3 slots this way).
@@ -235,7 +277,7 @@
   async attemptSingle(
     request: StatementRequest,
     server: BackendServerState,
-    link: PooledLink,
+    { link, slot }: Connected,
     after: LogPosition | null,
     verifiesPrimary: boolean,
   ): Promise<AttemptOutcome> {
@@ -252,6 +294,7 @@
     })
     if (outcome.status === 'idle') server.pool.release(link)
     else server.pool.discard(link)
+    slot.end(slotResultOf(outcome, clock.now() - sentAt))
     if (outcome.kind === 'answered') {
       server.latency.record(clock.now() - sentAt, clock.now())
       request.service.recordReplicaPosition(server.entry.server, outcome.position, clock.now())
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -169,6 +169,7 @@
         server.probeIfSilent(now)
         const keepWarm = isActive && this.#directory.mayTakeWork(server.entry.server, now)
         server.pool.tick(now, keepWarm)
+        server.gate?.tick()
       }
       if (isActive) probe.tick(now)
       if (!isStopping && service.isObserver) failover.tick(now)
@@ -271,6 +272,7 @@
       return
     }
     const service = new ServiceState(this.#context, this.#directory, configuration)
+    service.weightOf = customer => this.#configuration.customers.weightOf(customer)
     const { store, promotion } = this.#ports
     const failover = new FailoverController(
       this.#context,
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -57,6 +57,8 @@
   #newestReplicaPosition: LogPosition | null = null
   /** When another host last answered a statement relayed by this one. */
   lastRelayedAnswerAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
+  /** A customer's share of a contended server relative to other customers. */
+  weightOf: (customer: CustomerName) => number = () => 1
   /** Whether this host is an owner of the service, or is not registered yet and therefore connects by itself. */
   isOwned = true
   /** Whether this host gives its opinion on the primary's liveness when another host suspects it. */
@@ -191,7 +193,7 @@
   recordNotPrimary(id: BackendServerId, askedAt: Milliseconds, source: string): void {
     if (!this.#leadership.noteNotLeading(id, askedAt)) return
     this.#logPrimary(source)
-    this.#servers.get(id)?.pool.withdrawWaiting('withdrawn')
+    this.#servers.get(id)?.withdrawWaiting()
     this.changed.raise()
   }
 
@@ -278,7 +280,7 @@
         isBehind: need !== null && server.progress.isLikelyBehind(need, now),
         silentMilliseconds: server.silentMilliseconds(now),
         expectedMilliseconds: server.expectedMilliseconds(customer, now),
-        inFlight: pool.busy + pool.waiting,
+        inFlight: server.load,
         slots: entry.slots,
       })
     }
@@ -293,7 +295,7 @@
     const before = this.#leadership.primary
     if (!this.#leadership.noteLeading(id, observedAt)) return
     this.#logPrimary(source)
-    if (before !== null) this.#servers.get(before)?.pool.withdrawWaiting('withdrawn')
+    if (before !== null) this.#servers.get(before)?.withdrawWaiting()
     this.changed.raise()
   }
 
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -86,10 +86,9 @@
         if (result === null) continue
         return result
       }
-      const { link } = access
       const sentAt = this.#context.clock.now()
       const outcome = await this.#access.trackConfirmation(server, () =>
-        this.#access.attemptSingle(request, server, link, null, false),
+        this.#access.attemptSingle(request, server, access, null, false),
       )
       if (outcome.kind === 'answered') {
         recordOwnWrite(request, outcome.position)
@@ -140,7 +139,7 @@
     delay.cancel()
     if (early !== undefined) return early
     const second = this.#access.alternativeReader(request, server, excluded)
-    if (second === null) return first
+    if (second === null || second.gate?.hasFreeSlot === false) return first
     this.#context.log.write('read_hedged', {
       request: request.statement.id,
       first: server.entry.server,
@@ -154,16 +153,16 @@
     const acquireBy = earlier(request.deadline, clock.now() + READ_ACQUIRE_MILLISECONDS)
     const access = await this.#access.acquire(request, server, acquireBy)
     if (access.kind !== 'connected') return { kind: 'notTried', server, access }
-    const { link } = access
     const sentAt = clock.now()
     const need = request.service.need(request.route.guarantee, request.session.ownPosition, sentAt)
     if (need.kind === 'unknown') {
-      server.pool.release(link)
+      server.pool.release(access.link)
+      access.slot.end({ kind: 'unknown' })
       return { kind: 'notTried', server, access: { kind: 'none' } }
     }
     const after = need.kind === 'position' ? need.position : null
     if (after !== null) server.progress.noteReadSent(after, sentAt)
-    const outcome = await this.#access.attemptSingle(request, server, link, after, after === null)
+    const outcome = await this.#access.attemptSingle(request, server, access, after, after === null)
     this.#access.recordLogProgress(server, after, outcome)
     if (outcome.kind === 'answered') return { kind: 'answered', result: answered(outcome) }
     this.#access.recordFailure(request, server, outcome.mishap, sentAt)
--- /dev/null
+++ b/packages/host/src/statementSlots.ts
@@ -0,0 +1,61 @@
+/**
+ * Describes statements to the gate of a backend server, and their answers.
+ *
+ * @internal
+ */
+import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import type { SlotResult } from '@nutmegcourse/state'
+import type { AttemptOutcome } from './attempt.js'
+import type { BackendServerState } from './backendServerState.js'
+import { UNSCHEDULED_SLOT, type SlotAccess, type SlotGate } from './slotGate.js'
+import type { StatementRequest } from './statements.js'
+
+export interface SlotTerms {
+  /** The latest time at which the statement may start and still be answered by its deadline. */
+  readonly latestStart: Milliseconds
+  readonly waitUntil: Milliseconds
+}
+
+/** Waits for the turn of a statement that begins new work. */
+export function enterSlot(
+  request: StatementRequest,
+  gate: SlotGate,
+  { latestStart, waitUntil }: SlotTerms,
+): Promise<SlotAccess> {
+  return enter(request, gate, latestStart, waitUntil, false)
+}
+
+/** Waits for the turn of a later statement of a transaction, ahead of new work. */
+export function continueInSlot(
+  request: StatementRequest,
+  { gate }: BackendServerState,
+): Promise<SlotAccess> {
+  if (gate === null) return Promise.resolve({ kind: 'entered', slot: UNSCHEDULED_SLOT })
+  return enter(request, gate, request.deadline, request.deadline, true)
+}
+
+function enter(
+  request: StatementRequest,
+  gate: SlotGate,
+  latestStart: Milliseconds,
+  waitUntil: Milliseconds,
+  isUnderWay: boolean,
+): Promise<SlotAccess> {
+  const { service, route, customer, arrivedAt } = request
+  const terms = {
+    classPriority: route.priority,
+    customerWeight: customer === null ? 1 : service.weightOf(customer),
+    targetAt: addMilliseconds(arrivedAt, route.latencyTargetMilliseconds),
+    latestStart,
+    isUnderWay,
+  }
+  return gate.enter(request, terms, waitUntil)
+}
+
+/** What an answer tells about the use of a slot. */
+export function slotResultOf(outcome: AttemptOutcome, slotMilliseconds: number): SlotResult {
+  if (outcome.kind === 'answered') return { kind: 'answered', slotMilliseconds }
+  const { mishap } = outcome
+  const isBusy = mishap.kind === 'refused' && mishap.refusal === 'busy'
+  return isBusy ? { kind: 'busy' } : { kind: 'unknown' }
+}
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -10,7 +10,14 @@
 import { applySessionValues, attempt, runCommand, type AttemptOutcome } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
-import { READ_ACQUIRE_MILLISECONDS, type ServerAccess, type FailedAttempt } from './serverAccess.js'
+import {
+  READ_ACQUIRE_MILLISECONDS,
+  type Connected,
+  type FailedAttempt,
+  type ServerAccess,
+} from './serverAccess.js'
+import type { SlotUse } from './slotGate.js'
+import { continueInSlot, slotResultOf } from './statementSlots.js'
 import type { PooledLink } from './pooledLink.js'
 import {
   answered,
@@ -95,7 +102,7 @@
     }
     for (;;) {
       const sentAt = this.#context.clock.now()
-      const run = (): Promise<AttemptOutcome> => this.#attemptInside(request, transaction)
+      const run = (): Promise<AttemptOutcome> => this.#attemptInTurn(request, transaction)
       const outcome = await (commitsWrites
         ? this.#access.trackConfirmation(transaction.server, run)
         : run())
@@ -146,7 +153,6 @@
     excluded: Set<BackendServerId>,
   ): Promise<BeginOutcome | null> {
     const { clock } = this.#context
-    const { service, route, session } = request
     const atPrimary = needsPrimary(request, readOnly)
     const server = atPrimary
       ? await this.#access.awaitPrimary(request)
@@ -163,7 +169,20 @@
       const isExcluded = !atPrimary && this.#access.excludeIfReplaceable(request, server, excluded)
       return isExcluded ? null : { kind: 'notTried', access }
     }
-    const { link } = access
+    const begun = await this.#beginOn(request, server, access, atPrimary)
+    access.slot.end({ kind: 'unknown' })
+    return begun
+  }
+
+  /** Begins the transaction on the connection and runs its first statement. */
+  async #beginOn(
+    request: StatementRequest,
+    server: BackendServerState,
+    { link, slot }: Connected,
+    atPrimary: boolean,
+  ): Promise<BeginOutcome | null> {
+    const { clock } = this.#context
+    const { service, route, session } = request
     const sentAt = clock.now()
     const need = atPrimary ? null : service.need(route.guarantee, session.ownPosition, sentAt)
     if (need?.kind === 'unknown') {
@@ -208,17 +227,19 @@
       return { kind: 'mishap', outcome, server }
     }
     if (atPrimary) service.recordPrimary(server.entry.server, sentAt, begun.position)
-    return this.#firstStatement(request, transaction)
+    return this.#firstStatement(request, transaction, slot)
   }
 
   async #firstStatement(
     request: StatementRequest,
     transaction: LocalTransaction,
+    slot: SlotUse,
   ): Promise<Exclude<BeginOutcome, { kind: 'notTried' }>> {
     const isCommit = request.statement.body.kind === 'commit'
+    if (isCommit) slot.end({ kind: 'unknown' })
     if (isCommit) return { kind: 'begun', ...(await this.continue(request, transaction)) }
     const sentAt = this.#context.clock.now()
-    const outcome = await this.#attemptInside(request, transaction)
+    const outcome = await this.#attemptInside(request, transaction, slot)
     if (outcome.kind === 'answered') {
       return {
         kind: 'begun',
@@ -230,13 +251,28 @@
     return { kind: 'mishap', outcome, server: transaction.server }
   }
 
-  #attemptInside(
+  /** Waits for a slot before a later statement of a transaction. */
+  async #attemptInTurn(
     request: StatementRequest,
     transaction: LocalTransaction,
+  ): Promise<AttemptOutcome> {
+    const access = await continueInSlot(request, transaction.server)
+    if (access.kind === 'entered') {
+      return this.#attemptInside(request, transaction, access.slot)
+    }
+    return { kind: 'mishap', mishap: { kind: 'notSent' }, status: 'open', position: null }
+  }
+
+  async #attemptInside(
+    request: StatementRequest,
+    transaction: LocalTransaction,
+    slot: SlotUse,
   ): Promise<AttemptOutcome> {
     if (request.isWrite) transaction.hasWritten = true
     request.timing.tries += 1
-    return attempt(this.#context, transaction.link, {
+    const { clock } = this.#context
+    const sentAt = clock.now()
+    const outcome = await attempt(this.#context, transaction.link, {
       session: request.session.values,
       statement: request.statement,
       after: null,
@@ -244,6 +280,8 @@
       verifiesPrimary: false,
       deadline: request.deadline,
     })
+    slot.end(slotResultOf(outcome, clock.now() - sentAt))
+    return outcome
   }
 
   #transactionAnswered(
