--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -16,7 +16,7 @@
   type FailedAttempt,
   type ServerAccess,
 } from './serverAccess.js'
-import type { SlotUse } from './slotGate.js'
+import type { SlotAccess, SlotUse } from './slotGate.js'
 import { continueInSlot, slotResultOf } from './statementSlots.js'
 import type { PooledLink } from './pooledLink.js'
 import {
@@ -101,11 +101,11 @@
       return { result: refused(request, 'aborted', UNCONFIRMED), transaction: null }
     }
     for (;;) {
+      const access = await continueInSlot(request, transaction.server)
       const sentAt = this.#context.clock.now()
-      const run = (): Promise<AttemptOutcome> => this.#attemptInTurn(request, transaction)
-      const outcome = await (commitsWrites
-        ? this.#access.trackConfirmation(transaction.server, run)
-        : run())
+      const run = (slot: SlotUse): Promise<AttemptOutcome> =>
+        this.#attemptInside(request, transaction, slot)
+      const outcome = await this.#runInSlot(access, commitsWrites, transaction, run)
       if (outcome.kind === 'answered') {
         return this.#transactionAnswered(request, transaction, outcome, isCommit)
       }
@@ -251,16 +251,19 @@
     return { kind: 'mishap', outcome, server: transaction.server }
   }
 
-  /** Waits for a slot before a later statement of a transaction. */
-  async #attemptInTurn(
-    request: StatementRequest,
-    transaction: LocalTransaction,
+  /** A statement whose turn did not come was not sent. */
+  #runInSlot(
+    access: SlotAccess,
+    commitsWrites: boolean,
+    { server }: LocalTransaction,
+    run: (slot: SlotUse) => Promise<AttemptOutcome>,
   ): Promise<AttemptOutcome> {
-    const access = await continueInSlot(request, transaction.server)
-    if (access.kind === 'entered') {
-      return this.#attemptInside(request, transaction, access.slot)
+    if (access.kind !== 'entered') {
+      const outcome = { kind: 'mishap', mishap: { kind: 'notSent' }, status: 'open' } as const
+      return Promise.resolve({ ...outcome, position: null })
     }
-    return { kind: 'mishap', mishap: { kind: 'notSent' }, status: 'open', position: null }
+    const { slot } = access
+    return commitsWrites ? this.#access.trackConfirmation(server, () => run(slot)) : run(slot)
   }
 
   async #attemptInside(
