feat(state): order of the statements that wait for a contended server

Cause: a server kept everything that its slots did not take in a queue of its own, first come, first served, so the highest class waited behind the lowest and a busy customer was paid for by all others. Change: SlotScheduler (open transactions, class with a minimum share, timely before late, start-time fair queueing by customer, latest start) and ServerSlots, which asks Admission with the backlog in this order. Pure, time is an argument.

--- a/packages/state/src/slots/index.ts
+++ b/packages/state/src/slots/index.ts
@@ -1,3 +1,5 @@
 export * from './admission.js'
 export { ConcurrencyLimit } from './concurrencyLimit.js'
 export * from './slotRequest.js'
+export { ServerSlots, type ServerSlotsOptions, type Submission } from './serverSlots.js'
+export { SlotScheduler } from './slotScheduler.js'
--- /dev/null
+++ b/packages/state/src/slots/serverSlots.ts
@@ -0,0 +1,225 @@
+/** The slots of one backend server: what runs, what waits, and what may not wait. */
+import type { CustomerName, Milliseconds } from '@nutmegcourse/shared'
+import type { Admission, SlotBacklog } from './admission.js'
+import type { ConcurrencyLimit } from './concurrencyLimit.js'
+import { IndexedHeap } from './indexedHeap.js'
+import { SlidingTotals } from './slidingTotals.js'
+import { SlotDemand } from './slotDemand.js'
+import type { SlotRequest, SlotResult } from './slotRequest.js'
+import { SlotScheduler, type PositionInOrder } from './slotScheduler.js'
+
+/** Shares of slot time are those of about this period. */
+const SHARES_PERIOD_MILLISECONDS = 10_000
+
+export type Submission =
+  | { readonly kind: 'started' }
+  | {
+      readonly kind: 'queued'
+      readonly forecastMilliseconds: number
+      /** About how many waiting requests are served before it. */
+      readonly ahead: number
+    }
+  | {
+      readonly kind: 'refused'
+      readonly forecastMilliseconds: number
+      readonly retryAfterMilliseconds: number
+      readonly ahead: number
+    }
+
+export interface ServerSlotsOptions {
+  readonly limit: ConcurrencyLimit
+  readonly admission: Admission
+}
+
+interface InFlight {
+  readonly startedAt: Milliseconds
+  /** Statements in flight when it started, itself included. */
+  readonly inFlight: number
+}
+
+/**
+ * A request is submitted once. If it is queued, it is later returned by `takeStartable` or `takeExpired`, or
+ * withdrawn; if it started, it is finished. Callers ask `takeExpired` and `takeStartable` after each finish,
+ * and `takeExpired` when the earliest latest start has passed.
+ */
+export class ServerSlots<Request extends SlotRequest> {
+  readonly #limit: ConcurrencyLimit
+  readonly #admission: Admission
+  readonly #scheduler = new SlotScheduler<Request>()
+  readonly #demand = new SlotDemand()
+  readonly #usage = new SlidingTotals<CustomerName | null>(SHARES_PERIOD_MILLISECONDS)
+  readonly #inFlight = new Map<Request, InFlight>()
+  readonly #expiries = new IndexedHeap<Request>(
+    (left, right) => left.latestStart - right.latestStart,
+  )
+  /** Removed from the queue, but not yet taken by the caller. */
+  readonly #expired = new Set<Request>()
+
+  constructor({ limit, admission }: ServerSlotsOptions) {
+    this.#limit = limit
+    this.#admission = admission
+  }
+
+  get inFlight(): number {
+    return this.#inFlight.size
+  }
+
+  get waiting(): number {
+    return this.#scheduler.size
+  }
+
+  /** Only classes with waiting requests. */
+  get waitingByClass(): ReadonlyMap<number, number> {
+    return this.#scheduler.sizeByClass
+  }
+
+  get limit(): number {
+    return this.#limit.value
+  }
+
+  /** The latest time until which the most urgent waiting request can start. */
+  get nextExpiry(): Milliseconds | null {
+    return this.#expiries.peek()?.latestStart ?? null
+  }
+
+  /** Each customer's part of the slot time that was used recently. */
+  get shares(): ReadonlyMap<CustomerName | null, number> {
+    const used = [...this.#usage.keys()].map(key => [key, this.#usage.get(key)] as const)
+    const total = used.reduce((sum, [, milliseconds]) => sum + milliseconds, 0)
+    return new Map(total > 0 ? used.map(([key, milliseconds]) => [key, milliseconds / total]) : [])
+  }
+
+  submit(request: Request, now: Milliseconds): Submission {
+    if (this.#scheduler.size === 0 && this.#hasFreeSlot) {
+      this.#enqueue(request, now)
+      this.#startNext(now)
+      return { kind: 'started' }
+    }
+    const position = this.#scheduler.position(request, now)
+    const backlog = this.#backlogOf(request, position, now)
+    const { ahead } = position
+    if (request.isUnderWay) {
+      const forecastMilliseconds = backlog.aheadMilliseconds / backlog.concurrency
+      this.#enqueue(request, now)
+      return { kind: 'queued', forecastMilliseconds, ahead }
+    }
+    const decision = this.#admission.decide(request, backlog, now)
+    const { forecastMilliseconds } = decision
+    if (decision.kind === 'refused') {
+      const { retryAfterMilliseconds } = decision
+      return { kind: 'refused', forecastMilliseconds, retryAfterMilliseconds, ahead }
+    }
+    this.#enqueue(request, now)
+    return { kind: 'queued', forecastMilliseconds, ahead }
+  }
+
+  /** Frees the slot of a request that started. */
+  finish(request: Request, result: SlotResult, now: Milliseconds): void {
+    const started = this.#inFlight.get(request)
+    if (started === undefined) return
+    this.#inFlight.delete(request)
+    switch (result.kind) {
+      case 'answered':
+        this.#limit.recordAnswer(result.slotMilliseconds, started.inFlight, now)
+        this.#scheduler.noteSlotTime(request, result.slotMilliseconds, now)
+        if (result.slotMilliseconds > 0) {
+          this.#usage.add(request.customer, result.slotMilliseconds, now)
+        }
+        return
+      case 'busy':
+        this.#limit.recordBusy(started.inFlight, now)
+        this.#scheduler.noteSlotTime(request, 0, now)
+        return
+      case 'unknown':
+        this.#scheduler.noteSlotTime(request, 0, now)
+    }
+  }
+
+  /** A waiting request is no longer wanted. */
+  withdraw(request: Request): void {
+    this.#scheduler.remove(request)
+    this.#expiries.delete(request)
+    this.#expired.delete(request)
+  }
+
+  /** Starts waiting requests in the free slots and returns them. */
+  takeStartable(now: Milliseconds): Request[] {
+    this.#removeExpired(now)
+    const started: Request[] = []
+    while (this.#hasFreeSlot) {
+      const request = this.#startNext(now)
+      if (request === null) break
+      started.push(request)
+    }
+    return started
+  }
+
+  /** Removes waiting requests that can no longer be answered by their deadlines, and returns them. */
+  takeExpired(now: Milliseconds): Request[] {
+    this.#removeExpired(now)
+    const expired = [...this.#expired]
+    this.#expired.clear()
+    return expired
+  }
+
+  /** Expected wait of a request that waits, or would be submitted now. */
+  forecast(request: Request, now: Milliseconds): number {
+    if (this.#scheduler.size === 0 && this.#hasFreeSlot) return 0
+    const position = this.#scheduler.position(request, now)
+    const { aheadMilliseconds, concurrency } = this.#backlogOf(request, position, now)
+    return aheadMilliseconds / concurrency
+  }
+
+  get #hasFreeSlot(): boolean {
+    return this.#inFlight.size < this.#limit.value
+  }
+
+  #enqueue(request: Request, now: Milliseconds): void {
+    this.#scheduler.enqueue(request, now)
+    this.#expiries.push(request)
+    this.#demand.record(request, now)
+  }
+
+  #startNext(now: Milliseconds): Request | null {
+    const request = this.#scheduler.next(now)
+    if (request === null) return null
+    this.#expiries.delete(request)
+    this.#inFlight.set(request, { startedAt: now, inFlight: this.#inFlight.size + 1 })
+    return request
+  }
+
+  #removeExpired(now: Milliseconds): void {
+    for (;;) {
+      const request = this.#expiries.peek()
+      if (request === null || request.latestStart >= now) return
+      this.#expiries.pop()
+      this.#scheduler.remove(request)
+      this.#expired.add(request)
+    }
+  }
+
+  #backlogOf(request: Request, position: PositionInOrder, now: Milliseconds): SlotBacklog {
+    const concurrency = Math.max(1, this.#limit.value)
+    const inFlight = this.#inFlightMilliseconds(now)
+    return {
+      aheadMilliseconds: this.#demand.aheadMilliseconds(
+        request,
+        position,
+        inFlight,
+        concurrency,
+        now,
+      ),
+      ownMilliseconds: this.#scheduler.ownMilliseconds(request),
+      concurrency,
+    }
+  }
+
+  /** Expected slot time until what is in flight has finished. */
+  #inFlightMilliseconds(now: Milliseconds): number {
+    let milliseconds = 0
+    for (const [request, { startedAt }] of this.#inFlight) {
+      milliseconds += Math.max(0, startedAt + request.expectedMilliseconds - now)
+    }
+    return milliseconds
+  }
+}
