--- a/packages/state/src/slots/concurrencyLimit.ts
+++ b/packages/state/src/slots/concurrencyLimit.ts
@@ -28,6 +28,8 @@
 const GROWS_BELOW_QUEUED = 0.4
 const SHRINKS_ABOVE_QUEUED = 0.5
 
+/** A limit below the server's slots grows faster, since too low a limit costs more than too high a one. */
+const GROWTH_STEP_BELOW_SLOTS = 1
 const GROWTH_STEP = 0.5
 
 /** A shrunk limit was shrunk rightly if at least this share of the excess latency is gone. */
@@ -44,12 +46,12 @@
 
 const ROUND_TRIP_WEIGHT = 0.1
 
-/** Why the limit is lower than it was, until the next round shows what that changed. */
+/** Why the limit is lower than it was, until the next rounds show what that changed. */
 type Trial =
   | { readonly kind: 'none' }
   /** It was shrunk because statements seemed to wait; their smallest latency was `smallest`. */
   | { readonly kind: 'shrunk'; readonly from: number; readonly smallest: number }
-  /** It is low for one round, so that the unloaded latency can be measured. */
+  /** It is low for some rounds, so that the unloaded latency can be measured. */
   | { readonly kind: 'probing'; readonly from: number }
 
 const NO_TRIAL: Trial = { kind: 'none' }
@@ -168,7 +170,8 @@
       this.#minima = []
     }
     if (queued < GROWS_BELOW_QUEUED) {
-      this.#exact = Math.min(this.#maximum, this.#exact + GROWTH_STEP)
+      const step = this.#exact < this.#slots ? GROWTH_STEP_BELOW_SLOTS : GROWTH_STEP
+      this.#exact = Math.min(this.#maximum, this.#exact + step)
     } else if (this.#minima.length >= ROUNDS_TO_SHRINK) {
       this.#trial = { kind: 'shrunk', from: this.#exact, smallest }
       this.#recoversTo = 0
--- a/packages/state/src/slots/unloadedLatency.ts
+++ b/packages/state/src/slots/unloadedLatency.ts
@@ -10,7 +10,7 @@
 const LIFETIME_MILLISECONDS = 20_000
 
 const FALL_WEIGHT = 0.2
-const RISE_WEIGHT = 0.02
+const RISE_WEIGHT = 0.05
 
 export class UnloadedLatency {
   #value: number | null = null
