feat(coordination): plan of the dispatchers of a service by region

In each region the strongest hosts, by rendezvous hash, and the order in which a host asks them for a statement of the primary or a read. 92 tests of coordination/synchronous pass.

--- a/packages/coordination/src/synchronous/index.ts
+++ b/packages/coordination/src/synchronous/index.ts
@@ -1,4 +1,5 @@
 export * from './changeRecord.js'
+export * from './dispatchers.js'
 export * from './limitHolders.js'
 export * from './primaryChange.js'
 export * from './primarySuspicion.js'
--- a/packages/coordination/src/synchronous/serviceOwners.ts
+++ b/packages/coordination/src/synchronous/serviceOwners.ts
@@ -64,13 +64,26 @@
  * the owner's place.
  */
 export function ownersFrom(plan: OwnerPlan, self: string, place: HostRecord): string[] {
-  const { owners, ranked, hosts } = plan
+  const { owners, hosts } = plan
   const distance = (host: string): number => hostDistance(hosts.get(host), place)
   const ownersByDistance = [...owners].sort((left, right) => distance(left) - distance(right))
-  const substitutes = ranked.filter(host => !owners.includes(host) && distance(host) === 0)
+  return [
+    ...ownersByDistance.filter(host => host !== self),
+    ...substitutesBefore(plan, self, place),
+  ]
+}
+
+/** The hosts of a zone that rank before a host and act as substitutes when no owner is reachable. */
+export function substitutesBefore(
+  { owners, ranked, hosts }: OwnerPlan,
+  self: string,
+  place: Pick<HostRecord, 'zone' | 'region'>,
+): string[] {
+  const isSubstitute = (host: string): boolean =>
+    !owners.includes(host) && hostDistance(hosts.get(host), place) === 0
+  const substitutes = ranked.filter(isSubstitute)
   const selfIndex = substitutes.indexOf(self)
-  const substitutesBefore = selfIndex < 0 ? substitutes : substitutes.slice(0, selfIndex)
-  return [...ownersByDistance.filter(host => host !== self), ...substitutesBefore]
+  return selfIndex < 0 ? substitutes : substitutes.slice(0, selfIndex)
 }
 
 /**
@@ -105,7 +118,8 @@
   return zones
 }
 
-function rankHosts(service: string, hosts: ReadonlyMap<string, HostRecord>): string[] {
+/** The hosts by descending rendezvous score. */
+export function rankHosts(service: string, hosts: ReadonlyMap<string, HostRecord>): string[] {
   const scores = new Map<string, number>()
   for (const [host, { weight }] of hosts) scores.set(host, rendezvousScore(host, service, weight))
   return [...hosts.keys()].sort((left, right) => (scores.get(right) ?? 0) - (scores.get(left) ?? 0))
