feat(pool): keep the connections that will be asked for again, where slots are scheduled

Cause: the connection that was unused for longest was closed to make room, so a burst of a rare customer closed those of customers that ask regularly, and each concurrent statement opened one of its own.

Change: ConnectionRetention learns each customer's rate of requests and connections in use at once, and closes the connection whose reopening is expected to cost least, also of the surplus. A customer over its share takes no place of one under its own, once the pool is told the shares. Without schedulesSlots the pool decides as before.

--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -12,7 +12,6 @@
 import type { BackendAddress, BackendLink } from '@nutmegcourse/protocol'
 import {
   ConnectionValues,
-  IdleConnections,
   ServiceEstimate,
   SessionValues,
   WaitQueue,
@@ -20,9 +19,14 @@
   forecastWait,
   poolLimits,
   type PoolLimits,
+  type RelativeShare,
 } from '@nutmegcourse/state'
 import { ConnectionOpener, type ConnectionReceiver, type OpenFailure } from './connectionOpener.js'
+import type { ConnectionReplacement } from './connectionReplacement.js'
 import type { HostContext } from './hostContext.js'
+import { LastUseReplacement } from './lastUseReplacement.js'
+import { LeastCostReplacement } from './leastCostReplacement.js'
+import { PoolConnections } from './poolConnections.js'
 import {
   customerOf,
   canUse,
@@ -55,10 +59,18 @@
 
 const NEVER_TAKEN = milliseconds(Number.NEGATIVE_INFINITY)
 
+/** A waiter for which no connection is being opened. */
+interface UncoveredWaiter {
+  readonly waiter: LinkWaiter
+  /** Waiters of its customer before it that wait for one of the customer's connections in use. */
+  readonly ahead: number
+}
+
 export class ServerPool implements ConnectionReceiver {
   readonly #context: HostContext
-  readonly #idle = new IdleConnections<PooledLink>()
-  readonly #all = new Set<PooledLink>()
+  readonly #connections = new PoolConnections()
+  readonly #idle = this.#connections.idle
+  readonly #replacement: ConnectionReplacement
   readonly #queue = new WaitQueue<LinkWaiter>()
   /** How long requests hold a connection, including idle time within transactions. */
   readonly #holdTimes = new ServiceEstimate()
@@ -79,6 +91,17 @@
     this.#context = context
     this.#connectionLimit = connectionLimit
     this.#opener = new ConnectionOpener(context, address, this)
+    this.#replacement = this.#chooseReplacement()
+  }
+
+  #chooseReplacement(): ConnectionReplacement {
+    const { settings, clock } = this.#context
+    if (!settings.schedulesSlots) return new LastUseReplacement(this.#connections)
+    return new LeastCostReplacement(this.#connections, clock, () => ({
+      holdMilliseconds: this.#holdTimes.at(clock.now()),
+      openingMilliseconds: this.#opener.usualMilliseconds,
+      starvationMilliseconds: STARVATION_MILLISECONDS,
+    }))
   }
 
   /** Number of consecutive refused connections and liveness probes; a successful one resets it. */
@@ -90,8 +113,13 @@
     this.#opener.refusals = count
   }
 
+  /** Tells the pool which customers use more of the server than their share; null while that is not known. */
+  set relativeShare(relativeShare: RelativeShare | null) {
+    this.#replacement.relativeShare = relativeShare
+  }
+
   get held(): number {
-    return this.#all.size
+    return this.#connections.size
   }
 
   set connectionLimit(limit: number) {
@@ -103,11 +131,11 @@
   }
 
   get busy(): number {
-    return this.#all.size - this.#idle.size
+    return this.#connections.busy
   }
 
   get size(): number {
-    return this.#all.size + this.#opener.openingCount
+    return this.#connections.size + this.#opener.openingCount
   }
 
   /** Expected time to open a connection for the customer's request; 0 if one is idle. */
@@ -117,9 +145,7 @@
 
   /** When bytes were last received on any connection. */
   get lastHeardAt(): number {
-    let last = Number.NEGATIVE_INFINITY
-    for (const { link } of this.#all) last = Math.max(last, link.lastReceivedAt)
-    return last
+    return this.#connections.lastHeardAt
   }
 
   /**
@@ -134,6 +160,7 @@
   acquire(session: SessionValues, terms: AcquireOptions): Promise<Acquired> {
     if (this.#isClosed) return Promise.resolve({ failure: 'withdrawn' })
     if (this.busy === 0 && this.waiting === 0) this.#busySince = this.#context.clock.now()
+    if (terms.use.kind === 'customer') this.#replacement.recordRequest(terms.use.customer)
     const idle = this.#takeIdle(session, terms.use)
     if (idle !== null) return Promise.resolve({ link: this.#markTaken(idle, terms.use) })
     const waitMilliseconds = this.#forecastWait(terms)
@@ -223,10 +250,15 @@
   /** The waiter that gets a released connection; null if none can use it or a starved waiter needs its place. */
   #nextFor(pooled: PooledLink): LinkWaiter | null {
     const { first } = this.#queue
-    if (first !== null && !canUse(pooled, first) && this.#isStarved(first)) return null
+    if (first !== null && this.#yieldsPlace(pooled, first)) return null
     return this.#queue.dequeue(waiter => canUse(pooled, waiter))
   }
 
+  #yieldsPlace(pooled: PooledLink, first: LinkWaiter): boolean {
+    if (canUse(pooled, first) || !this.#isStarved(first)) return false
+    return this.#replacement.mayTakePlace(customerOf(first.use), pooled)
+  }
+
   #isStarved({ use, since }: LinkWaiter): boolean {
     if (this.#opener.openingByCustomer.has(customerOf(use))) return false
     return this.#context.clock.now() > addMilliseconds(since, STARVATION_MILLISECONDS)
@@ -251,8 +283,7 @@
   }
 
   #closeLink(pooled: PooledLink): void {
-    if (!this.#idle.remove(pooled) && this.#all.has(pooled)) this.#recordHold(pooled)
-    this.#all.delete(pooled)
+    if (this.#connections.remove(pooled)) this.#recordHold(pooled)
     pooled.link.close()
   }
 
@@ -285,17 +316,34 @@
 
   #openMore(warm = 0): void {
     if (this.#isClosed || !this.#opener.mayOpen) return
-    const limits = this.#opener.wasFull ? { share: 1, burst: this.#all.size + 1 } : this.#limits()
-    const uncovered = this.#waitersWithoutConnection()
+    const limits = this.#opener.wasFull
+      ? { share: 1, burst: this.#connections.size + 1 }
+      : this.#limits()
+    const uncovered = this.#waitersToOpenFor()
     const opening = this.#opener.openingCount
     const state = { size: this.size, opening, idle: 0, waiting: opening + uncovered.length }
     const room = connectionsToOpen(state, limits, warm)
-    for (const [index, waiter] of uncovered.entries()) {
-      if (index < room || this.#makeRoom(waiter)) void this.#opener.open(customerOf(waiter.use))
+    for (const [index, each] of uncovered.entries()) {
+      if (index < room || this.#makeRoom(each)) void this.#opener.open(customerOf(each.waiter.use))
     }
     for (let index = uncovered.length; index < room; index += 1) void this.#opener.open(null)
   }
 
+  /** The waiters without a connection for which one is worth opening. */
+  #waitersToOpenFor(): UncoveredWaiter[] {
+    const waitingForOwn = new Map<CustomerName | null, number>()
+    const found: UncoveredWaiter[] = []
+    for (const waiter of this.#waitersWithoutConnection()) {
+      const customer = customerOf(waiter.use)
+      const ahead = waitingForOwn.get(customer) ?? 0
+      const isStarved = this.#isStarved(waiter)
+      const opens = this.#replacement.opensFor({ customer, ahead, isStarved })
+      if (waiter.use.kind === 'own' || opens) found.push({ waiter, ahead })
+      else waitingForOwn.set(customer, ahead + 1)
+    }
+    return found
+  }
+
   /** The waiters that exceed the number of connections being opened for their customer. */
   #waitersWithoutConnection(): LinkWaiter[] {
     const unassigned = new Map(this.#opener.openingByCustomer)
@@ -309,28 +357,19 @@
     return uncovered
   }
 
-  /**
-   * Closes an idle connection of another customer to make room for the waiter's. A customer with a connection in use
-   * waits for that one first: otherwise each concurrent statement of one customer closed a connection of another, which
-   * had to be reopened a moment later.
-   */
-  #makeRoom(waiter: LinkWaiter): boolean {
+  /** Closes an idle connection of another customer to make room for the waiter's. */
+  #makeRoom({ waiter, ahead }: UncoveredWaiter): boolean {
     const { use } = waiter
     if (use.kind === 'own' || this.#idle.size === 0) return false
-    if (this.#isInUse(use.customer) && !this.#isStarved(waiter)) return false
-    const replaced = this.#idle.evictionCandidateFor(use.customer)
+    const { customer } = use
+    const isStarved = this.#isStarved(waiter)
+    if (!this.#replacement.replacesFor({ customer, ahead, isStarved })) return false
+    const replaced = this.#replacement.candidateFor(customer)
     if (replaced === null) return false
     this.#closeLink(replaced)
     return true
   }
 
-  #isInUse(customer: CustomerName | null): boolean {
-    for (const pooled of this.#all) {
-      if (pooled.customer === customer && !this.#idle.includes(pooled)) return true
-    }
-    return false
-  }
-
   opened(link: BackendLink, customer: CustomerName | null): void {
     const now = this.#context.clock.now()
     const pooled = {
@@ -341,24 +380,26 @@
       usedAt: now,
       takenAt: NEVER_TAKEN,
     }
-    this.#all.add(pooled)
+    this.#connections.add(pooled)
     link.onClosed(() => {
-      // A connection that the pool closes itself has been removed from #all before.
-      if (this.#all.has(pooled)) this.discard(pooled)
+      // A connection that the pool closes itself has been removed from #connections before.
+      if (this.#connections.has(pooled)) this.discard(pooled)
     })
     this.release(pooled)
   }
 
   /** If the server is full but this host holds connections to it, waiters stay queued for these. */
   failedToOpen(failure: OpenFailure): void {
-    if (failure === 'unreachable' || this.#all.size === 0) this.withdrawWaiting(failure)
+    if (failure === 'unreachable' || this.#connections.size === 0) this.withdrawWaiting(failure)
   }
 
   #closeSurplus(now: Milliseconds, keepWarm: boolean): void {
     const { share } = this.#limits()
     const keep = keepWarm ? share : 0
-    const { oldest } = this.#idle
-    if (oldest === null || this.#all.size <= keep) return
-    if (now >= addMilliseconds(oldest.idleSince, SURPLUS_IDLE_MILLISECONDS)) this.discard(oldest)
+    if (this.#connections.size <= keep) return
+    const surplus = this.#replacement.surplus(
+      ({ idleSince }) => now >= addMilliseconds(idleSince, SURPLUS_IDLE_MILLISECONDS),
+    )
+    if (surplus !== null) this.discard(surplus)
   }
 }
--- a/packages/state/src/slots/index.ts
+++ b/packages/state/src/slots/index.ts
@@ -1,3 +1,5 @@
 export * from './admission.js'
 export { ConcurrencyLimit } from './concurrencyLimit.js'
+export * from './connectionRetention.js'
+export * from './ownConnectionWait.js'
 export * from './slotRequest.js'
