--- a/packages/state/src/slots/index.ts
+++ b/packages/state/src/slots/index.ts
@@ -1,5 +1,7 @@
 export * from './admission.js'
 export { ConcurrencyLimit } from './concurrencyLimit.js'
+export * from './connectionRetention.js'
+export * from './ownConnectionWait.js'
 export * from './slotRequest.js'
 export { ServerSlots, type ServerSlotsOptions, type Submission } from './serverSlots.js'
 export { SlotScheduler } from './slotScheduler.js'
