feat(host): statements go to the dispatcher of a region, and connections follow

Where slots are scheduled, the dispatchers of a service are its owners: first that of the primary's region for what only the primary runs, else that of the own region. A dispatcher keeps .55 of its servers' connections, a standby .1. It passes a read on to the primary's region if no server of its own can serve it now.

--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -5,7 +5,12 @@
  */
 import type { CustomerName, Milliseconds } from '@nutmegcourse/shared'
 import type { BackendAddress, BackendServerEntry } from '@nutmegcourse/protocol'
-import { LatencyEstimate, ReplicaProgress, WriteConfirmation } from '@nutmegcourse/state'
+import {
+  LatencyEstimate,
+  ReplicaProgress,
+  WriteConfirmation,
+  type ConnectionPart,
+} from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { ServerPool } from './serverPool.js'
 
@@ -40,11 +45,11 @@
     context: HostContext,
     entry: BackendServerEntry,
     connectionLimit: number,
-    holdingHosts: () => number,
+    part: () => ConnectionPart,
   ) {
     this.#context = context
     this.#entry = entry
-    this.pool = new ServerPool(context, addressOf(entry), connectionLimit, holdingHosts)
+    this.pool = new ServerPool(context, addressOf(entry), connectionLimit, part)
     this.distance = distanceOf(context, entry)
     const floors = [
       INITIAL_LATENCY_IN_ZONE,
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -10,22 +10,21 @@
   ownersFrom,
   planFollowers,
   planLimitHolders,
-  planOwners,
+  substitutesBefore,
   type HostRecord,
-  type OwnerPlan,
 } from '@nutmegcourse/coordination'
 import type { HostAddress } from '@nutmegcourse/protocol'
 import {
   addMilliseconds,
   milliseconds,
-  regionId,
   type CustomerName,
   type Milliseconds,
-  type RegionId,
 } from '@nutmegcourse/shared'
 import { connectionHolders } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import { Backoffs } from './backoffs.js'
+import { DispatcherDirectory } from './dispatcherDirectory.js'
+import { countByRegion, planAround, planHolders, type ObservedPlan } from './ownerPlanning.js'
 import { RelayPeer } from './relayPeer.js'
 import type { OwnerDirectory } from './relayingRunner.js'
 import type { ServiceState } from './serviceState.js'
@@ -38,13 +37,6 @@
 const MAX_INDIRECT_PEERS = 6
 const INDIRECT_PAUSE_MILLISECONDS = 150
 
-/**
- * The least number of hosts that vote on a primary that an owner finds silent. A network partition that separates
- * a third of nine hosts leaves three that can agree; with only the three owners voting, it left one, which waited
- * for seconds because it might have been cut off itself.
- */
-const MIN_OBSERVERS = 9
-
 export class HostFleet implements OwnerDirectory, ChangeFeedSources {
   readonly #context: HostContext
   readonly #hosts = new Map<string, HostRecord>()
@@ -54,7 +46,7 @@
   /** By service: the hosts to which this one forwards statements, in order of preference. */
   readonly #hostOrder = new Map<string, readonly string[]>()
   /** By service: its owners. By service and customer: the order in which the owners are tried. */
-  readonly #ownerPlans = new Map<string, OwnerPlan>()
+  readonly #ownerPlans = new Map<string, ObservedPlan>()
   readonly #customerOrder = new Map<string, readonly string[]>()
   /** By customer: the hosts that hold parts of its limit, in the order in which this host asks them. */
   readonly #limitHolders = new Map<CustomerName, readonly string[]>()
@@ -65,6 +57,7 @@
   #reRegistrationDeadline = milliseconds(0)
   /** Services whose primary this host recently tried to reach through other hosts. */
   readonly #indirectPauses: Backoffs<string>
+  readonly #dispatchers: DispatcherDirectory
   /** The hosts through which this one follows the store, in order of preference. */
   #changeFeedHosts: readonly string[] = []
   /** Whether the plans reflect the known hosts and services. */
@@ -73,6 +66,7 @@
   constructor(context: HostContext) {
     this.#context = context
     this.#indirectPauses = new Backoffs(context.clock)
+    this.#dispatchers = new DispatcherDirectory(context, host => this.peer(host)?.isUp === true)
   }
 
   observersOf(service: string): readonly string[] {
@@ -118,6 +112,11 @@
     this.#isPlanned = false
   }
 
+  /** The set of a service's servers has changed; dispatchers are planned for the regions that have some. */
+  serversChanged(): void {
+    if (this.#context.settings.schedulesSlots) this.#isPlanned = false
+  }
+
   /**
    * Plans which hosts hold connections to which service, if the known hosts or the services have changed. Runs once
    * for all changes of a response, because a plan computes a hash for each pair of a host and a service.
@@ -125,30 +124,51 @@
   plan(services: Iterable<ServiceState>): void {
     if (this.#isPlanned) return
     this.#isPlanned = true
-    const { entryHost, zone, region, requiresKeys } = this.#context.settings
+    const { entryHost, zone } = this.#context.settings
     this.#customerOrder.clear()
     this.#limitHolders.clear()
     this.#changeFeedHosts = followersBefore(planFollowers(zone, this.#hosts), entryHost)
-    for (const service of services) {
-      const { connectionLimit } = service.configuration
-      const holders = connectionHolders(connectionLimit, this.#hosts.size, requiresKeys)
-      const observerPlan = planOwners(service.name, this.#hosts, Math.max(holders, MIN_OBSERVERS))
-      // A plan for fewer hosts contains the first ones of a larger plan.
-      const plan = { ...observerPlan, owners: observerPlan.owners.slice(0, holders) }
-      const { owners: observers } = observerPlan
-      this.#ownerPlans.set(service.name, plan)
-      this.#observers.set(service.name, observers)
-      this.#hostOrder.set(
-        service.name,
-        ownersFrom(plan, entryHost, { zone, region, relay: null, weight: 1 }),
-      )
-      // A host that is not listed yet connects to the servers itself: it knows too little of the other hosts.
-      service.isOwned = !this.#hosts.has(entryHost) || plan.owners.includes(entryHost)
-      service.holderCount = service.isOwned ? holders : Math.max(holders, this.#substituteCount)
-      service.holderCountByRegion = countByRegion(plan)
-      service.isObserver = service.isOwned || observers.includes(entryHost)
-      this.#logOwners(service, plan.owners)
-    }
+    for (const service of services) this.#planService(service)
+  }
+
+  #planService(service: ServiceState): void {
+    const { entryHost, zone, region, schedulesSlots } = this.#context.settings
+    const dispatchers = schedulesSlots ? this.#dispatchers.plan(service, this.#hosts) : []
+    const isDispatched = dispatchers.length > 0
+    const plan = isDispatched
+      ? planAround(dispatchers, service.name, this.#hosts)
+      : planHolders(service.name, this.#hosts, this.#holdersOf(service))
+    const { owners, observers } = plan
+    const place = { zone, region, relay: null, weight: 1 }
+    this.#ownerPlans.set(service.name, plan)
+    this.#observers.set(service.name, observers)
+    this.#hostOrder.set(
+      service.name,
+      isDispatched ? substitutesBefore(plan, entryHost, place) : ownersFrom(plan, entryHost, place),
+    )
+    service.isOwned = owners.includes(entryHost) || this.#connectsUnlisted(isDispatched)
+    service.dispatchedPart = isDispatched
+      ? serverRegion => this.#dispatchers.partOf(service, serverRegion)
+      : null
+    const holders = isDispatched ? owners.length : this.#holdersOf(service)
+    service.holderCount = service.isOwned ? holders : Math.max(holders, this.#substituteCount)
+    service.holderCountByRegion = countByRegion(plan)
+    service.isObserver = service.isOwned || observers.includes(entryHost)
+    this.#logOwners(service, owners)
+  }
+
+  /** Number of hosts that hold connections to a service where all holders use its servers alike. */
+  #holdersOf({ configuration }: ServiceState): number {
+    const { requiresKeys } = this.#context.settings
+    return connectionHolders(configuration.connectionLimit, this.#hosts.size, requiresKeys)
+  }
+
+  /**
+   * Whether this host connects to the servers itself because it is not listed yet: it knows too little of the other
+   * hosts, except where it knows a dispatcher.
+   */
+  #connectsUnlisted(isDispatched: boolean): boolean {
+    return !isDispatched && !this.#hosts.has(this.#context.settings.entryHost)
   }
 
   /**
@@ -177,6 +197,7 @@
     customer: CustomerName | null,
     atPrimary: boolean,
   ): RelayPeer[] | null {
+    if (service.dispatchedPart !== null) return this.#dispatchersFor(service, atPrimary)
     const now = this.#context.clock.now()
     const runsHere = service.isOwned && (!atPrimary || service.reachesPrimary(now))
     const order = this.#hostOrderFor(service, customer)
@@ -188,6 +209,22 @@
     return null
   }
 
+  /** The dispatchers that come before this host, or substitutes in its zone when it reaches none of them. */
+  #dispatchersFor(service: ServiceState, atPrimary: boolean): RelayPeer[] | null {
+    const now = this.#context.clock.now()
+    const order = this.#dispatchers.order(service, atPrimary)
+    if (service.isOwned) {
+      if (!atPrimary || service.reachesPrimary(now)) return this.#ownersBefore(order)
+      return this.#indirectPeers(service, this.#upPeers(order), now)
+    }
+    const dispatchers = this.#upPeers(order)
+    if (dispatchers.length > 0) return dispatchers
+    const substitutes = this.#upPeers(this.#hostOrder.get(service.name) ?? [])
+    if (substitutes.length > 0) return substitutes
+    service.standIn(now)
+    return null
+  }
+
   /** The hosts to try, in order; includes this host if it owns connections of the customer. */
   #hostOrderFor({ name }: ServiceState, customer: CustomerName | null): readonly string[] {
     const order = this.#hostOrder.get(name) ?? []
@@ -281,17 +318,6 @@
   }
 }
 
-function countByRegion({ owners, hosts }: OwnerPlan): Map<RegionId, number> {
-  const counts = new Map<RegionId, number>()
-  for (const owner of owners) {
-    const region = hosts.get(owner)?.region
-    if (region === undefined) continue
-    const key = regionId(region)
-    counts.set(key, (counts.get(key) ?? 0) + 1)
-  }
-  return counts
-}
-
 /** The address at which a host runs statements for others; null when it does not. */
 function relayAddress({ relay }: HostRecord): HostAddress | null {
   const [host = '', port = ''] = relay?.split(':') ?? []
--- /dev/null
+++ b/packages/host/src/readRegion.ts
@@ -0,0 +1,34 @@
+/**
+ * Decides in which region a read is served.
+ *
+ * @internal
+ */
+import type { HostSettings } from '@nutmegcourse/protocol'
+import type { Milliseconds } from '@nutmegcourse/shared'
+import { needsPrimary, type StatementRequest } from './statements.js'
+
+/**
+ * Whether a dispatcher should leave a read, or the begin of a read-only transaction, to the dispatcher of the primary's
+ * region because no server of its own region is expected to serve it now. The dispatcher of that region never does, so
+ * that no request is passed on twice.
+ */
+export function isBetterAtPrimary(
+  request: StatementRequest,
+  readOnly: boolean,
+  { region }: Pick<HostSettings, 'region'>,
+  now: Milliseconds,
+): boolean {
+  const { service, route, session, customer } = request
+  const { primaryRegion } = service
+  if (service.dispatchedPart === null || !service.isOwned) return false
+  if (primaryRegion === null || primaryRegion === region) return false
+  if (needsPrimary(request, readOnly)) return false
+  const need = service.need(route.guarantee, session.ownPosition, now)
+  switch (need.kind) {
+    case 'primary':
+    case 'unknown':
+      return true
+    case 'position':
+      return !service.canServeNear(need.position, now, customer)
+  }
+}
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -44,6 +44,8 @@
   /** The definition of the prepared statement to execute. */
   readonly prepared: PreparedStatement | null
   readonly own: PositionMessage | null
+  /** No other host is left to ask: the request is not to be declined because of servers out of reach. */
+  readonly isFinal?: true
   /** Milliseconds until the statement's deadline. Relative, because clocks of hosts are never compared. */
   readonly remaining: number
 }
@@ -79,11 +81,14 @@
    * transaction.
    */
   | { readonly kind: 'declined' }
+  /** Nothing was run: no server of the region can serve the read in time; the primary's dispatcher is to be asked. */
+  | { readonly kind: 'redirected' }
 
 export function writeRequest(
   request: StatementRequest,
   routes: SentRoutes,
   now: Milliseconds,
+  isFinal = false,
 ): RequestMessage {
   const { route, customer, statement, session, isWrite, deadline } = request
   const { id, text, body } = statement
@@ -98,6 +103,7 @@
     values: [...session.values.values],
     prepared: prepared ?? null,
     own: session.ownPosition,
+    ...(isFinal ? { isFinal } : {}),
     remaining: deadline - now,
   }
 }
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -34,6 +34,8 @@
   | { readonly kind: 'answered'; readonly message: Extract<AnswerMessage, { kind: 'answered' }> }
   /** Nothing was run there. */
   | { readonly kind: 'notSent' }
+  /** Nothing was run there; the dispatcher of the primary is to be asked. */
+  | { readonly kind: 'redirected' }
   | { readonly kind: 'lost' }
   | { readonly kind: 'overdue' }
 
@@ -51,6 +53,8 @@
   #leavingSince: Milliseconds | null = null
   #pendingCalls = 0
   #isPinging = false
+  /** It did not answer a ping, and may still accept connections. */
+  #wasSilent = false
   #receivedBytes = 0
   #lastReceivedAt = 0
 
@@ -93,6 +97,7 @@
     this.#pendingCalls -= 1
     if (answer.isOk()) {
       const message = answer.value
+      if (message.kind === 'redirected') return { kind: 'redirected' }
       return message.kind === 'declined' ? { kind: 'notSent' } : { kind: 'answered', message }
     }
     if (answer.error.kind === 'answerTimeout') return { kind: 'overdue' }
@@ -150,6 +155,7 @@
     this.#isPinging = false
     this.#lastReceivedAt = this.#context.clock.now()
     if (answer.isOk()) return
+    this.#wasSilent = this.#context.settings.schedulesSlots
     this.#failed('silent')
     connection.close()
   }
@@ -171,6 +177,11 @@
       this.#failed(opened.error.kind)
       return null
     }
+    if (!(await this.#isAwake(opened.value))) {
+      opened.value.close()
+      this.#failed('silent')
+      return null
+    }
     this.#connection = opened.value
     this.#routes = new SentRoutes()
     this.#retryAt = null
@@ -178,6 +189,17 @@
     return opened.value
   }
 
+  /**
+   * The system of a frozen host accepts connections for it. A dispatcher has the statements of a whole region, which
+   * would wait there after each reconnection.
+   */
+  async #isAwake(connection: JsonRpcConnection): Promise<boolean> {
+    if (!this.#wasSilent) return true
+    const answer = await connection.request(RELAY_METHODS.ping, {}, PING_TIMEOUT_MILLISECONDS)
+    this.#wasSilent = answer.isErr()
+    return !this.#wasSilent
+  }
+
   /**
    * Schedules a reconnection once the stopping process has ended, since a new one may run at the same address. A host
    * that lost power while stopping never closes its connection, so the process also counts as ended after its grace
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -29,6 +29,7 @@
   type StatementRequest,
 } from './statements.js'
 import type { StatementRunner } from './statementRunner.js'
+import { isBetterAtPrimary } from './readRegion.js'
 
 /** Added to the idle timeout of transactions, so that the host of the caller ends an idle transaction first. */
 const IDLE_MARGIN_MILLISECONDS = 1000
@@ -167,7 +168,9 @@
   async #single(message: RequestMessage): Promise<AnswerMessage> {
     const request = this.#read(message)
     if (request === null) return { kind: 'declined' }
-    if (this.#isPrimaryOutOfReach(request, !request.isWrite)) return { kind: 'declined' }
+    const refusal = message.isFinal === true ? null : this.#refusalOf(request, !request.isWrite)
+    if (refusal !== null) return refusal
+    this.#accepted(request)
     this.#running += 1
     const result = await this.#runner.single(request)
     this.#running -= 1
@@ -177,7 +180,10 @@
   async #begin(message: BeginMessage): Promise<AnswerMessage> {
     const request = this.#read(message.request)
     if (request === null) return { kind: 'declined' }
-    if (this.#isPrimaryOutOfReach(request, message.readOnly)) return { kind: 'declined' }
+    const isFinal = message.request.isFinal === true
+    const refusal = isFinal ? null : this.#refusalOf(request, message.readOnly)
+    if (refusal !== null) return refusal
+    this.#accepted(request)
     this.#running += 1
     const begun = await this.#runner.begin(request, message.readOnly)
     this.#running -= 1
@@ -208,6 +214,19 @@
     return readRequest(message, route, service, this.#context.clock.now())
   }
 
+  /** Why another host is to be asked; null if this one runs the request. */
+  #refusalOf(request: StatementRequest, readOnly: boolean): AnswerMessage | null {
+    if (this.#isPrimaryOutOfReach(request, readOnly)) return { kind: 'declined' }
+    const now = this.#context.clock.now()
+    return isBetterAtPrimary(request, readOnly, this.#context.settings, now)
+      ? { kind: 'redirected' }
+      : null
+  }
+
+  #accepted({ service }: StatementRequest): void {
+    service.lastServedForOthersAt = this.#context.clock.now()
+  }
+
   /** Whether to decline a request for the primary, so that the other host tries another owner that may reach it. */
   #isPrimaryOutOfReach(request: StatementRequest, readOnly: boolean): boolean {
     const { service } = request
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -12,6 +12,7 @@
 import { RELAY_METHODS, readPosition, writeRequest, type AnswerMessage } from './relayMessages.js'
 import type { RelayOutcome, RelayPeer } from './relayPeer.js'
 import type { SentRoutes } from './relayRoutes.js'
+import { isBetterAtPrimary } from './readRegion.js'
 import type { ServiceState } from './serviceState.js'
 import {
   needsPrimary,
@@ -38,6 +39,16 @@
   ): RelayPeer[] | null
 }
 
+interface RelayedRequest {
+  readonly request: StatementRequest
+  /** It is a read or begins a read-only transaction. */
+  readonly readOnly: boolean
+  readonly place: StatementPlace
+  readonly method: string
+  /** `isFinal`: the owner that receives it is the last one asked. */
+  readonly message: (routes: SentRoutes, isFinal: boolean) => unknown
+}
+
 interface RelayedCall {
   readonly outcome: RelayOutcome
   readonly peer: RelayPeer | null
@@ -57,13 +68,17 @@
   }
 
   async single(request: StatementRequest): Promise<StatementResult> {
-    const atPrimary = needsPrimary(request, !request.isWrite)
-    const peers = this.#owners.peersFor(request.service, request.customer, atPrimary)
-    if (peers === null) return this.#local.single(request)
     const place: StatementPlace = request.isWrite ? 'singleWrite' : 'singleRead'
-    const message = (routes: SentRoutes): unknown =>
-      writeRequest(request, routes, this.#context.clock.now())
-    const { outcome } = await this.#callOwners(request, peers, place, RELAY_METHODS.single, message)
+    const called = await this.#relay({
+      request,
+      readOnly: !request.isWrite,
+      place,
+      method: RELAY_METHODS.single,
+      message: (routes, isFinal) =>
+        writeRequest(request, routes, this.#context.clock.now(), isFinal),
+    })
+    if (called === null) return this.#local.single(request)
+    const { outcome } = called
     if (outcome.kind === 'answered') return this.#resultOf(request, outcome.message)
     if (this.#mayRunHere(request, place, outcome)) {
       return this.#standInForOwners(request).single(request)
@@ -72,22 +87,20 @@
   }
 
   async begin(request: StatementRequest, readOnly: boolean): Promise<TransactionStep> {
-    const atPrimary = needsPrimary(request, readOnly)
-    const peers = this.#owners.peersFor(request.service, request.customer, atPrimary)
-    if (peers === null) return this.#local.begin(request, readOnly)
     const place: StatementPlace =
       request.statement.body.kind === 'commit' ? 'commit' : 'firstOfTransaction'
-    const message = (routes: SentRoutes): unknown => ({
-      request: writeRequest(request, routes, this.#context.clock.now()),
-      readOnly,
-    })
-    const { outcome, peer } = await this.#callOwners(
+    const called = await this.#relay({
       request,
-      peers,
+      readOnly,
       place,
-      RELAY_METHODS.begin,
-      message,
-    )
+      method: RELAY_METHODS.begin,
+      message: (routes, isFinal) => ({
+        request: writeRequest(request, routes, this.#context.clock.now(), isFinal),
+        readOnly,
+      }),
+    })
+    if (called === null) return this.#local.begin(request, readOnly)
+    const { outcome, peer } = called
     if (outcome.kind === 'answered' && peer !== null) {
       return this.#stepOf(request, peer, outcome.message)
     }
@@ -133,24 +146,58 @@
     return this.#local
   }
 
+  /** Passes the request on to an owner; null if this host serves it itself. */
+  async #relay(relayed: RelayedRequest): Promise<RelayedCall | null> {
+    const { request, readOnly } = relayed
+    const { settings, clock } = this.#context
+    const atPrimary =
+      needsPrimary(request, readOnly) || isBetterAtPrimary(request, readOnly, settings, clock.now())
+    const peers = this.#peersFor(request, atPrimary)
+    if (peers === null) return null
+    const called = await this.#callOwners(relayed, peers)
+    if (called.outcome.kind !== 'redirected') return this.#askFinally(relayed, called, atPrimary)
+    const atPrimaryRegion = await this.#callOwners(relayed, this.#peersFor(request, true) ?? [])
+    return this.#askFinally(relayed, atPrimaryRegion, atPrimary)
+  }
+
+  /**
+   * Asks the dispatchers again, without a choice, when each of them declined: if none reaches the primary, the request
+   * waits for it at a dispatcher instead of at many hosts.
+   */
+  async #askFinally(
+    relayed: RelayedRequest,
+    called: RelayedCall,
+    atPrimary: boolean,
+  ): Promise<RelayedCall> {
+    const { request, place } = relayed
+    const { service } = request
+    const { outcome } = called
+    if (service.dispatchedPart === null || service.isOwned) return called
+    if (outcome.kind === 'answered' || !this.#mayRunHere(request, place, outcome)) return called
+    return this.#callOwners(relayed, this.#peersFor(request, atPrimary) ?? [], true)
+  }
+
+  #peersFor({ service, customer }: StatementRequest, atPrimary: boolean): RelayPeer[] | null {
+    return this.#owners.peersFor(service, customer, atPrimary)
+  }
+
   /** Calls one owner after the other, as long as a retry is safe. */
   async #callOwners(
-    request: StatementRequest,
+    { request, place, method, message }: RelayedRequest,
     peers: readonly RelayPeer[],
-    place: StatementPlace,
-    method: string,
-    message: (routes: SentRoutes) => unknown,
+    isFinal = false,
   ): Promise<RelayedCall> {
     let last: RelayedCall = { outcome: { kind: 'notSent' }, peer: null }
     for (const peer of peers) {
       if (this.#isExpired(request)) break
       if (!peer.isUp) continue
-      const outcome = await peer.call(method, message, request.deadline)
+      const outcome = await peer.call(method, routes => message(routes, isFinal), request.deadline)
       last = { outcome, peer }
       if (outcome.kind === 'answered') {
-        request.service.lastRelayedAnswerAt = this.#context.clock.now()
+        if (!isFinal) request.service.lastRelayedAnswerAt = this.#context.clock.now()
         return last
       }
+      if (outcome.kind === 'redirected') return last
       this.#context.log.write('relay_failed', {
         request: request.statement.id,
         service: request.service.name,
@@ -202,6 +249,7 @@
     case 'overdue':
       return { kind: 'overdue' }
     case 'notSent':
+    case 'redirected':
       return { kind: 'notSent' }
     case 'lost':
       return { kind: 'lost', failure: 'connectionLost' }
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -18,7 +18,8 @@
   WaitQueue,
   connectionsToOpen,
   forecastWait,
-  poolLimits,
+  limitsOfPart,
+  type ConnectionPart,
   type PoolLimits,
 } from '@nutmegcourse/state'
 import { ConnectionOpener, type ConnectionReceiver, type OpenFailure } from './connectionOpener.js'
@@ -63,8 +64,8 @@
   /** How long requests hold a connection, including idle time within transactions. */
   readonly #holdTimes = new ServiceEstimate()
   #connectionLimit: number
-  /** Returns the number of hosts that share the server's connections. */
-  readonly #holdingHosts: () => number
+  /** Returns this host's part of the server's connections. */
+  readonly #part: () => ConnectionPart
   #isClosed = false
   #busySince = Number.NEGATIVE_INFINITY
   readonly #opener: ConnectionOpener
@@ -73,9 +74,9 @@
     context: HostContext,
     address: BackendAddress,
     connectionLimit: number,
-    holdingHosts: () => number,
+    part: () => ConnectionPart,
   ) {
-    this.#holdingHosts = holdingHosts
+    this.#part = part
     this.#context = context
     this.#connectionLimit = connectionLimit
     this.#opener = new ConnectionOpener(context, address, this)
@@ -275,7 +276,7 @@
 
   #limits(): PoolLimits {
     const { requiresKeys } = this.#context.settings
-    return poolLimits(this.#connectionLimit, this.#holdingHosts(), requiresKeys)
+    return limitsOfPart(this.#connectionLimit, this.#part(), requiresKeys)
   }
 
   #takeIdle(session: SessionValues, use: ConnectionUse): PooledLink | null {
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -158,8 +158,9 @@
   }
 
   tick(now: Milliseconds, { wasStalled, isStopping }: TickConditions): void {
-    for (const serverChange of this.#directory.expire(now))
-      this.#applyServerChange(serverChange, now)
+    const expired = this.#directory.expire(now)
+    for (const serverChange of expired) this.#applyServerChange(serverChange, now)
+    if (expired.length > 0) this.planOwners()
     for (const { service, probe, failover } of this.#components.values()) {
       const isActive = service.isActive(now)
       for (const server of service.servers) {
@@ -314,6 +315,7 @@
     switch (serverChange.kind) {
       case 'appeared':
         service?.addServer(entry, now)
+        this.#fleet.serversChanged()
         return
       case 'changed':
         service?.updateServer(entry, serverChange.before, now)
@@ -323,6 +325,7 @@
         return
       case 'removed':
         service?.removeServer(entry.server)
+        this.#fleet.serversChanged()
     }
   }
 
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -26,6 +26,7 @@
   connectionDivisor,
   isReadyForRead,
   rankForRead,
+  type ConnectionPart,
   type ReadCandidate,
   type ReadRequirement,
   type ServerDirectory,
@@ -52,6 +53,10 @@
   holderCount = 1
   /** Number of the service's owners by region. */
   holderCountByRegion: ReadonlyMap<RegionId, number> = new Map()
+  /** This host's part of the connections to the servers of a region, where dispatchers are planned; otherwise null. */
+  dispatchedPart: ((serverRegion: string) => ConnectionPart) | null = null
+  /** When this host last accepted a statement from another one. */
+  lastServedForOthersAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   /** When a replica was last seen to have received more of the log. */
   lastReplicaProgressAt: Milliseconds = milliseconds(Number.NEGATIVE_INFINITY)
   #newestReplicaPosition: LogPosition | null = null
@@ -143,11 +148,8 @@
     this.#servers.get(entry.server)?.close()
     this.#leadership.forget(entry.server)
     const limit = this.#configuration.connectionLimit
-    const holdingHosts = (): number => this.#holdersOf(entry.server)
-    this.#servers.set(
-      entry.server,
-      new BackendServerState(this.#context, entry, limit, holdingHosts),
-    )
+    const part = (): ConnectionPart => this.#partOf(entry.server)
+    this.#servers.set(entry.server, new BackendServerState(this.#context, entry, limit, part))
     if (entry.role === 'primary') this.#acceptPrimary(entry.server, now, 'entry')
     this.changed.raise()
   }
@@ -215,6 +217,29 @@
     return this.bounds.requirementFor(guarantee, own, now)
   }
 
+  #regionOf({ entry }: BackendServerState): RegionId | null {
+    return this.#context.settings.regions.get(entry.zone) ?? null
+  }
+
+  /** The regions that have servers of the service. */
+  get serverRegions(): ReadonlySet<string> {
+    return new Set(this.servers.flatMap(server => this.#regionOf(server) ?? []))
+  }
+
+  get primaryRegion(): RegionId | null {
+    const { primary } = this
+    return primary === null ? null : this.#regionOf(primary)
+  }
+
+  #partOf(id: BackendServerId): ConnectionPart {
+    const server = this.#servers.get(id)
+    const region = server === undefined ? null : this.#regionOf(server)
+    if (this.dispatchedPart !== null && this.isOwned && region !== null) {
+      return this.dispatchedPart(region)
+    }
+    return { kind: 'holder', hosts: this.#holdersOf(id) }
+  }
+
   /**
    * Number of hosts among which a server's connections are divided. Where each customer needs connections of its own,
    * there are too few of them to reserve shares for hosts that hardly use the server.
@@ -253,6 +278,18 @@
     return this.#best(this.#candidates(need, excluded, now, customer).filter(isReadyForRead))
   }
 
+  /** Whether a server of this host's region is expected to serve such a read now. */
+  canServeNear(
+    need: LogPosition | null,
+    now: Milliseconds,
+    customer: CustomerName | null,
+  ): boolean {
+    const { region } = this.#context.settings
+    const far = this.servers.filter(server => this.#regionOf(server) !== region)
+    const excluded = new Set(far.map(({ entry }) => entry.server))
+    return this.chooseReadyReader(need, excluded, now, customer) !== null
+  }
+
   #best(candidates: readonly ReadCandidate[]): BackendServerState | null {
     const [best] = rankForRead(candidates)
     return best === undefined ? null : (this.#servers.get(best) ?? null)
--- a/packages/state/src/synchronous/poolPolicy.ts
+++ b/packages/state/src/synchronous/poolPolicy.ts
@@ -109,6 +109,36 @@
   return { share, burst: Math.max(share, Math.floor(connectionLimit * burstFraction)) }
 }
 
+/** The part of a server's connections that falls to this host. */
+export type ConnectionPart =
+  /** As many hosts, including this one, use the server alike. */
+  | { readonly kind: 'holder'; readonly hosts: number }
+  /** This host dispatches all statements of the server. */
+  | { readonly kind: 'dispatcher' }
+  /** Another host does; this one stands by for it, or dispatches for another region. */
+  | { readonly kind: 'standby' }
+
+const DISPATCHER_KEPT_FRACTION = 0.55
+const DISPATCHER_BURST_FRACTION = 0.7
+const STANDBY_KEPT_FRACTION = 0.1
+/** One standby that bursts beside the dispatcher stays under the server's limit; more are refused by the server. */
+const STANDBY_BURST_FRACTION = 0.2
+
+/** The limits of a host that takes part in dispatching a server's statements. */
+export function limitsOfPart(
+  connectionLimit: number,
+  part: ConnectionPart,
+  isDividedByCustomer: boolean,
+): PoolLimits {
+  if (part.kind === 'holder') return poolLimits(connectionLimit, part.hosts, isDividedByCustomer)
+  if (!Number.isFinite(connectionLimit)) return poolLimits(connectionLimit, 1, isDividedByCustomer)
+  const isDispatcher = part.kind === 'dispatcher'
+  const kept = isDispatcher ? DISPATCHER_KEPT_FRACTION : STANDBY_KEPT_FRACTION
+  const burst = isDispatcher ? DISPATCHER_BURST_FRACTION : STANDBY_BURST_FRACTION
+  const share = Math.max(1, Math.floor(connectionLimit * kept))
+  return { share, burst: Math.max(share, Math.floor(connectionLimit * burst)) }
+}
+
 /** Returns how many connections to open now. `warmConnections`: the number to keep open without demand. */
 export function connectionsToOpen(
   state: PoolState,
