--- /dev/null
+++ b/packages/host/__tests__/dispatchers.spec.ts
@@ -0,0 +1,211 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { planDispatchers } from '@nutmegcourse/coordination'
+import { freePorts } from '@nutmegcourse/stand-ins'
+import {
+  A,
+  B,
+  P,
+  SERVICE,
+  withHostFixture,
+  type FixtureHost,
+  type HostFixture,
+} from './support/hostFixture.js'
+
+const ZONES = ['east-1', 'east-2', 'east-1', 'east-2', 'east-1', 'west-1', 'west-2', 'west-1']
+const REGION_OF_ZONE = { 'east-1': 'east', 'east-2': 'east', 'west-1': 'west', 'west-2': 'west' }
+const PER_REGION = 3
+
+interface Fleet {
+  readonly fixture: HostFixture
+  /** By region: the dispatcher, then its standbys. */
+  readonly east: readonly FixtureHost[]
+  readonly west: readonly FixtureHost[]
+  /** A host of the east that is no dispatcher. */
+  readonly other: FixtureHost
+}
+
+/** The primary and one replica are in the east, the other replica is in the west. */
+async function withFleet(
+  scenario: (fleet: Fleet) => Promise<void>,
+  serverZones = ['east-1', 'east-2', 'west-1'],
+): Promise<void> {
+  const options = {
+    relayPorts: await freePorts(ZONES.length),
+    zones: ZONES,
+    regionOfZone: REGION_OF_ZONE,
+    serverZones,
+    schedulesSlots: true,
+  }
+  const records = ZONES.map((zone, index) => {
+    const region = zone.startsWith('east') ? 'east' : 'west'
+    return [`host-${index + 1}`, { zone, region, relay: '127.0.0.1:1', weight: 1 }] as const
+  })
+  const plan = planDispatchers(SERVICE, new Map(records))
+  await withHostFixture(
+    ZONES.length,
+    async (fixture, hosts) => {
+      const named = (name: string): FixtureHost[] => hosts.filter(({ host }) => host.name === name)
+      const east = (plan.get('east') ?? []).flatMap(named)
+      const west = (plan.get('west') ?? []).flatMap(named)
+      const used = serverZones.some(zone => zone.startsWith('west')) ? [...east, ...west] : east
+      const isPlanned = (): boolean =>
+        hosts.every(host => isOwner(host) === used.includes(host)) && used.every(knowsPrimary)
+      await fixture.until(isPlanned, 'only the dispatchers own the service')
+      const other = hosts.find(
+        host => ZONES[hosts.indexOf(host)] === 'east-1' && !east.includes(host),
+      )
+      if (other === undefined) throw new Error('every host of the east is a dispatcher')
+      await scenario({ fixture, east, west, other })
+    },
+    options,
+  )
+}
+
+const isOwner = ({ host }: FixtureHost): boolean => host.find('own')?.service.isOwned === true
+const knowsPrimary = ({ host }: FixtureHost): boolean => host.find('own')?.service.primary != null
+
+/** Counts the reads and writes that a host sends to servers, by server. */
+function countStatements({ dialer }: FixtureHost): Map<string, number> {
+  const counts = new Map<string, number>()
+  dialer.hooks.onCommand = (server, command) => {
+    if (command.kind === 'forward') counts.set(server, (counts.get(server) ?? 0) + 1)
+    return 'none'
+  }
+  return counts
+}
+
+const total = (counts: ReadonlyMap<string, number>): number =>
+  [...counts.values()].reduce((sum, each) => sum + each, 0)
+
+describe('the dispatchers of a service', () => {
+  // Guards against several queues in front of one server.
+  it('all statements of a region reach its servers through one host', async () => {
+    await withFleet(async ({ fixture, east, other }) => {
+      const counts = new Map(fixture.hosts.map(host => [host, countStatements(host)]))
+      for (const host of fixture.hosts.filter(({ host }) => !host.name.endsWith('-6'))) {
+        const caller = await fixture.caller(host, 'own')
+        for (const text of ['write 1', 'begin', 'write 1', 'commit']) {
+          expect(await caller.outcomeOf(text)).toEqual('done')
+        }
+      }
+      const reader = await fixture.caller(other, 'bounded')
+      for (let reads = 0; reads < 5; reads += 1) await reader.outcomeOf('read 1')
+      const senders = fixture.hosts.filter(host => total(counts.get(host) ?? new Map()) > 0)
+      expect(senders.map(({ host }) => host.name)).toEqual([east[0]?.host.name ?? ''])
+    })
+  })
+
+  it('reads of another region are served by its own dispatcher and replica', async () => {
+    await withFleet(async ({ fixture, west }) => {
+      const [dispatcher, standby] = west
+      if (dispatcher === undefined || standby === undefined) throw new Error('no dispatcher')
+      const counts = countStatements(dispatcher)
+      const caller = await fixture.caller(standby, 'bounded')
+      await fixture.until(() => hasBound(dispatcher), 'the dispatcher knows a bound')
+      for (let reads = 0; reads < 5; reads += 1) {
+        expect(await caller.outcomeOf('read 1')).toEqual('done')
+      }
+      expect([...counts.keys()]).toEqual([B])
+    })
+  })
+
+  // Guards against hosts that use up the servers' connections without dispatching.
+  it('a host that is no dispatcher opens no connection', async () => {
+    await withFleet(async ({ fixture, other }) => {
+      const held = (): number =>
+        other.host.find('own')?.service.servers.reduce((sum, { pool }) => sum + pool.size, 0) ?? 0
+      await fixture.until(() => held() === 0, 'the connections of the start are closed')
+      const caller = await fixture.caller(other, 'own')
+      for (let statements = 0; statements < 10; statements += 1) {
+        expect(await caller.outcomeOf(statements % 2 === 0 ? 'write 1' : 'read 1')).toEqual('done')
+        expect(held()).toEqual(0)
+      }
+    })
+  })
+
+  it('a region without servers is served by that of the servers', async () => {
+    await withFleet(
+      async ({ fixture, east, west }) => {
+        const [far] = west
+        if (far === undefined) throw new Error('no host in the west')
+        expect(west.map(isOwner)).toEqual(Array<boolean>(PER_REGION).fill(false))
+        const caller = await fixture.caller(far, 'bounded')
+        const [dispatcher] = east
+        const counts = dispatcher === undefined ? new Map() : countStatements(dispatcher)
+        for (let reads = 0; reads < 5; reads += 1) await caller.outcomeOf('read 1')
+        expect(total(counts)).toEqual(5)
+      },
+      ['east-1', 'east-2', 'east-2'],
+    )
+  })
+
+  const failures: readonly (readonly [string, (host: FixtureHost) => void])[] = [
+    [
+      'crashes',
+      ({ host }) => {
+        host.close()
+      },
+    ],
+    [
+      'is cut off from the primary',
+      host => {
+        host.dialer.unreachable.add(P)
+      },
+    ],
+    [
+      'stops as planned',
+      ({ host }) => {
+        void host.stop()
+      },
+    ],
+  ]
+  for (const [what, fail] of failures) {
+    // Guards against a region that waits for its dispatcher: the next in the plan must serve.
+    it(`the dispatcher ${what}: the next one serves`, async () => {
+      await withFleet(async ({ fixture, east, other }) => {
+        const [first, second] = east
+        if (first === undefined || second === undefined) throw new Error('no dispatchers')
+        const caller = await fixture.caller(other, 'latest')
+        expect(await caller.outcomeOf('write 1')).toEqual('done')
+        const counts = countStatements(second)
+        fail(first)
+        let served = 0
+        const limit = performance.now() + 1500
+        while (performance.now() < limit) {
+          if ((await caller.outcomeOf('write 1')) === 'done') served += 1
+          await new Promise(resolve => setTimeout(resolve, 20))
+        }
+        expect(served > 20).toEqual(true)
+        expect((counts.get(P) ?? 0) >= served - 1).toEqual(true)
+        expect(fixture.group.promotions).toEqual(0)
+      })
+    })
+  }
+
+  // Guards against reads that wait in a region whose replica receives nothing, until their deadline.
+  it('a read that the region’s replica can not serve reaches the region of the primary', async () => {
+    await withFleet(async ({ fixture, east, west }) => {
+      const [dispatcher, standby] = west
+      const [primaryDispatcher] = east
+      if (!dispatcher || !standby || !primaryDispatcher) throw new Error('no dispatchers')
+      fixture.group.server(B).isReplicationBlocked = true
+      const callers = await Promise.all(
+        [dispatcher, standby].map(host => fixture.caller(host, 'own')),
+      )
+      const counts = countStatements(primaryDispatcher)
+      for (const caller of callers) {
+        expect(await caller.outcomeOf('write 1', `mine-${callers.indexOf(caller)}`)).toEqual('done')
+        for (let reads = 0; reads < 10; reads += 1) {
+          const { answer } = await caller.run('read 1')
+          expect(answer.kind === 'rows').toEqual(true)
+        }
+      }
+      const servedByPrimaryRegion = (counts.get(P) ?? 0) + (counts.get(A) ?? 0)
+      expect(servedByPrimaryRegion >= 14).toEqual(true)
+    })
+  })
+})
+
+const hasBound = ({ host }: FixtureHost): boolean =>
+  Number.isFinite(host.find('own')?.service.bounds.newestAsOf ?? Number.NaN)
--- a/packages/host/__tests__/support/hostFixture.ts
+++ b/packages/host/__tests__/support/hostFixture.ts
@@ -15,7 +15,13 @@
   PromotionPort,
   Route,
 } from '@nutmegcourse/protocol'
-import { MemoryDialer, MemoryGroup, MemoryStore, StoreConnection } from '@nutmegcourse/stand-ins'
+import {
+  MemoryDialer,
+  MemoryGroup,
+  MemoryStore,
+  StoreConnection,
+  type MemoryDialerHooks,
+} from '@nutmegcourse/stand-ins'
 import { DecisionLog, type LogFields } from '../../src/decisionLog.js'
 import { HostMetrics } from '../../src/hostMetrics.js'
 import { EntryHost } from '../../src/index.js'
@@ -40,6 +46,9 @@
   isPublic: false,
 })
 
+const ONLY_ZONE = 'zone-1'
+const ONLY_REGION = 'region-1'
+
 export const CONFIGURATION: FleetConfiguration = {
   version: 1,
   routes: [
@@ -62,15 +71,19 @@
   requiresKeys: boolean,
   revocation: HostSettings['revocation'],
   schedulesSlots: boolean,
+  regionOfZone: Readonly<Record<string, string>>,
 ): HostSettings {
   const zone = availabilityZoneId(zoneName)
-  const region = regionId('region-1')
+  const region = regionId(regionOfZone[zoneName] ?? ONLY_REGION)
+  const otherZones = Object.entries(regionOfZone).map(
+    ([name, each]) => [availabilityZoneId(name), regionId(each)] as const,
+  )
   const unusedAddress = { host: '127.0.0.1', port: 0 }
   return {
     entryHost: entryHostId(host),
     zone,
     region,
-    regions: new Map([[zone, region]]),
+    regions: new Map([[zone, region], ...otherZones]),
     callers: unusedAddress,
     readiness: unusedAddress,
     relay: relayPort === null ? null : { host: '127.0.0.1', port: relayPort },
@@ -118,6 +131,10 @@
   readonly relayPorts?: readonly number[]
   /** The availability zone of each host, in order; by default all hosts are in one zone. */
   readonly zones?: readonly string[]
+  /** The region of each zone; by default all zones are in one region. */
+  readonly regionOfZone?: Readonly<Record<string, string>>
+  /** The zone of each server, the primary first; by default all servers are in one zone. */
+  readonly serverZones?: readonly string[]
   /** The whole fleet starts for the first time. */
   readonly isFirstStart?: boolean
   /** Callers need a key of one of these customers. */
@@ -133,8 +150,6 @@
   readonly schedulesSlots?: boolean
 }
 
-const ONLY_ZONE = 'zone-1'
-
 export class HostFixture {
   readonly #relayPorts: number[]
   readonly #zones: string[]
@@ -144,6 +159,8 @@
   readonly #connectionLimit: number
   readonly #revocation: HostSettings['revocation']
   readonly #schedulesSlots: boolean
+  readonly #regionOfZone: Readonly<Record<string, string>>
+  readonly #serverZones: readonly string[]
   readonly store = new MemoryStore()
   readonly group: MemoryGroup
   readonly dialer: MemoryDialer
@@ -163,6 +180,8 @@
       withinMilliseconds: options.strictRevocation ?? 5000,
     }
     this.#schedulesSlots = options.schedulesSlots ?? false
+    this.#regionOfZone = options.regionOfZone ?? {}
+    this.#serverZones = options.serverZones ?? []
     this.group = new MemoryGroup({
       service: SERVICE,
       servers: [P, A, B],
@@ -187,7 +206,7 @@
       service: SERVICE,
       host: '127.0.0.1',
       port: 1,
-      zone: availabilityZoneId(ONLY_ZONE),
+      zone: availabilityZoneId(this.#serverZones[[P, A, B].indexOf(server)] ?? ONLY_ZONE),
       slots: 3,
       isLeaving: given.isLeaving ?? false,
       role: this.group.server(server).role,
@@ -207,7 +226,8 @@
       metrics,
     )
     const dialer = new MemoryDialer([this.group])
-    dialer.hooks = this.dialer.hooks
+    // The hooks of all hosts apply to each; those set on its own dialer apply to it alone.
+    dialer.hooks = Object.create(this.dialer.hooks) as MemoryDialerHooks
     dialer.links = this.dialer.links
     const host = new EntryHost(
       settingsOf(
@@ -220,6 +240,7 @@
         this.#customers !== null,
         this.#revocation,
         this.#schedulesSlots,
+        this.#regionOfZone,
       ),
       {
         dialer,
--- a/packages/state/__tests__/synchronous/placement.spec.ts
+++ b/packages/state/__tests__/synchronous/placement.spec.ts
@@ -6,8 +6,10 @@
   WaitQueue,
   connectionHolders,
   connectionsToOpen,
+  limitsOfPart,
   poolLimits,
   rankForRead,
+  type ConnectionPart,
   type ReadCandidate,
 } from '../../src/index.js'
 
@@ -68,6 +70,43 @@
   }
 })
 
+describe('limitsOfPart', () => {
+  const cases: readonly (readonly [number, ConnectionPart['kind'], number, number])[] = [
+    [81, 'dispatcher', 44, 56],
+    [81, 'standby', 8, 16],
+    [46, 'dispatcher', 25, 32],
+    [46, 'standby', 4, 9],
+    [4, 'dispatcher', 2, 2],
+    [4, 'standby', 1, 1],
+  ]
+  for (const [limit, kind, share, burst] of cases) {
+    it(`gives a ${kind} ${share} of ${limit} connections, and up to ${burst} while work waits`, () => {
+      const part = kind === 'holder' ? { kind, hosts: 1 } : { kind }
+      expect(limitsOfPart(limit, part, true)).toEqual({ share, burst })
+    })
+  }
+
+  for (const limit of [25, 46, 81, 108]) {
+    it(`leaves connections for the hosts' own commands beside a dispatcher and a far one: ${limit}`, () => {
+      const dispatcher = limitsOfPart(limit, { kind: 'dispatcher' }, true)
+      const standby = limitsOfPart(limit, { kind: 'standby' }, true)
+      expect(dispatcher.burst + standby.burst < limit).toEqual(true)
+      expect(dispatcher.share + 4 * standby.share < limit).toEqual(true)
+    })
+  }
+
+  for (const hosts of [1, 3, 8]) {
+    it(`gives one of ${hosts} hosts that use a server alike what it had before`, () => {
+      for (const limit of [5, 25, 81, Number.POSITIVE_INFINITY]) {
+        for (const isDivided of [false, true]) {
+          const part = limitsOfPart(limit, { kind: 'holder', hosts }, isDivided)
+          expect(part).toEqual(poolLimits(limit, hosts, isDivided))
+        }
+      }
+    })
+  }
+})
+
 describe('poolLimits', () => {
   for (const limit of [23, 34, 100]) {
     for (const hosts of [1, 6, 9, 12, 30]) {
