--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -17,7 +17,8 @@
   WaitQueue,
   connectionsToOpen,
   forecastWait,
-  poolLimits,
+  limitsOfPart,
+  type ConnectionPart,
   type PoolLimits,
   type RelativeShare,
 } from '@nutmegcourse/state'
@@ -75,8 +76,8 @@
   /** How long requests hold a connection, including idle time within transactions. */
   readonly #holdTimes = new ServiceEstimate()
   #connectionLimit: number
-  /** Returns the number of hosts that share the server's connections. */
-  readonly #holdingHosts: () => number
+  /** Returns this host's part of the server's connections. */
+  readonly #part: () => ConnectionPart
   #isClosed = false
   #busySince = Number.NEGATIVE_INFINITY
   readonly #opener: ConnectionOpener
@@ -85,9 +86,9 @@
     context: HostContext,
     address: BackendAddress,
     connectionLimit: number,
-    holdingHosts: () => number,
+    part: () => ConnectionPart,
   ) {
-    this.#holdingHosts = holdingHosts
+    this.#part = part
     this.#context = context
     this.#connectionLimit = connectionLimit
     this.#opener = new ConnectionOpener(context, address, this)
@@ -306,7 +307,7 @@
 
   #limits(): PoolLimits {
     const { requiresKeys } = this.#context.settings
-    return poolLimits(this.#connectionLimit, this.#holdingHosts(), requiresKeys)
+    return limitsOfPart(this.#connectionLimit, this.#part(), requiresKeys)
   }
 
   #takeIdle(session: SessionValues, use: ConnectionUse): PooledLink | null {
