feat(host): end idle transactions past their limit while others wait for their connections

Cause: a transaction of another host's caller kept its connection for the operators' limit and a second more when that host did not end it, and one whose limit was lowered meanwhile for as long as the former limit; statements of others ran out of time.

Change: where slots are scheduled, each tick ends as many transactions of a server as customers' requests wait there that nothing else can give a connection, the longest idle first, and logs each. Only those past the limit and 100 ms, in which a statement may be on its way between two hosts. The caller hears of it with its next statement, as before. The pool's opening and closing of connections moves to PoolGrowth.

--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -302,6 +302,17 @@
     when: 'A transaction was idle for too long and was rolled back.',
     fields: { database: 'the database', limit: 'the configured time, in milliseconds' },
   },
+  idle_transaction_ended_for_waiters: {
+    when: 'A transaction was idle for too long while requests waited for a connection of its server, and was rolled back.',
+    fields: {
+      service: 'the service',
+      server: 'the server',
+      customer: 'the customer whose connection it held; null for none',
+      idleMilliseconds: 'since its last statement was answered',
+      limit: 'the configured time, in milliseconds',
+      waiting: 'requests that nothing else could give a connection',
+    },
+  },
   relay_lost: {
     when: 'Another host that runs statements for this one cannot be reached.',
     fields: { host: 'the host', why: 'connectRefused, connectTimeout or silent' },
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -67,6 +67,7 @@
   readonly #services: ServiceRegistry
   readonly #customerLimits: CustomerLimits
   readonly #sessions = new Set<CallerSession>()
+  readonly #localRunner: StatementRunner
   readonly #runner: RelayingRunner
   readonly #relay: RelayServer
   readonly #follower: StoreFollower
@@ -101,9 +102,9 @@
     }
     this.limits = new LimitGranter(this.#context, plan)
     this.#customerLimits = new CustomerLimits(this.#context, this.limits, plan)
-    const runner = new StatementRunner(this.#context)
-    this.#runner = new RelayingRunner(this.#context, runner, this.#fleet)
-    this.#relay = new RelayServer(this.#context, runner, this)
+    this.#localRunner = new StatementRunner(this.#context)
+    this.#runner = new RelayingRunner(this.#context, this.#localRunner, this.#fleet)
+    this.#relay = new RelayServer(this.#context, this.#localRunner, this)
     this.#follower = new StoreFollower(this.#context, ports.store, this.#services, {
       reader: new ChangeFeedReader(this.#context, this.#fleet),
       server: this.changeFeed,
@@ -265,5 +266,9 @@
     this.#lastTick = now
     if (this.#fleet.tick(now)) this.#services.planOwners()
     this.#services.tick(now, { wasStalled, isStopping: this.#stopping !== null })
+    // After a stall, statements that arrived meanwhile have not been read yet.
+    if (this.#context.settings.schedulesSlots && !wasStalled) {
+      this.#localRunner.endIdleTransactionsForWaiters(this.idleTransactionMilliseconds)
+    }
   }
 }
--- a/packages/host/src/poolConnections.ts
+++ b/packages/host/src/poolConnections.ts
@@ -19,6 +19,12 @@
     return this.#all.size - this.idle.size
   }
 
+  /** Number of connections that run the host's own commands. */
+  get inUseByHost(): number {
+    const taken = [...this.#all].filter(({ isTakenByHost }) => isTakenByHost)
+    return taken.filter(pooled => !this.idle.includes(pooled)).length
+  }
+
   /** When bytes were last received on any connection. */
   get lastHeardAt(): number {
     let last = Number.NEGATIVE_INFINITY
--- a/packages/host/src/pooledLink.ts
+++ b/packages/host/src/pooledLink.ts
@@ -19,6 +19,8 @@
   usedAt: Milliseconds
   /** When it was last acquired. */
   takenAt: Milliseconds
+  /** Whether it was last acquired for the host's own commands, which return it soon. */
+  isTakenByHost: boolean
 }
 
 /** `overdue`: the deadline passed. `withdrawn`: the pool was closed, or its server is no longer the primary. */
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -3,19 +3,13 @@
  *
  * @internal
  */
-import {
-  addMilliseconds,
-  milliseconds,
-  type CustomerName,
-  type Milliseconds,
-} from '@nutmegcourse/shared'
+import { milliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
 import type { BackendAddress, BackendLink } from '@nutmegcourse/protocol'
 import {
   ConnectionValues,
   ServiceEstimate,
   SessionValues,
   WaitQueue,
-  connectionsToOpen,
   forecastWait,
   poolLimits,
   type PoolLimits,
@@ -27,6 +21,7 @@
 import { LastUseReplacement } from './lastUseReplacement.js'
 import { LeastCostReplacement } from './leastCostReplacement.js'
 import { PoolConnections } from './poolConnections.js'
+import { PoolGrowth, STARVATION_MILLISECONDS } from './poolGrowth.js'
 import {
   customerOf,
   canUse,
@@ -38,18 +33,9 @@
   type PooledLink,
 } from './pooledLink.js'
 
-/** A connection beyond this host's share is closed after being idle for this long. */
-const SURPLUS_IDLE_MILLISECONDS = 250
-
 /** Connections that are kept open without demand, so that the first request needs no handshake. */
 const WARM_CONNECTIONS = 1
 
-/**
- * How long a waiter may be overtaken by others that can use the released connection of their customer. A few handshakes
- * long, so that connections are seldom replaced and no customer starves behind another.
- */
-const STARVATION_MILLISECONDS = 50
-
 /** Ahead of all requests, whose priorities start at 0. */
 const HIGHEST_PRIORITY = -1
 
@@ -59,13 +45,6 @@
 
 const NEVER_TAKEN = milliseconds(Number.NEGATIVE_INFINITY)
 
-/** A waiter for which no connection is being opened. */
-interface UncoveredWaiter {
-  readonly waiter: LinkWaiter
-  /** Waiters of its customer before it that wait for one of the customer's connections in use. */
-  readonly ahead: number
-}
-
 export class ServerPool implements ConnectionReceiver {
   readonly #context: HostContext
   readonly #connections = new PoolConnections()
@@ -80,6 +59,7 @@
   #isClosed = false
   #busySince = Number.NEGATIVE_INFINITY
   readonly #opener: ConnectionOpener
+  readonly #growth: PoolGrowth
 
   constructor(
     context: HostContext,
@@ -92,6 +72,14 @@
     this.#connectionLimit = connectionLimit
     this.#opener = new ConnectionOpener(context, address, this)
     this.#replacement = this.#chooseReplacement()
+    this.#growth = new PoolGrowth({
+      clock: context.clock,
+      connections: this.#connections,
+      queue: this.#queue,
+      opener: this.#opener,
+      replacement: this.#replacement,
+      limits: () => this.#limits(),
+    })
   }
 
   #chooseReplacement(): ConnectionReplacement {
@@ -130,6 +118,11 @@
     return this.#queue.size
   }
 
+  /** Number of customers' requests that get a connection only when a customer's connection in use is returned. */
+  get stuck(): number {
+    return this.#growth.stuckWaiters
+  }
+
   get busy(): number {
     return this.#connections.busy
   }
@@ -255,17 +248,13 @@
   }
 
   #yieldsPlace(pooled: PooledLink, first: LinkWaiter): boolean {
-    if (canUse(pooled, first) || !this.#isStarved(first)) return false
+    if (canUse(pooled, first) || !this.#growth.isStarved(first)) return false
     return this.#replacement.mayTakePlace(customerOf(first.use), pooled)
   }
 
-  #isStarved({ use, since }: LinkWaiter): boolean {
-    if (this.#opener.openingByCustomer.has(customerOf(use))) return false
-    return this.#context.clock.now() > addMilliseconds(since, STARVATION_MILLISECONDS)
-  }
-
   #markTaken(pooled: PooledLink, use: ConnectionUse): PooledLink {
     pooled.takenAt = this.#context.clock.now()
+    pooled.isTakenByHost = use.kind === 'own'
     if (use.kind === 'customer') pooled.usedAt = pooled.takenAt
     return pooled
   }
@@ -293,7 +282,7 @@
   }
 
   tick(now: Milliseconds, keepWarm: boolean): void {
-    this.#closeSurplus(now, keepWarm)
+    this.#growth.closeSurplus(now, keepWarm)
     this.#openMore(keepWarm ? WARM_CONNECTIONS : 0)
   }
 
@@ -315,59 +304,7 @@
   }
 
   #openMore(warm = 0): void {
-    if (this.#isClosed || !this.#opener.mayOpen) return
-    const limits = this.#opener.wasFull
-      ? { share: 1, burst: this.#connections.size + 1 }
-      : this.#limits()
-    const uncovered = this.#waitersToOpenFor()
-    const opening = this.#opener.openingCount
-    const state = { size: this.size, opening, idle: 0, waiting: opening + uncovered.length }
-    const room = connectionsToOpen(state, limits, warm)
-    for (const [index, each] of uncovered.entries()) {
-      if (index < room || this.#makeRoom(each)) void this.#opener.open(customerOf(each.waiter.use))
-    }
-    for (let index = uncovered.length; index < room; index += 1) void this.#opener.open(null)
-  }
-
-  /** The waiters without a connection for which one is worth opening. */
-  #waitersToOpenFor(): UncoveredWaiter[] {
-    const waitingForOwn = new Map<CustomerName | null, number>()
-    const found: UncoveredWaiter[] = []
-    for (const waiter of this.#waitersWithoutConnection()) {
-      const customer = customerOf(waiter.use)
-      const ahead = waitingForOwn.get(customer) ?? 0
-      const isStarved = this.#isStarved(waiter)
-      const opens = this.#replacement.opensFor({ customer, ahead, isStarved })
-      if (waiter.use.kind === 'own' || opens) found.push({ waiter, ahead })
-      else waitingForOwn.set(customer, ahead + 1)
-    }
-    return found
-  }
-
-  /** The waiters that exceed the number of connections being opened for their customer. */
-  #waitersWithoutConnection(): LinkWaiter[] {
-    const unassigned = new Map(this.#opener.openingByCustomer)
-    const uncovered: LinkWaiter[] = []
-    for (const waiter of this.#queue.waiting()) {
-      const customer = customerOf(waiter.use)
-      const left = unassigned.get(customer) ?? 0
-      if (left === 0) uncovered.push(waiter)
-      else unassigned.set(customer, left - 1)
-    }
-    return uncovered
-  }
-
-  /** Closes an idle connection of another customer to make room for the waiter's. */
-  #makeRoom({ waiter, ahead }: UncoveredWaiter): boolean {
-    const { use } = waiter
-    if (use.kind === 'own' || this.#idle.size === 0) return false
-    const { customer } = use
-    const isStarved = this.#isStarved(waiter)
-    if (!this.#replacement.replacesFor({ customer, ahead, isStarved })) return false
-    const replaced = this.#replacement.candidateFor(customer)
-    if (replaced === null) return false
-    this.#closeLink(replaced)
-    return true
+    if (!this.#isClosed) this.#growth.openMore(warm)
   }
 
   opened(link: BackendLink, customer: CustomerName | null): void {
@@ -379,6 +316,7 @@
       idleSince: now,
       usedAt: now,
       takenAt: NEVER_TAKEN,
+      isTakenByHost: false,
     }
     this.#connections.add(pooled)
     link.onClosed(() => {
@@ -392,14 +330,4 @@
   failedToOpen(failure: OpenFailure): void {
     if (failure === 'unreachable' || this.#connections.size === 0) this.withdrawWaiting(failure)
   }
-
-  #closeSurplus(now: Milliseconds, keepWarm: boolean): void {
-    const { share } = this.#limits()
-    const keep = keepWarm ? share : 0
-    if (this.#connections.size <= keep) return
-    const surplus = this.#replacement.surplus(
-      ({ idleSince }) => now >= addMilliseconds(idleSince, SURPLUS_IDLE_MILLISECONDS),
-    )
-    if (surplus !== null) this.discard(surplus)
-  }
 }
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -67,6 +67,11 @@
     this.#transactions.end(transaction, status)
   }
 
+  /** Ends transactions that have been idle for longer than the limit while others wait for their connections. */
+  endIdleTransactionsForWaiters(limitMilliseconds: number): void {
+    this.#transactions.endIdleForWaiters(limitMilliseconds)
+  }
+
   /** Runs a read or write outside a transaction. */
   single(request: StatementRequest): Promise<StatementResult> {
     return request.isWrite ? this.#write(request) : this.#read(request)
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -64,6 +64,8 @@
   readonly link: PooledLink
   /** Whether it has run a write, so that a replica has to confirm its commit. */
   hasWritten: boolean
+  /** Whether it was rolled back because others waited for its connection while it was idle. */
+  isEnded: boolean
 }
 
 /** A transaction that another entry host runs on behalf of this one. */
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -21,6 +21,7 @@
   type LocalTransaction,
   type StatementRequest,
 } from './statements.js'
+import { ENDED_WHILE_IDLE, OpenTransactions } from './openTransactions.js'
 import { UNCONFIRMED, refusalAfter, withoutAccess, type NoAccess } from './accessRefusals.js'
 import { earlier } from './waiting.js'
 
@@ -46,10 +47,17 @@
 export class TransactionRunner {
   readonly #context: HostContext
   readonly #access: ServerAccess
+  readonly #open: OpenTransactions
 
   constructor(context: HostContext, access: ServerAccess) {
     this.#context = context
     this.#access = access
+    this.#open = new OpenTransactions(context, ({ server, link }) => this.#rollBack(server, link))
+  }
+
+  /** Ends transactions that have been idle for longer than the limit while others wait for their connections. */
+  endIdleForWaiters(limitMilliseconds: number): void {
+    this.#open.endForWaiters(limitMilliseconds)
   }
 
   /** Runs the first statement of a transaction, preceded by the BEGIN that the caller already has the answer to. */
@@ -85,6 +93,8 @@
     request: StatementRequest,
     transaction: LocalTransaction,
   ): Promise<TransactionStep<LocalTransaction>> {
+    if (transaction.isEnded) return { result: ENDED_WHILE_IDLE, transaction: null }
+    this.#open.noteNotIdle(transaction)
     const isCommit = request.statement.body.kind === 'commit'
     const place: StatementPlace = isCommit ? 'commit' : 'withinTransaction'
     const commitsWrites = isCommit && transaction.hasWritten
@@ -117,10 +127,12 @@
 
   /**
    * Ends the transaction and returns its connection to the pool, after a rollback if it is still open. `status` is the
-   * connection's last known session status.
+   * connection's last known session status. Does nothing for one that was ended while it was idle.
    */
   end(transaction: LocalTransaction, status: SessionStatus | null): void {
-    const { server, link } = transaction
+    this.#open.noteNotIdle(transaction)
+    const { server, link, isEnded } = transaction
+    if (isEnded) return
     if (status === null) {
       server.pool.discard(link)
       return
@@ -176,6 +188,7 @@
       server,
       link,
       hasWritten: false,
+      isEnded: false,
     }
     if (!(await applySessionValues(this.#context, link, session.values, request.deadline))) {
       server.pool.discard(link)
@@ -253,7 +266,10 @@
     isCommit: boolean,
   ): TransactionStep<LocalTransaction> {
     if (isCommit) recordOwnWrite(request, outcome.position)
-    if (outcome.status === 'open') return { result: answered(outcome), transaction }
+    if (outcome.status === 'open') {
+      this.#open.noteIdle(transaction)
+      return { result: answered(outcome), transaction }
+    }
     this.end(transaction, outcome.status)
     return { result: answered(outcome), transaction: null }
   }
--- a/packages/state/src/slots/index.ts
+++ b/packages/state/src/slots/index.ts
@@ -1,5 +1,6 @@
 export * from './admission.js'
 export { ConcurrencyLimit } from './concurrencyLimit.js'
 export * from './connectionRetention.js'
+export * from './idleTransactions.js'
 export * from './ownConnectionWait.js'
 export * from './slotRequest.js'
