fix(pool): queue a request of a customer over its share as one that waits; idle connections in constant time

Cause: a request counted as served at once whenever any connection was idle, also if none of them may be closed for its customer. IdleConnections searched a list for each connection. Change: the forecast asks for a candidate; idle connections are a set in the order of return. A test guards against ending an ended transaction again, on a connection that others use by then: without the guard the commit of another caller was acknowledged and kept nothing.

--- a/packages/host/__tests__/idleTransactions.spec.ts
+++ b/packages/host/__tests__/idleTransactions.spec.ts
@@ -77,6 +77,25 @@
     })
   })
 
+  // The ended transaction's connection runs a transaction of another caller when the host that began the first one ends
+  // it; that must not roll back the other caller's.
+  it('are not ended a second time, on a connection that others use by then', async () => {
+    await withHost(async (fixture, host, port) => {
+      await configureShortLimit(fixture, host)
+      const hanging = new JsonRpcConnection(connect(port, '127.0.0.1'), {})
+      for (let count = 0; count < HELD; count += 1) {
+        await hanging.request(RELAY_METHODS.begin, beginMessage(count), 1000)
+      }
+      const caller = await fixture.caller(host, 'latest')
+      const begun = [await caller.outcomeOf('begin'), await caller.outcomeOf('write 1')]
+      hanging.close()
+      await wait(SHORT_LIMIT_MILLISECONDS / 4)
+      expect([...begun, await caller.outcomeOf('commit')]).toEqual(['done', 'done', 'done'])
+      expect(fixture.group.acknowledged.length).toEqual(1)
+      expect(endedForWaiters(host).length).toEqual(1)
+    })
+  })
+
   // The limit was lowered while they were idle, so their own timers are later.
   it('are ended longest idle first, one for one waiter, and their callers hear of it', async () => {
     await withHost(async (fixture, host) => {
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -178,8 +178,10 @@
 
   /** Whether a connection can be opened for a customer's request at once, without queueing. */
   #opensAtOnce(use: ConnectionUse): boolean {
-    if (customerOf(use) === null || this.#opener.wasFull) return false
-    return this.size < this.#limits().burst || this.#idle.size > 0
+    const customer = customerOf(use)
+    if (customer === null || this.#opener.wasFull) return false
+    if (this.size < this.#limits().burst) return true
+    return this.#replacement.candidateFor(customer) !== null
   }
 
   /** Acquires a connection for the host's own commands, ahead of all requests and however long the queue is. */
--- a/packages/state/src/synchronous/idleConnections.ts
+++ b/packages/state/src/synchronous/idleConnections.ts
@@ -14,10 +14,10 @@
 
 export class IdleConnections<Connection extends IdleConnection> {
   /** Least recently returned first. */
-  readonly #connections: Connection[] = []
+  readonly #connections = new Set<Connection>()
 
   get size(): number {
-    return this.#connections.length
+    return this.#connections.size
   }
 
   all(): readonly Connection[] {
@@ -25,22 +25,20 @@
   }
 
   has(customer: CustomerName | null): boolean {
-    return this.#connections.some(each => each.customer === customer)
+    return this.all().some(each => each.customer === customer)
   }
 
   includes(connection: Connection): boolean {
-    return this.#connections.includes(connection)
+    return this.#connections.has(connection)
   }
 
   add(connection: Connection): void {
-    this.#connections.push(connection)
+    this.#connections.add(connection)
   }
 
   /** False if the connection was not idle. */
   remove(connection: Connection): boolean {
-    const index = this.#connections.indexOf(connection)
-    if (index >= 0) this.#connections.splice(index, 1)
-    return index >= 0
+    return this.#connections.delete(connection)
   }
 
   /** Takes the customer's connection with the smallest distance; ties go to the most recently returned. */
@@ -63,15 +61,17 @@
 
   /** Takes any connection, for the host's own queries; prefers one that is assigned to no customer. */
   takeAny(): Connection | null {
-    const best = this.#connections.findLast(each => each.customer === null)
-    const taken = best ?? this.#connections.at(-1) ?? null
+    const connections = this.all()
+    const best = connections.findLast(each => each.customer === null)
+    const taken = best ?? connections.at(-1) ?? null
     if (taken !== null) this.remove(taken)
     return taken
   }
 
   /** The least recently returned connection. */
   get oldest(): Connection | null {
-    return this.#connections[0] ?? null
+    const [oldest] = this.#connections
+    return oldest ?? null
   }
 
   /**
