--- a/packages/host/__tests__/poolConnections.spec.ts
+++ b/packages/host/__tests__/poolConnections.spec.ts
@@ -47,7 +47,10 @@
       log: { write: () => undefined },
       dialer: { open: () => this.#open() },
     } as unknown as HostContext
-    this.pool = new ServerPool(context, ADDRESS, connectionLimit, () => 1)
+    this.pool = new ServerPool(context, ADDRESS, connectionLimit, () => ({
+      kind: 'holder',
+      hosts: 1,
+    }))
   }
 
   /** Advances by one millisecond; promises settle meanwhile. */
