--- a/packages/host/__tests__/customers.spec.ts
+++ b/packages/host/__tests__/customers.spec.ts
@@ -228,75 +228,83 @@
   })
 })
 
-describe('the limit of a customer', () => {
-  const TOLERANCE = { windowMilliseconds: 5000, overage: 0.1, slack: 20 }
-  const LIMIT = { operationsPerSecond: 4, burst: 4 }
-  const LIMITED = customer('alfa', ['key-of-alfa'], LIMIT)
+for (const schedulesSlots of [false, true]) {
+  describe(`the limit of a customer${schedulesSlots ? ' where slots are scheduled' : ''}`, () => {
+    const TOLERANCE = { windowMilliseconds: 5000, overage: 0.1, slack: 20 }
+    const LIMIT = { operationsPerSecond: 4, burst: 4 }
+    const LIMITED = customer('alfa', ['key-of-alfa'], LIMIT)
 
-  const withThreeHosts = async (
-    scenario: (fixture: HostFixture, hosts: readonly FixtureHost[]) => Promise<void>,
-  ): Promise<void> =>
-    withHostFixture(3, scenario, {
-      customers: [LIMITED, BRAVO],
-      limitTolerance: TOLERANCE,
-      relayPorts: await freePorts(3),
-    })
+    const withThreeHosts = async (
+      scenario: (fixture: HostFixture, hosts: readonly FixtureHost[]) => Promise<void>,
+    ): Promise<void> =>
+      withHostFixture(3, scenario, {
+        customers: [LIMITED, BRAVO],
+        limitTolerance: TOLERANCE,
+        relayPorts: await freePorts(3),
+        schedulesSlots,
+      })
 
-  async function countServed(fixture: HostFixture, host: FixtureHost, key: string, times: number) {
-    const caller = await fixture.caller(host, 'own', key)
-    const outcomes: string[] = []
-    for (let count = 0; count < times; count += 1) outcomes.push(await caller.outcomeOf('read 1'))
-    return outcomes.filter(each => each === 'done').length
-  }
+    async function countServed(
+      fixture: HostFixture,
+      host: FixtureHost,
+      key: string,
+      times: number,
+    ) {
+      const caller = await fixture.caller(host, 'own', key)
+      const outcomes: string[] = []
+      for (let count = 0; count < times; count += 1) outcomes.push(await caller.outcomeOf('read 1'))
+      return outcomes.filter(each => each === 'done').length
+    }
 
-  // Callers of one customer connect to every host, and no host knows by itself how many operations the others admit.
-  it('applies to all hosts together and to no other customer', async () => {
-    await withThreeHosts(async (fixture, hosts) => {
-      const [first] = hosts
-      if (first === undefined) return
-      const served = await Promise.all(
-        hosts.map(host => countServed(fixture, host, 'key-of-alfa', 30)),
-      )
-      const sum = served.reduce((left, right) => left + right, 0)
-      const maximum = (LIMIT.operationsPerSecond * 5 + LIMIT.burst) * 1.1 + TOLERANCE.slack
-      expect(sum > 0 && sum <= maximum).toEqual(true)
-      expect(await countServed(fixture, first, 'key-of-bravo', 30)).toEqual(30)
+    // Callers of one customer connect to every host, and no host knows by itself how many operations the others admit.
+    it('applies to all hosts together and to no other customer', async () => {
+      await withThreeHosts(async (fixture, hosts) => {
+        const [first] = hosts
+        if (first === undefined) return
+        const served = await Promise.all(
+          hosts.map(host => countServed(fixture, host, 'key-of-alfa', 30)),
+        )
+        const sum = served.reduce((left, right) => left + right, 0)
+        const maximum = (LIMIT.operationsPerSecond * 5 + LIMIT.burst) * 1.1 + TOLERANCE.slack
+        expect(sum > 0 && sum <= maximum).toEqual(true)
+        expect(await countServed(fixture, first, 'key-of-bravo', 30)).toEqual(30)
+      })
     })
-  })
 
-  it('counts a transaction once, and its refusal gives a retry delay', async () => {
-    await withThreeHosts(async (fixture, [host]) => {
-      if (host === undefined) return
-      const caller = await fixture.caller(host, 'own', 'key-of-alfa')
-      expect([await caller.outcomeOf('begin'), await caller.outcomeOf('read 1')]).toEqual([
-        'done',
-        'done',
-      ])
-      for (let count = 0; count < 40; count += 1) {
-        expect(await caller.outcomeOf('read 1')).toEqual('done')
-      }
-      expect(await caller.outcomeOf('commit')).toEqual('done')
-      for (;;) {
-        const { answer } = await caller.run('read 1')
-        if (answer.kind !== 'refused') continue
-        expect(answer.refusal).toEqual('overLimit')
-        expect(/retry_after_ms=\d+$/.test(answer.detail)).toEqual(true)
-        return
-      }
+    it('counts a transaction once, and its refusal gives a retry delay', async () => {
+      await withThreeHosts(async (fixture, [host]) => {
+        if (host === undefined) return
+        const caller = await fixture.caller(host, 'own', 'key-of-alfa')
+        expect([await caller.outcomeOf('begin'), await caller.outcomeOf('read 1')]).toEqual([
+          'done',
+          'done',
+        ])
+        for (let count = 0; count < 40; count += 1) {
+          expect(await caller.outcomeOf('read 1')).toEqual('done')
+        }
+        expect(await caller.outcomeOf('commit')).toEqual('done')
+        for (;;) {
+          const { answer } = await caller.run('read 1')
+          if (answer.kind !== 'refused') continue
+          expect(answer.refusal).toEqual('overLimit')
+          expect(/retry_after_ms=\d+$/.test(answer.detail)).toEqual(true)
+          return
+        }
+      })
     })
-  })
 
-  // The hosts that hold two of the three parts of the limit crash. Operations must still be granted from the third
-  // part.
-  it('still admits operations after the loss of hosts that hold parts of it', async () => {
-    await withThreeHosts(async (fixture, hosts) => {
-      const [remaining, ...others] = hosts
-      if (remaining === undefined) return
-      for (const { host } of others) host.close()
-      expect((await countServed(fixture, remaining, 'key-of-alfa', 30)) > 0).toEqual(true)
+    // The hosts that hold two of the three parts of the limit crash. Operations must still be granted from the third
+    // part.
+    it('still admits operations after the loss of hosts that hold parts of it', async () => {
+      await withThreeHosts(async (fixture, hosts) => {
+        const [remaining, ...others] = hosts
+        if (remaining === undefined) return
+        for (const { host } of others) host.close()
+        expect((await countServed(fixture, remaining, 'key-of-alfa', 30)) > 0).toEqual(true)
+      })
     })
   })
-})
+}
 
 describe('keys', () => {
   // A key in a log line could be used by anyone who reads the log. Its digest must not be logged either.
--- a/packages/host/src/customerGrants.ts
+++ b/packages/host/src/customerGrants.ts
@@ -10,7 +10,7 @@
 import { startReadTimeout } from '@nutmegcourse/transport'
 import { CustomerUse } from './customerUse.js'
 import type { HostContext } from './hostContext.js'
-import type { GrantAnswer, GrantRequest, LimitGranter, LimitPlan } from './limitGranter.js'
+import type { GrantAnswer, GrantRequest, LimitPlan, OwnParts } from './limitGranter.js'
 
 /** Holders answer immediately; a round trip between regions takes tens of milliseconds. */
 const GRANT_TIMEOUT_MILLISECONDS = 200
@@ -35,12 +35,12 @@
 
 export class CustomerGrants {
   readonly #context: HostContext
-  readonly #granter: Pick<LimitGranter, 'answer'>
+  readonly #granter: OwnParts
   readonly #peers: LimitPeers
   readonly #silence = new HolderSilence()
   readonly #uses = new IdleMap<CustomerName, CustomerUse>()
 
-  constructor(context: HostContext, granter: Pick<LimitGranter, 'answer'>, peers: LimitPeers) {
+  constructor(context: HostContext, granter: OwnParts, peers: LimitPeers) {
     this.#context = context
     this.#granter = granter
     this.#peers = peers
--- a/packages/host/src/customerLimits.ts
+++ b/packages/host/src/customerLimits.ts
@@ -6,7 +6,7 @@
 import type { CustomerName } from '@nutmegcourse/shared'
 import type { SearchResult } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
-import type { GrantAnswer, LimitGranter } from './limitGranter.js'
+import type { GrantAnswer, OwnParts } from './limitGranter.js'
 import { Backoffs } from './backoffs.js'
 import { CustomerGrants, type LimitPeers } from './customerGrants.js'
 
@@ -26,7 +26,7 @@
 
 export class CustomerLimits {
   readonly #context: HostContext
-  readonly #granter: LimitGranter
+  readonly #granter: OwnParts
   readonly #peers: LimitPeers
   /** Customers whose limits every holder that answered reported as exhausted. */
   readonly #spent: Backoffs<CustomerName>
@@ -34,7 +34,7 @@
   /** Null where slots are not scheduled: then each operation asks one holder after the other. */
   readonly #grants: CustomerGrants | null
 
-  constructor(context: HostContext, granter: LimitGranter, peers: LimitPeers) {
+  constructor(context: HostContext, granter: OwnParts, peers: LimitPeers) {
     this.#context = context
     this.#granter = granter
     this.#peers = peers
--- a/packages/host/src/limitGranter.ts
+++ b/packages/host/src/limitGranter.ts
@@ -43,6 +43,9 @@
 /** For a customer with a limit of 0. Its limit may be raised, so hosts ask again. */
 const NOTHING_TO_GRANT: GrantAnswer = { kind: 'spent', waitMilliseconds: 1000 }
 
+/** Answers for the parts that this host holds. */
+export type OwnParts = Pick<LimitGranter, 'answer'>
+
 export class LimitGranter {
   readonly #context: HostContext
   readonly #plan: LimitPlan
