--- a/packages/host/__tests__/customerLimits.spec.ts
+++ b/packages/host/__tests__/customerLimits.spec.ts
@@ -87,6 +87,15 @@
     expect([most <= maximum, most >= window]).toEqual([true, true])
   })
 
+  // Guards against tokens that their holder does not count as handed ahead, while hosts are replaced by a newer version.
+  it('is granted operation by operation by holders of an older version', async () => {
+    const holders = new LimitHolders(LIMIT)
+    holders.areOlder = true
+    await holders.pass(5000)
+    const served = await sendOperations(holders, [holders.host('a')], { perSecond: 20, seconds: 5 })
+    expect([admitted(served), served.waits.includes(0)]).toEqual([100, false])
+  })
+
   it('is not reached when one of its parts is exhausted', async () => {
     const holders = new LimitHolders(LIMIT)
     await holders.pass(5000)
--- a/packages/host/__tests__/support/limitHolders.ts
+++ b/packages/host/__tests__/support/limitHolders.ts
@@ -60,6 +60,8 @@
   readonly silent = new Set<string>()
   /** Holders to which connections are known to be down. */
   readonly down = new Set<string>()
+  /** Holders of a version that knows nothing of tokens ahead. */
+  areOlder = false
   calls = 0
   limit: OperationLimit | null
 
@@ -107,7 +109,9 @@
       return null
     }
     await wait(LINK_MILLISECONDS)
-    const answer = this.#granters.get(holder)?.answer(request) ?? null
+    const { customer } = request
+    const understood = this.areOlder ? { customer } : request
+    const answer = this.#granters.get(holder)?.answer(understood) ?? null
     await wait(LINK_MILLISECONDS)
     return answer
   }
--- a/packages/state/__tests__/synchronous/limitPart.spec.ts
+++ b/packages/state/__tests__/synchronous/limitPart.spec.ts
@@ -51,6 +51,8 @@
   readonly #limit: OperationLimit
   readonly #handsAhead: boolean
   readonly #parts: LimitPart[]
+  /** By part: when its holder started. */
+  readonly #startedAt = Array.from({ length: PARTS }, () => milliseconds(0))
   /** By host: when each of its tokens was requested. */
   readonly #held: number[][] = Array.from({ length: HOSTS }, () => [])
   readonly #cutLinks = new Set<string>()
@@ -60,7 +62,7 @@
   constructor(limit: OperationLimit, handsAhead: boolean) {
     this.#limit = limit
     this.#handsAhead = handsAhead
-    this.#parts = Array.from({ length: PARTS }, () => this.#part())
+    this.#parts = this.#startedAt.map(startedAt => this.#part(startedAt))
   }
 
   apply(step: Step): void {
@@ -70,6 +72,7 @@
         return
       case 'rest':
         this.#now = milliseconds(this.#now + step.span)
+        this.#forgetIdle()
         return
       case 'restart':
         this.#restart(step.part)
@@ -102,6 +105,14 @@
     if ((newestFirst ? held.pop() : held.shift()) !== undefined) this.grants.push(this.#now)
   }
 
+  /** Holders forget idle parts, and start anew when they are used again. */
+  #forgetIdle(): void {
+    for (const [index, part] of this.#parts.entries()) {
+      const startedAt = this.#startedAt[index] ?? this.#now
+      if (part.isIdle(this.#now)) this.#parts[index] = this.#part(startedAt)
+    }
+  }
+
   #request(part: number): void {
     if (this.#parts[part]?.take(this.#now) === 0) this.grants.push(this.#now)
   }
@@ -112,12 +123,13 @@
     const recent = this.#restarted.filter(each => each.part === part && each.at > since)
     if (recent.length >= 2) return
     this.#restarted.push({ part, at: this.#now })
-    this.#parts[part] = this.#part()
+    this.#startedAt[part] = this.#now
+    this.#parts[part] = this.#part(this.#now)
   }
 
-  #part(): LimitPart {
-    const ahead = this.#handsAhead ? new TokensAhead(this.#now) : null
-    return new LimitPart(this.#limit, PARTS, TOLERANCE, this.#now, ahead)
+  #part(startedAt: Milliseconds): LimitPart {
+    const ahead = this.#handsAhead ? new TokensAhead(startedAt) : null
+    return new LimitPart(this.#limit, PARTS, TOLERANCE, startedAt, ahead)
   }
 }
 
@@ -224,6 +236,25 @@
     })
   }
 
+  it('keeps to it when all tokens are taken ahead and used late, whenever holders restart', () => {
+    const tick = fc.integer({
+      min: 1 - AHEAD_MILLISECONDS / TICK_MILLISECONDS,
+      max: TOLERANCE.windowMilliseconds / TICK_MILLISECONDS,
+    })
+    const restarts = fc.array(
+      tick.map(each => each * TICK_MILLISECONDS),
+      { maxLength: 4 },
+    )
+    fc.assert(
+      fc.property(
+        limits,
+        restarts,
+        (limit, times) => mostOfGreedyHosts(limit, times) <= allowed(limit),
+      ),
+      { numRuns: 100, seed: 20 },
+    )
+  })
+
   const cases: readonly (readonly [string, OperationLimit, number, number])[] = [
     ['grants its capacity after an idle time', { operationsPerSecond: 10, burst: 10 }, 60_000, 4],
     [
@@ -265,6 +296,51 @@
     expect(count <= 3).toEqual(true)
   })
 
+  // Guards against a holder that keeps a part of each customer that it has ever been asked for.
+  it('may be forgotten when it is full and nothing is out, and then equals a new one', () => {
+    const limit = { operationsPerSecond: 10, burst: 10 }
+    const create = (): LimitPart =>
+      new LimitPart(limit, PARTS, TOLERANCE, milliseconds(0), new TokensAhead(milliseconds(0)))
+    const bucket = create()
+    const isIdleAt = (at: number): boolean => bucket.isIdle(milliseconds(at))
+    expect([isIdleAt(0), isIdleAt(900), isIdleAt(5000)]).toEqual([false, false, true])
+    expect(bucket.takeAhead(1, milliseconds(5000))).toEqual(1)
+    expect([isIdleAt(5900), isIdleAt(6600)]).toEqual([false, true])
+    const count = (part: LimitPart): number => {
+      let granted = 0
+      while (part.take(milliseconds(6600)) === 0) granted += 1
+      return granted
+    }
+    expect(count(bucket)).toEqual(count(create()))
+  })
+
+  it('hands no tokens ahead while an earlier incarnation of its host may have some out', () => {
+    const start = milliseconds(10_000)
+    const limit = { operationsPerSecond: 100, burst: 100 }
+    const bucket = new LimitPart(limit, PARTS, TOLERANCE, start, new TokensAhead(start))
+    const takenAt = (at: number): number => bucket.takeAhead(1, milliseconds(at))
+    expect([takenAt(10_000), takenAt(10_999), takenAt(11_000)]).toEqual([0, 0, 1])
+  })
+
+  it('keeps half of its tokens for others when it hands some ahead', () => {
+    const limit = { operationsPerSecond: 100, burst: 100 }
+    const start = milliseconds(0)
+    const bucket = new LimitPart(limit, PARTS, TOLERANCE, start, new TokensAhead(start))
+    expect(bucket.takeAhead(1000, milliseconds(10_000))).toEqual(14)
+    let left = 0
+    while (bucket.take(milliseconds(10_000)) === 0) left += 1
+    expect(left).toEqual(14)
+  })
+
+  for (const count of [0, -1, Number.NaN, Number.NEGATIVE_INFINITY]) {
+    it(`hands nothing ahead if ${String(count)} tokens are requested`, () => {
+      const limit = { operationsPerSecond: 100, burst: 100 }
+      const start = milliseconds(0)
+      const bucket = new LimitPart(limit, PARTS, TOLERANCE, start, new TokensAhead(start))
+      expect(bucket.takeAhead(count, milliseconds(10_000))).toEqual(0)
+    })
+  }
+
   it('does not refill while another host may still grant the same part', () => {
     const limit = { operationsPerSecond: 100, burst: 0 }
     const bucket = new LimitPart(limit, PARTS, { ...TOLERANCE, slack: 0 }, milliseconds(6000))
--- a/packages/state/src/synchronous/limitInForce.ts
+++ b/packages/state/src/synchronous/limitInForce.ts
@@ -7,5 +7,7 @@
   isUnreadable !== true && operationsPerSecond >= 0
 
 /** That a limit stands there shows that the customer is not meant to be without one: nothing is granted. */
-export const limitInForce = (limit: OperationLimit): OperationLimit =>
-  isValidLimit(limit) ? { ...limit, burst: Math.max(0, limit.burst) } : NOTHING
+export function limitInForce(limit: OperationLimit): OperationLimit {
+  if (!isValidLimit(limit)) return NOTHING
+  return limit.burst >= 0 ? limit : { ...limit, burst: 0 }
+}
--- a/packages/state/src/synchronous/limitPart.ts
+++ b/packages/state/src/synchronous/limitPart.ts
@@ -87,7 +87,7 @@
     const most = this.#capacity * AHEAD_SHARE_OF_CAPACITY
     const room = most - this.#ahead.outstanding(now, most)
     const taken = Math.floor(Math.min(count, this.#tokens * AHEAD_SHARE_OF_TOKENS, room))
-    if (taken < 1) return 0
+    if (!(taken >= 1)) return 0
     this.#tokens -= taken
     this.#ahead.add(taken, now)
     return taken
