--- a/packages/host/__tests__/support/limitHolders.ts
+++ b/packages/host/__tests__/support/limitHolders.ts
@@ -12,8 +12,8 @@
 const LINK_MILLISECONDS = 3
 
 /**
- * Timers on the virtual clock. Those of node:test remove another timer when one that has already run is cleared, as
- * the time limit of an answered request is.
+ * Timers on the virtual clock. With those of node:test a tick never ends if one of its timers starts an immediate, as a
+ * read timeout does.
  */
 class VirtualTimers {
   readonly #clock: VirtualClock
