feat(state): forecasts count what will overtake a waiting statement

Change: the recent demand of higher classes, of other customers and, for what will be late, of its own class counts into the backlog that admission is asked with.

--- a/packages/state/src/slots/classQueue.ts
+++ b/packages/state/src/slots/classQueue.ts
@@ -19,8 +19,6 @@
   readonly aheadMilliseconds: number
   /** The part of it that is of the same customer. */
   readonly ownAheadMilliseconds: number
-  /** Weights of all customers with waiting requests, and of the request's own. */
-  readonly weights: number
 }
 
 const byNextServed = <Request extends SlotRequest>(
@@ -128,12 +126,7 @@
     const others = sampledSum(this.#active.items, other =>
       other === flow ? 0 : other.millisecondsBeforeTag(tag, waiting.isLate),
     )
-    const weights = sampledSum(this.#active.items, other => (other === flow ? 0 : other.weight))
-    return {
-      aheadMilliseconds: own + others,
-      ownAheadMilliseconds: own,
-      weights: weights + waiting.weight,
-    }
+    return { aheadMilliseconds: own + others, ownAheadMilliseconds: own }
   }
 
   millisecondsOf(customer: CustomerName | null): number {
--- a/packages/state/src/slots/customerFlow.ts
+++ b/packages/state/src/slots/customerFlow.ts
@@ -60,7 +60,9 @@
   /** Slot time of its requests that are served before `waiting`. */
   millisecondsBefore(waiting: WaitingRequest<Request>): number {
     return sampledSum(this.#waiting.items, other =>
-      byUrgency(other, waiting) < 0 ? other.costMilliseconds : 0,
+      other.sequence !== waiting.sequence && byUrgency(other, waiting) < 0
+        ? other.costMilliseconds
+        : 0,
     )
   }
 
--- a/packages/state/src/slots/serverSlots.ts
+++ b/packages/state/src/slots/serverSlots.ts
@@ -7,6 +7,7 @@
 import { SlotDemand } from './slotDemand.js'
 import type { SlotRequest, SlotResult } from './slotRequest.js'
 import { SlotScheduler, type PositionInOrder } from './slotScheduler.js'
+import { validCost } from './waitingRequest.js'
 
 /** Shares of slot time are those of about this period. */
 const SHARES_PERIOD_MILLISECONDS = 10_000
@@ -82,7 +83,7 @@
     return this.#expiries.peek()?.latestStart ?? null
   }
 
-  /** Each customer's part of the slot time that was used recently. */
+  /** Each customer's part of the slot time that was used recently, as of the latest answer. */
   get shares(): ReadonlyMap<CustomerName | null, number> {
     const used = [...this.#usage.keys()].map(key => [key, this.#usage.get(key)] as const)
     const total = used.reduce((sum, [, milliseconds]) => sum + milliseconds, 0)
@@ -90,6 +91,7 @@
   }
 
   submit(request: Request, now: Milliseconds): Submission {
+    this.#demand.recordOffered(request, now)
     if (this.#scheduler.size === 0 && this.#hasFreeSlot) {
       this.#enqueue(request, now)
       this.#startNext(now)
@@ -177,7 +179,7 @@
   #enqueue(request: Request, now: Milliseconds): void {
     this.#scheduler.enqueue(request, now)
     this.#expiries.push(request)
-    this.#demand.record(request, now)
+    this.#demand.recordAdmitted(request, now)
   }
 
   #startNext(now: Milliseconds): Request | null {
@@ -200,15 +202,9 @@
 
   #backlogOf(request: Request, position: PositionInOrder, now: Milliseconds): SlotBacklog {
     const concurrency = Math.max(1, this.#limit.value)
-    const inFlight = this.#inFlightMilliseconds(now)
+    const load = { slots: concurrency, inFlightMilliseconds: this.#inFlightMilliseconds(now) }
     return {
-      aheadMilliseconds: this.#demand.aheadMilliseconds(
-        request,
-        position,
-        inFlight,
-        concurrency,
-        now,
-      ),
+      aheadMilliseconds: this.#demand.aheadMilliseconds(request, position, load, now),
       ownMilliseconds: this.#scheduler.ownMilliseconds(request),
       concurrency,
     }
@@ -218,7 +214,7 @@
   #inFlightMilliseconds(now: Milliseconds): number {
     let milliseconds = 0
     for (const [request, { startedAt }] of this.#inFlight) {
-      milliseconds += Math.max(0, startedAt + request.expectedMilliseconds - now)
+      milliseconds += Math.max(0, startedAt + validCost(request.expectedMilliseconds) - now)
     }
     return milliseconds
   }
--- a/packages/state/src/slots/slidingTotals.ts
+++ b/packages/state/src/slots/slidingTotals.ts
@@ -5,10 +5,14 @@
  */
 import type { Milliseconds } from '@nutmegcourse/shared'
 
+/** Rates of a shorter time than this would be those of a few events. */
+const MINIMUM_RATE_MILLISECONDS = 250
+
 export class SlidingTotals<Key> {
   readonly #periodMilliseconds: number
-  #startedAt = Number.NEGATIVE_INFINITY
-  #now = Number.NEGATIVE_INFINITY
+  #firstAt: number | null = null
+  #startedAt = 0
+  #now = 0
   #current = new Map<Key, number>()
   #previous = new Map<Key, number>()
 
@@ -16,9 +20,16 @@
     this.#periodMilliseconds = periodMilliseconds
   }
 
-  add(key: Key, amount: number, now: Milliseconds): void {
+  /** Returns whether the key is the first of its kind in the current period. */
+  add(key: Key, amount: number, now: Milliseconds): boolean {
+    if (this.#firstAt === null) {
+      this.#firstAt = now
+      this.#startedAt = now
+    }
     this.advance(now)
-    this.#current.set(key, (this.#current.get(key) ?? 0) + amount)
+    const known = this.#current.get(key)
+    this.#current.set(key, (known ?? 0) + amount)
+    return known === undefined
   }
 
   advance(now: Milliseconds): void {
@@ -27,9 +38,7 @@
     if (periods < 1) return
     this.#previous = periods === 1 ? this.#current : new Map<Key, number>()
     this.#current = new Map<Key, number>()
-    this.#startedAt = Number.isFinite(periods)
-      ? this.#startedAt + periods * this.#periodMilliseconds
-      : this.#now
+    this.#startedAt += periods * this.#periodMilliseconds
   }
 
   /** The part of the previous period that lies further back counts no more. */
@@ -39,6 +48,17 @@
     return previous + (this.#current.get(key) ?? 0)
   }
 
+  /** In a millisecond, over the period or since the first addition. */
+  rate(key: Key): number {
+    const known = Math.max(MINIMUM_RATE_MILLISECONDS, this.#now - (this.#firstAt ?? this.#now))
+    return this.get(key) / Math.min(this.#periodMilliseconds, known)
+  }
+
+  /** The larger one of the two periods. */
+  peak(key: Key): number {
+    return Math.max(this.#previous.get(key) ?? 0, this.#current.get(key) ?? 0)
+  }
+
   keys(): ReadonlySet<Key> {
     return new Set([...this.#previous.keys(), ...this.#current.keys()])
   }
--- a/packages/state/src/slots/slotDemand.ts
+++ b/packages/state/src/slots/slotDemand.ts
@@ -4,75 +4,95 @@
  *
  * @internal
  */
-import type { CustomerName, Milliseconds } from '@nutmegcourse/shared'
+import type { Milliseconds } from '@nutmegcourse/shared'
+import { ClassDemand } from './classDemand.js'
 import { MINIMUM_SHARE } from './minimumShare.js'
-import { SlidingTotals } from './slidingTotals.js'
 import type { SlotRequest } from './slotRequest.js'
 import type { PositionInOrder } from './slotScheduler.js'
-import { validClassPriority } from './waitingRequest.js'
+import { validClassPriority, validCost, validWeight } from './waitingRequest.js'
 
-/** Demand of the recent past is taken for that of the near future. */
-const PERIOD_MILLISECONDS = 2000
-
-interface ClassDemand {
-  readonly total: SlidingTotals<null>
-  readonly byCustomer: SlidingTotals<CustomerName | null>
+/** What a server has in flight, and how much it processes concurrently. */
+export interface ServerLoad {
+  readonly slots: number
+  /** Expected slot time until what is in flight has finished. */
+  readonly inFlightMilliseconds: number
 }
 
 export class SlotDemand {
   readonly #classes = new Map<number, ClassDemand>()
 
-  /** Counts an admitted request. */
-  record(request: SlotRequest, now: Milliseconds): void {
-    const classPriority = validClassPriority(request.classPriority)
-    const demand = this.#classes.get(classPriority) ?? {
-      total: new SlidingTotals<null>(PERIOD_MILLISECONDS),
-      byCustomer: new SlidingTotals<CustomerName | null>(PERIOD_MILLISECONDS),
-    }
-    this.#classes.set(classPriority, demand)
-    const milliseconds = request.expectedMilliseconds > 0 ? request.expectedMilliseconds : 0
-    demand.total.add(null, milliseconds, now)
-    demand.byCustomer.add(request.customer, milliseconds, now)
+  recordOffered(request: SlotRequest, now: Milliseconds): void {
+    this.#classOf(request).recordOffered(validCost(request.expectedMilliseconds), now)
   }
 
-  /** Slot time until a request starts on a server with `slots`, including what will overtake it. */
+  recordAdmitted(request: SlotRequest, now: Milliseconds): void {
+    const { customer, customerWeight, expectedMilliseconds } = request
+    const cost = validCost(expectedMilliseconds)
+    this.#classOf(request).recordAdmitted(customer, validWeight(customerWeight), cost, now)
+  }
+
+  /** Slot time until a request starts, including what will overtake it. */
   aheadMilliseconds(
     request: SlotRequest,
     position: PositionInOrder,
-    inFlightMilliseconds: number,
-    slots: number,
+    { slots, inFlightMilliseconds }: ServerLoad,
     now: Milliseconds,
   ): number {
     const ahead = position.aheadMilliseconds + inFlightMilliseconds
     if (request.isUnderWay) return ahead
+    const cost = validCost(request.expectedMilliseconds)
     const left = slots - this.#slotsOfHigherClasses(request, now)
     const guaranteed = slots * MINIMUM_SHARE
-    const needed = position.classMilliseconds + request.expectedMilliseconds
+    const needed = position.classMilliseconds + cost
     const untilDue = inFlightMilliseconds / slots + needed / guaranteed
     const byClass = left <= 0 ? untilDue : Math.min(ahead / left, Math.max(untilDue, ahead / slots))
     const classSlots = Math.max(left, guaranteed)
-    const customerSlots = Math.max(
-      classSlots - this.#slotsOfOtherCustomers(request, now),
-      classSlots * position.customerShare,
-    )
-    return slots * Math.max(byClass, position.ownMilliseconds / customerSlots)
+    const ownSlots = this.#slotsOfCustomer(request, classSlots, now)
+    const own = position.ownMilliseconds
+    // Shares hold to within one statement.
+    const byCustomer = own > 0 ? (own + cost) / ownSlots : 0
+    const wait = Math.max(byClass, byCustomer)
+    if (now + wait + cost <= request.targetAt) return slots * wait
+    const aheadWhenLate = ahead - position.classMilliseconds + position.lateClassMilliseconds
+    return slots * Math.max(wait, this.#waitWhenLate(request, aheadWhenLate, classSlots, now))
+  }
+
+  /** A late request gets what those leave over that arrive after it and can meet their targets. */
+  #waitWhenLate(
+    request: SlotRequest,
+    ahead: number,
+    classSlots: number,
+    now: Milliseconds,
+  ): number {
+    const afterDeadline = request.latestStart + validCost(request.expectedMilliseconds) - now
+    const leftOver = classSlots - this.#classOf(request).offeredSlots(now)
+    return leftOver > 0 ? Math.min(ahead / leftOver, afterDeadline) : afterDeadline
+  }
+
+  /** What the other customers of its class leave over, or its fair share. */
+  #slotsOfCustomer(request: SlotRequest, classSlots: number, now: Milliseconds): number {
+    const demand = this.#classOf(request)
+    const leftOver = classSlots - demand.slotsOfOthers(request.customer, now)
+    const fairShare = demand.fairShare(validWeight(request.customerWeight), now)
+    return Math.max(leftOver, classSlots * fairShare)
   }
 
   #slotsOfHigherClasses(request: SlotRequest, now: Milliseconds): number {
     const classPriority = validClassPriority(request.classPriority)
     let slots = 0
-    for (const [other, { total }] of this.#classes) {
-      total.advance(now)
-      if (other < classPriority) slots += total.get(null) / PERIOD_MILLISECONDS
+    for (const [other, demand] of this.#classes) {
+      if (demand.offeredSlots(now) === 0) this.#classes.delete(other)
+      else if (other < classPriority) slots += demand.slots(now)
     }
     return slots
   }
 
-  #slotsOfOtherCustomers(request: SlotRequest, now: Milliseconds): number {
-    const demand = this.#classes.get(validClassPriority(request.classPriority))
-    if (demand === undefined) return 0
-    demand.byCustomer.advance(now)
-    const others = demand.total.get(null) - demand.byCustomer.get(request.customer)
-    return Math.max(0, others) / PERIOD_MILLISECONDS
+  #classOf(request: SlotRequest): ClassDemand {
+    const classPriority = validClassPriority(request.classPriority)
+    const known = this.#classes.get(classPriority)
+    if (known !== undefined) return known
+    const demand = new ClassDemand()
+    this.#classes.set(classPriority, demand)
+    return demand
   }
 }
--- a/packages/state/src/slots/slotScheduler.ts
+++ b/packages/state/src/slots/slotScheduler.ts
@@ -18,10 +18,10 @@
   readonly aheadMilliseconds: number
   /** Of its own class. */
   readonly classMilliseconds: number
+  /** Of its own class, once it can no longer meet its target. */
+  readonly lateClassMilliseconds: number
   /** Of its own class and customer. */
   readonly ownMilliseconds: number
-  /** The part of its class that its customer is entitled to while all that wait compete. */
-  readonly customerShare: number
   /** About how many requests, minimum shares of lower classes left aside. */
   readonly ahead: number
 }
@@ -142,16 +142,19 @@
       request.isUnderWay && byClassAndUrgency(other, waiting) >= 0 ? 0 : other.costMilliseconds,
     )
     if (request.isUnderWay) {
-      const none = { classMilliseconds: 0, ownMilliseconds: 0, customerShare: 1 }
-      return { aheadMilliseconds: underWay, ...none, ahead: this.#underWay.size }
+      const none = { classMilliseconds: 0, lateClassMilliseconds: 0, ownMilliseconds: 0 }
+      const ahead = this.#underWay.size
+      return { aheadMilliseconds: underWay, ...none, ahead }
     }
-    const backlog = this.#classes.get(waiting.classPriority)?.backlogBefore(waiting)
+    const queue = this.#classes.get(waiting.classPriority)
+    const backlog = queue?.backlogBefore(waiting)
+    const late = queue?.backlogBefore({ ...waiting, isLate: true })
     const classMilliseconds = backlog?.aheadMilliseconds ?? 0
     return {
       aheadMilliseconds: underWay + this.#aheadInClasses(waiting, classMilliseconds),
       classMilliseconds,
+      lateClassMilliseconds: late?.aheadMilliseconds ?? 0,
       ownMilliseconds: backlog?.ownAheadMilliseconds ?? 0,
-      customerShare: backlog === undefined ? 1 : waiting.weight / backlog.weights,
       ahead: this.#underWay.size + this.#countAheadInClasses(waiting, classMilliseconds),
     }
   }
--- a/packages/state/src/slots/waitingRequest.ts
+++ b/packages/state/src/slots/waitingRequest.ts
@@ -28,10 +28,10 @@
 export const validClassPriority = (priority: number): number =>
   Number.isNaN(priority) ? LOWEST_CLASS_PRIORITY : Math.max(0, priority)
 
-const validWeight = (weight: number): number =>
+export const validWeight = (weight: number): number =>
   Number.isFinite(weight) ? Math.max(MINIMUM_WEIGHT, weight) : MINIMUM_WEIGHT
 
-const validCost = (cost: number): number =>
+export const validCost = (cost: number): number =>
   Number.isFinite(cost) ? Math.max(MINIMUM_COST_MILLISECONDS, cost) : MINIMUM_COST_MILLISECONDS
 
 export function waitingRequest<Request extends SlotRequest>(
