fix(host): a host's own stall no longer counts as time that a server held its connections

A host that stood still read answers late, recorded the stall as hold time, forecast waits many times too long and refused callers as overloaded for a while after it. The stall is now measured by checks of the event loop that also run when a connection is taken and released, so that it is known although the sockets are read before the timers.

--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -25,6 +25,7 @@
 import { HostRegistration } from './hostRegistration.js'
 import { LimitGranter } from './limitGranter.js'
 import { ChangeFeedServer } from './changeFeedServer.js'
+import { OwnStall } from './ownStall.js'
 import { PlannedStop, type SessionIntake, type StoppingHost } from './plannedStop.js'
 import { RelayServer, type RelayServices } from './relayServer.js'
 import { RelayingRunner } from './relayingRunner.js'
@@ -86,7 +87,15 @@
     clock: Clock,
     random: RandomSource,
   ) {
-    this.#context = { settings, clock, random, dialer: ports.dialer, log, metrics }
+    this.#context = {
+      settings,
+      clock,
+      random,
+      dialer: ports.dialer,
+      log,
+      metrics,
+      ownStall: new OwnStall(clock),
+    }
     this.#ports = ports
     this.#lastTick = clock.now()
     this.#fleet = new HostFleet(this.#context)
--- a/packages/host/src/hostContext.ts
+++ b/packages/host/src/hostContext.ts
@@ -7,6 +7,7 @@
 import type { BackendDialer, HostSettings } from '@nutmegcourse/protocol'
 import type { DecisionLog } from './decisionLog.js'
 import type { HostMetrics } from './hostMetrics.js'
+import type { OwnStall } from './ownStall.js'
 
 export interface HostContext {
   readonly settings: HostSettings
@@ -15,4 +16,5 @@
   readonly dialer: BackendDialer
   readonly log: DecisionLog
   readonly metrics: HostMetrics
+  readonly ownStall: OwnStall
 }
--- /dev/null
+++ b/packages/host/src/ownStall.ts
@@ -0,0 +1,55 @@
+/**
+ * Measures for how long this process itself stood still. A stall is known as soon as a callback runs after it: the
+ * sockets may be read before the expired timers run.
+ *
+ * @internal
+ */
+import type { Clock } from '@nutmegcourse/shared'
+
+const CHECK_INTERVAL_MILLISECONDS = 20
+
+/** A check that is late by less is part of normal operation. */
+const SHORTEST_STALL_MILLISECONDS = 20
+
+/** Without a reader for this long the checks end until the next one. */
+const WATCH_MILLISECONDS = 1000
+
+export class OwnStall {
+  readonly #clock: Clock
+  #totalMilliseconds = 0
+  #checkedAt = 0
+  #readAt = 0
+  #timer: NodeJS.Timeout | null = null
+
+  constructor(clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** The sum of all stalls so far; the difference of two readings is how long the process stood still between them. */
+  get totalMilliseconds(): number {
+    this.#readAt = this.#clock.now()
+    if (this.#timer === null) this.#watch()
+    else this.#check()
+    return this.#totalMilliseconds
+  }
+
+  #watch(): void {
+    this.#checkedAt = this.#clock.now()
+    this.#timer = setInterval(() => {
+      this.#check()
+      if (this.#checkedAt > this.#readAt + WATCH_MILLISECONDS) this.#stop()
+    }, CHECK_INTERVAL_MILLISECONDS).unref()
+  }
+
+  #stop(): void {
+    if (this.#timer !== null) clearInterval(this.#timer)
+    this.#timer = null
+  }
+
+  #check(): void {
+    const now = this.#clock.now()
+    const late = now - this.#checkedAt - CHECK_INTERVAL_MILLISECONDS
+    if (late >= SHORTEST_STALL_MILLISECONDS) this.#totalMilliseconds += late
+    this.#checkedAt = now
+  }
+}
--- a/packages/host/src/pooledLink.ts
+++ b/packages/host/src/pooledLink.ts
@@ -19,6 +19,8 @@
   usedAt: Milliseconds
   /** When it was last acquired. */
   takenAt: Milliseconds
+  /** For how long this process had stood still by then. */
+  stalledBefore: number
 }
 
 /** `overdue`: the deadline passed. `withdrawn`: the pool was closed, or its server is no longer the primary. */
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -234,14 +234,20 @@
 
   #markTaken(pooled: PooledLink, use: ConnectionUse): PooledLink {
     pooled.takenAt = this.#context.clock.now()
+    pooled.stalledBefore = this.#context.ownStall.totalMilliseconds
     if (use.kind === 'customer') pooled.usedAt = pooled.takenAt
     return pooled
   }
 
-  /** Records how long a request held the connection; a new connection has not been acquired yet and is skipped. */
-  #recordHold({ takenAt }: PooledLink): void {
+  /**
+   * Records how long a request held the connection; a new connection has not been acquired yet and is skipped. While
+   * this process stood still, an answer could not be read: that time says nothing about the server.
+   */
+  #recordHold({ takenAt, stalledBefore }: PooledLink): void {
+    if (!Number.isFinite(takenAt)) return
     const now = this.#context.clock.now()
-    if (Number.isFinite(takenAt)) this.#holdTimes.record(now - takenAt, now)
+    const stalledMilliseconds = this.#context.ownStall.totalMilliseconds - stalledBefore
+    this.#holdTimes.record(Math.max(0, now - takenAt - stalledMilliseconds), now)
   }
 
   /** Closes a connection that has a pending answer or is in an unknown state, so that it is not used again. */
@@ -340,6 +346,7 @@
       idleSince: now,
       usedAt: now,
       takenAt: NEVER_TAKEN,
+      stalledBefore: 0,
     }
     this.#all.add(pooled)
     link.onClosed(() => {
