feat(host): reads leave replicas alone that trail, and take their place at the primary at once

A read that found every other server excluded went to a replica that was known to be behind, was refused, paused and tried again until its time was over. Where slots are scheduled, a replica that is behind is now chosen for one read at a time: first when it should have caught up at the rate at which its log grew, then every 400 ms. A read that it refuses goes to the primary without a pause, and a read that waits at the primary does not give up its place for such a replica.

--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -26,7 +26,7 @@
 export class BackendServerState {
   readonly pool: ServerPool
   readonly latency: LatencyEstimate
-  readonly progress = new ReplicaProgress()
+  readonly progress: ReplicaProgress
   readonly writes = new WriteConfirmation()
   readonly distance: Distance
   readonly #context: HostContext
@@ -45,6 +45,7 @@
     this.#context = context
     this.#entry = entry
     this.pool = new ServerPool(context, addressOf(entry), connectionLimit, holdingHosts)
+    this.progress = new ReplicaProgress(context.settings.schedulesSlots)
     this.distance = distanceOf(context, entry)
     const floors = [
       INITIAL_LATENCY_IN_ZONE,
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -80,18 +80,29 @@
     request: StatementRequest,
     excluded: Set<BackendServerId>,
   ): Promise<BackendServerState | null> {
-    const { service, route, session, customer } = request
-    const now = this.#context.clock.now()
-    const need = service.need(route.guarantee, session.ownPosition, now)
+    const { service, route, session } = request
+    const need = service.need(route.guarantee, session.ownPosition, this.#context.clock.now())
     if (need.kind === 'primary') return this.awaitPrimary(request)
     const reader =
-      need.kind === 'unknown' ? null : service.chooseReader(need.position, excluded, now, customer)
+      need.kind === 'unknown' ? null : this.#chooseReader(request, need.position, excluded)
     if (reader !== null) return reader
     excluded.clear()
     await this.#awaitChange(request)
     return null
   }
 
+  #chooseReader(
+    { service, customer }: StatementRequest,
+    need: LogPosition,
+    excluded: ReadonlySet<BackendServerId>,
+  ): BackendServerState | null {
+    const { clock, settings } = this.#context
+    const now = clock.now()
+    return settings.schedulesSlots
+      ? service.chooseCurrentReader(need, excluded, now, customer)
+      : service.chooseReader(need, excluded, now, customer)
+  }
+
   /** Acquires a connection to the server before `acquireBy`, or tells why there is none. */
   async acquire(
     request: StatementRequest,
@@ -188,9 +199,22 @@
     const now = this.#context.clock.now()
     if (service.chooseReader(null, excluded, now, customer) !== null) return
     excluded.clear()
+    if (this.#isOnlyBehind(request, server)) {
+      excluded.add(server.entry.server)
+      return
+    }
     await this.backOffAfter({ kind: 'refused', refusal: 'busy' })
   }
 
+  /** Whether the server lacks what the read needs and another one can serve it, so that a delay is of no use. */
+  #isOnlyBehind(request: StatementRequest, server: BackendServerState): boolean {
+    if (!this.#context.settings.schedulesSlots) return false
+    const { service, route, session } = request
+    const need = service.need(route.guarantee, session.ownPosition, this.#context.clock.now())
+    if (need.kind !== 'position' || !server.progress.isKnownBehind(need.position)) return false
+    return this.alternativeReader(request, server, new Set()) !== null
+  }
+
   /** Waits before a server that refused is tried again; other failures need no delay. */
   async backOffAfter(mishap: StatementFailure): Promise<void> {
     if (mishap.kind !== 'refused') return
@@ -224,7 +248,8 @@
     after: LogPosition | null,
     outcome: AttemptOutcome,
   ): void {
-    if (outcome.position !== null) server.progress.noteReached(outcome.position)
+    if (outcome.position !== null)
+      server.progress.noteReached(outcome.position, this.#context.clock.now())
     if (after === null || outcome.kind === 'answered') return
     if (outcome.mishap.kind === 'refused' && outcome.mishap.refusal === 'behind') {
       server.progress.noteBehind(after, this.#context.clock.now())
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -243,6 +243,22 @@
     return this.#best(this.#candidates(need, excluded, now, customer))
   }
 
+  /**
+   * The best server that may have the log up to `need`; null if there is none. A server that was found behind is chosen
+   * for one read at a time, which shows whether it has caught up.
+   */
+  chooseCurrentReader(
+    need: LogPosition,
+    excluded: ReadonlySet<BackendServerId>,
+    now: Milliseconds,
+    customer: CustomerName | null,
+  ): BackendServerState | null {
+    const candidates = this.#candidates(need, excluded, now, customer)
+    const best = this.#best(candidates.filter(({ isBehind }) => !isBehind))
+    best?.progress.noteReadSent(need, now)
+    return best
+  }
+
   /** The best server that is expected to serve such a read now; null if there is none. */
   chooseReadyReader(
     need: LogPosition | null,
@@ -250,7 +266,14 @@
     now: Milliseconds,
     customer: CustomerName | null,
   ): BackendServerState | null {
-    return this.#best(this.#candidates(need, excluded, now, customer).filter(isReadyForRead))
+    const ready = this.#candidates(need, excluded, now, customer).filter(isReadyForRead)
+    return this.#best(ready.filter(({ server }) => !this.#isKnownBehind(server, need)))
+  }
+
+  /** Where slots are scheduled, a read does not give up its place for a server that may still be behind. */
+  #isKnownBehind(id: BackendServerId, need: LogPosition | null): boolean {
+    if (need === null || !this.#context.settings.schedulesSlots) return false
+    return this.#servers.get(id)?.progress.isKnownBehind(need) ?? false
   }
 
   #best(candidates: readonly ReadCandidate[]): BackendServerState | null {
--- a/packages/state/__tests__/synchronous/replicaProgress.spec.ts
+++ b/packages/state/__tests__/synchronous/replicaProgress.spec.ts
@@ -58,4 +58,56 @@
     }
     expect(refused <= 30).toEqual(true)
   })
+
+  /** The log's growth before it was found behind, how much it lacked, and after how long it is retried. */
+  const forecasts: readonly (readonly [string, number, number, number])[] = [
+    ['a little', 100, 5, 50],
+    ['less than grows in the shortest delay', 1000, 1, 15],
+    ['more than grows in the longest delay', 100, 500, 400],
+    ['something while its log does not grow', 0, 1, 400],
+  ]
+  for (const [name, recordsPerSecond, lacked, delay] of forecasts) {
+    it(`retries a server that lacks ${name} after ${String(delay)} ms, if it learns the rate`, () => {
+      const progress = new ReplicaProgress(true)
+      const end = 1000 + recordsPerSecond
+      progress.noteReached(position(1000), at(0))
+      progress.noteReached(position(end), at(1000))
+      const needed = position(end + lacked)
+      progress.noteBehind(needed, at(1000))
+      const tells = [delay - 1, delay].map(after =>
+        progress.isLikelyBehind(needed, at(1000 + after)),
+      )
+      expect(tells).toEqual([true, false])
+    })
+  }
+
+  it('retries a server whose rate is not known, or that lacks a later term, after the longest delay', () => {
+    const unknown = new ReplicaProgress(true)
+    const ofEarlierTerm = new ReplicaProgress(true)
+    ofEarlierTerm.noteReached(position(1000), at(0))
+    ofEarlierTerm.noteReached(position(1100), at(1000))
+    for (const progress of [unknown, ofEarlierTerm]) {
+      const needed = logPosition(2, 1101)
+      progress.noteBehind(needed, at(1000))
+      expect(progress.isLikelyBehind(needed, at(1399))).toEqual(true)
+      expect(progress.isLikelyBehind(needed, at(1400))).toEqual(false)
+    }
+  })
+
+  // Guards against a replica that receives nothing: each forecast is wrong, and each retry is refused.
+  it('waits the longest delay once a forecast was wrong, however many reads it refuses', () => {
+    const progress = new ReplicaProgress(true)
+    progress.noteReached(position(1000), at(0))
+    progress.noteReached(position(1100), at(1000))
+    const needed = position(1105)
+    // Three reads were sent before the first answer.
+    for (let count = 0; count < 3; count += 1) progress.noteBehind(needed, at(1000))
+    expect(progress.isLikelyBehind(needed, at(1050))).toEqual(false)
+    progress.noteReadSent(needed, at(1050))
+    expect(progress.isLikelyBehind(needed, at(1060))).toEqual(true)
+    progress.noteReached(position(1100), at(1070))
+    progress.noteBehind(needed, at(1070))
+    expect(progress.isLikelyBehind(needed, at(1469))).toEqual(true)
+    expect(progress.isLikelyBehind(needed, at(1470))).toEqual(false)
+  })
 })
