feat(host): refusals tell the retry delay of their own cause

A statement that waited for a connection in vain, or found the server's queue full, was told 250 ms whatever it had waited. Where slots are scheduled, it is told as long as it waited, at least 250 ms and at most as long as callers have time; what admission told is passed on as it is.

--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -49,6 +49,7 @@
   | { readonly kind: 'none' }
   /** The statement can no longer be answered by its deadline. */
   | { readonly kind: 'tooLate' }
+  /** `waitMilliseconds`: when to return. What admission told is not randomized: who returns earlier has no place. */
   | { readonly kind: 'overloaded'; readonly waitMilliseconds: number }
 
 /** A failed attempt, and the server on which it ran. */
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -86,6 +86,11 @@
     this.#standInUntil = addMilliseconds(now, STAND_IN_PERIOD_MILLISECONDS)
   }
 
+  /** Whether the slots of its servers are scheduled by class and customer. */
+  get schedulesSlots(): boolean {
+    return this.#context.settings.schedulesSlots
+  }
+
   get configuration(): ServiceConfiguration {
     return this.#configuration
   }
@@ -272,7 +277,7 @@
 
   /** Where slots are scheduled, a read does not give up its place for a server that may still be behind. */
   #isKnownBehind(id: BackendServerId, need: LogPosition | null): boolean {
-    if (need === null || !this.#context.settings.schedulesSlots) return false
+    if (need === null || !this.schedulesSlots) return false
     return this.#servers.get(id)?.progress.isKnownBehind(need) ?? false
   }
 
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -10,7 +10,11 @@
   type Milliseconds,
 } from '@nutmegcourse/shared'
 import type { CallerAnswer, CallerRefusal, Route, SessionStatus } from '@nutmegcourse/protocol'
-import type { StatementFailure, SessionValues } from '@nutmegcourse/state'
+import {
+  MAX_RETURN_MILLISECONDS,
+  type SessionValues,
+  type StatementFailure,
+} from '@nutmegcourse/state'
 import type { AttemptOutcome, RemoteStatement } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { RelayPeer } from './relayPeer.js'
@@ -115,21 +119,30 @@
 /** A primary that is cut off from its replicas is replaced, or reaches them again, after one second at the earliest. */
 const UNCONFIRMED_RETRY_AFTER_MILLISECONDS = 1000
 
-function retryAfter(last: StatementFailure): number {
+function retryAfter(request: StatementRequest, last: StatementFailure): number {
   switch (last.kind) {
-    // The forecast of when the requests in the queue are served.
+    // As told by admission, which keeps a place for this time, or the forecast of when the queue is served.
     case 'overloaded':
       return Math.ceil(last.waitMilliseconds)
     case 'unconfirmed':
       return UNCONFIRMED_RETRY_AFTER_MILLISECONDS
     case 'notSent':
+      return retryAfterWait(request)
     case 'refused':
+      return last.refusal === 'busy' ? retryAfterWait(request) : RETRY_AFTER_MILLISECONDS
     case 'lost':
     case 'overdue':
       return RETRY_AFTER_MILLISECONDS
   }
 }
 
+/** The backlog behind which a statement waited in vain takes about as long again. */
+function retryAfterWait({ service, timing }: StatementRequest): number {
+  if (!service.schedulesSlots) return RETRY_AFTER_MILLISECONDS
+  const waited = Math.ceil(timing.connectionMilliseconds)
+  return Math.min(Math.max(waited, RETRY_AFTER_MILLISECONDS), MAX_RETURN_MILLISECONDS)
+}
+
 /** A refusal with its cause and, if nothing ran, a retry delay. */
 export function refused(
   request: StatementRequest,
@@ -137,7 +150,8 @@
   last: StatementFailure,
 ): StatementResult {
   const cause = last.kind === 'refused' ? last.refusal : last.kind
-  const retryAdvice = refusal === 'notRun' ? ` retry_after_ms=${String(retryAfter(last))}` : ''
+  const retryAdvice =
+    refusal === 'notRun' ? ` retry_after_ms=${String(retryAfter(request, last))}` : ''
   const detail = `${request.route.name}: ${cause}${retryAdvice}`
   return { answer: { kind: 'refused', refusal, detail }, position: null, reason: cause }
 }
