--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -34,7 +34,7 @@
   /** Null where slots are not scheduled. */
   readonly gate: SlotGate | null
   readonly latency: LatencyEstimate
-  readonly progress = new ReplicaProgress()
+  readonly progress: ReplicaProgress
   readonly writes = new WriteConfirmation()
   readonly distance: Distance
   readonly #context: HostContext
@@ -56,6 +56,7 @@
     this.gate = context.settings.schedulesSlots
       ? new SlotGate(context, entry.server, entry.slots)
       : null
+    this.progress = new ReplicaProgress(context.settings.schedulesSlots)
     this.distance = distanceOf(context, entry)
     const floors = [
       INITIAL_LATENCY_IN_ZONE,
--- a/packages/host/src/pooledLink.ts
+++ b/packages/host/src/pooledLink.ts
@@ -21,6 +21,8 @@
   takenAt: Milliseconds
   /** Whether it was last acquired for the host's own commands, which return it soon. */
   isTakenByHost: boolean
+  /** For how long this process had stood still by then. */
+  stalledBefore: number
 }
 
 /** `overdue`: the deadline passed. `withdrawn`: the pool was closed, or its server is no longer the primary. */
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -93,6 +93,11 @@
     this.#standInUntil = addMilliseconds(now, STAND_IN_PERIOD_MILLISECONDS)
   }
 
+  /** Whether the slots of its servers are scheduled by class and customer. */
+  get schedulesSlots(): boolean {
+    return this.#context.settings.schedulesSlots
+  }
+
   get configuration(): ServiceConfiguration {
     return this.#configuration
   }
@@ -270,6 +275,22 @@
     return this.#best(this.#candidates(need, excluded, now, customer))
   }
 
+  /**
+   * The best server that may have the log up to `need`; null if there is none. A server that was found behind is chosen
+   * for one read at a time, which shows whether it has caught up.
+   */
+  chooseCurrentReader(
+    need: LogPosition,
+    excluded: ReadonlySet<BackendServerId>,
+    now: Milliseconds,
+    customer: CustomerName | null,
+  ): BackendServerState | null {
+    const candidates = this.#candidates(need, excluded, now, customer)
+    const best = this.#best(candidates.filter(({ isBehind }) => !isBehind))
+    best?.progress.noteReadSent(need, now)
+    return best
+  }
+
   /** The best server that is expected to serve such a read now; null if there is none. */
   chooseReadyReader(
     need: LogPosition | null,
@@ -277,7 +298,14 @@
     now: Milliseconds,
     customer: CustomerName | null,
   ): BackendServerState | null {
-    return this.#best(this.#candidates(need, excluded, now, customer).filter(isReadyForRead))
+    const ready = this.#candidates(need, excluded, now, customer).filter(isReadyForRead)
+    return this.#best(ready.filter(({ server }) => !this.#isKnownBehind(server, need)))
+  }
+
+  /** Where slots are scheduled, a read does not give up its place for a server that may still be behind. */
+  #isKnownBehind(id: BackendServerId, need: LogPosition | null): boolean {
+    if (need === null || !this.schedulesSlots) return false
+    return this.#servers.get(id)?.progress.isKnownBehind(need) ?? false
   }
 
   /** Whether a server of this host's region is expected to serve such a read now. */
