--- a/packages/host/__tests__/dispatchers.spec.ts
+++ b/packages/host/__tests__/dispatchers.spec.ts
@@ -1,7 +1,9 @@
+import { createServer } from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { planDispatchers } from '@nutmegcourse/coordination'
 import { freePorts } from '@nutmegcourse/stand-ins'
+import type { Caller } from './support/caller.js'
 import {
   A,
   B,
@@ -65,6 +67,21 @@
 const isOwner = ({ host }: FixtureHost): boolean => host.find('own')?.service.isOwned === true
 const knowsPrimary = ({ host }: FixtureHost): boolean => host.find('own')?.service.primary != null
 
+const primaryOf = ({ host }: FixtureHost): string | undefined =>
+  host.find('own')?.service.primary?.entry.server
+
+/** The connections to servers that a host has open or is opening. */
+const held = ({ host }: FixtureHost): number =>
+  host.find('own')?.service.servers.reduce((sum, { pool }) => sum + pool.size, 0) ?? 0
+
+/** The outcomes of writes, one after the other. */
+async function settledWrites(caller: Caller, span: number): Promise<string[]> {
+  const outcomes: string[] = []
+  const limit = performance.now() + span
+  while (performance.now() < limit) outcomes.push(await caller.outcomeOf('write 1'))
+  return outcomes
+}
+
 /** Counts the reads and writes that a host sends to servers, by server. */
 function countStatements({ dialer }: FixtureHost): Map<string, number> {
   const counts = new Map<string, number>()
@@ -83,7 +100,7 @@
   it('all statements of a region reach its servers through one host', async () => {
     await withFleet(async ({ fixture, east, other }) => {
       const counts = new Map(fixture.hosts.map(host => [host, countStatements(host)]))
-      for (const host of fixture.hosts.filter(({ host }) => !host.name.endsWith('-6'))) {
+      for (const host of fixture.hosts) {
         const caller = await fixture.caller(host, 'own')
         for (const text of ['write 1', 'begin', 'write 1', 'commit']) {
           expect(await caller.outcomeOf(text)).toEqual('done')
@@ -113,13 +130,11 @@
   // Guards against hosts that use up the servers' connections without dispatching.
   it('a host that is no dispatcher opens no connection', async () => {
     await withFleet(async ({ fixture, other }) => {
-      const held = (): number =>
-        other.host.find('own')?.service.servers.reduce((sum, { pool }) => sum + pool.size, 0) ?? 0
-      await fixture.until(() => held() === 0, 'the connections of the start are closed')
+      await fixture.until(() => held(other) === 0, 'the connections of the start are closed')
       const caller = await fixture.caller(other, 'own')
       for (let statements = 0; statements < 10; statements += 1) {
         expect(await caller.outcomeOf(statements % 2 === 0 ? 'write 1' : 'read 1')).toEqual('done')
-        expect(held()).toEqual(0)
+        expect(held(other)).toEqual(0)
       }
     })
   })
@@ -183,6 +198,63 @@
     })
   }
 
+  // A frozen host's system accepts connections for it. Each reconnection sent it the statements of its region again.
+  it('the dispatcher freezes: its region waits for it once, not at each reconnection', async () => {
+    await withFleet(async ({ fixture, east, other }) => {
+      const [first] = east
+      const port = first === undefined ? 0 : fixture.relayPortOf(first)
+      const caller = await fixture.caller(other, 'latest')
+      expect(await caller.outcomeOf('read 1')).toEqual('done')
+      first?.host.close()
+      const frozen = createServer(() => undefined)
+      await new Promise<void>(resolve => frozen.listen(port, '127.0.0.1', resolve))
+      let late = 0
+      const limit = performance.now() + 4000
+      while (performance.now() < limit) {
+        const startedAt = performance.now()
+        expect(await caller.outcomeOf('read 1')).toEqual('done')
+        if (performance.now() - startedAt > 200) late += 1
+        await new Promise(resolve => setTimeout(resolve, 20))
+      }
+      expect(late <= 1).toEqual(true)
+      frozen.close()
+    })
+  })
+
+  // While no host reaches the primary, every dispatcher declined a write, and hosts that are none opened connections.
+  it('the primary crashes: writes wait at a dispatcher, and other hosts open no connection', async () => {
+    await withFleet(async ({ fixture, other }) => {
+      const caller = await fixture.caller(other, 'own')
+      await fixture.until(() => held(other) === 0, 'the connections of the start are closed')
+      fixture.crash(P)
+      let most = 0
+      const watch = setInterval(() => (most = Math.max(most, held(other))), 5)
+      await fixture.until(() => fixture.group.promotions > 0, 'another server is primary', 8000)
+      const outcomes = await settledWrites(caller, 500)
+      clearInterval(watch)
+      expect([outcomes.at(-1), most]).toEqual(['done', 0])
+    })
+  })
+
+  it('the primary moves to another region: writes reach it through the dispatcher there', async () => {
+    await withFleet(async ({ fixture, west, other }) => {
+      const caller = await fixture.caller(other, 'own')
+      await caller.outcomeOf('write 1')
+      for (const server of [P, A]) fixture.listServer(server, { isLeaving: true })
+      await fixture.until(() => fixture.group.server(B).role === 'primary', 'the primary moved')
+      const [dispatcher] = west
+      await fixture.until(
+        () => primaryOf(other) === B || fixture.hosts.every(host => primaryOf(host) === B),
+        'the move is known',
+      )
+      const counts =
+        dispatcher === undefined ? new Map<string, number>() : countStatements(dispatcher)
+      const outcomes = await settledWrites(caller, 300)
+      expect(outcomes.at(-1)).toEqual('done')
+      expect((counts.get(B) ?? 0) >= outcomes.length - 1).toEqual(true)
+    })
+  })
+
   // Guards against reads that wait in a region whose replica receives nothing, until their deadline.
   it('a read that the region’s replica can not serve reaches the region of the primary', async () => {
     await withFleet(async ({ fixture, east, west }) => {
--- a/packages/host/__tests__/support/hostFixture.ts
+++ b/packages/host/__tests__/support/hostFixture.ts
@@ -261,6 +261,15 @@
     return added
   }
 
+  /** The port at which a host runs statements for others. */
+  relayPortOf({ host }: FixtureHost): number {
+    return Number(
+      (
+        JSON.parse(this.store.record(`host/${host.name}`)?.value ?? '{}') as { relay?: string }
+      ).relay?.split(':')[1],
+    )
+  }
+
   /** Drops all packets between a host and a server. */
   partition(host: FixtureHost, server: BackendServerId): void {
     host.dialer.unreachable.add(server)
