--- a/packages/host/src/poolGrowth.ts
+++ b/packages/host/src/poolGrowth.ts
@@ -10,11 +10,12 @@
   type CustomerName,
   type Milliseconds,
 } from '@nutmegcourse/shared'
-import { connectionsToOpen, type PoolLimits, type WaitQueue } from '@nutmegcourse/state'
+import { connectionsToOpen, type PoolLimits } from '@nutmegcourse/state'
 import type { ConnectionOpener } from './connectionOpener.js'
 import type { ConnectionReplacement } from './connectionReplacement.js'
+import type { LinkQueue } from './linkQueue.js'
 import type { PoolConnections } from './poolConnections.js'
-import { customerOf, type LinkWaiter, type PooledLink } from './pooledLink.js'
+import { customerOf, type ConnectionUse, type LinkWaiter, type PooledLink } from './pooledLink.js'
 
 /** A connection beyond this host's share is closed after being idle for this long. */
 const SURPLUS_IDLE_MILLISECONDS = 250
@@ -28,7 +29,7 @@
 export interface PoolGrowthParts {
   readonly clock: Clock
   readonly connections: PoolConnections
-  readonly queue: WaitQueue<LinkWaiter>
+  readonly queue: LinkQueue
   readonly opener: ConnectionOpener
   readonly replacement: ConnectionReplacement
   readonly limits: () => PoolLimits
@@ -64,6 +65,15 @@
     for (let index = uncovered.length; index < room; index += 1) void opener.open(null)
   }
 
+  /** Whether a connection can be opened for a customer's request at once, without queueing. */
+  opensAtOnce(use: ConnectionUse): boolean {
+    const { connections, opener, replacement, limits } = this.#parts
+    const customer = customerOf(use)
+    if (customer === null || opener.wasFull) return false
+    if (connections.size + opener.openingCount < limits().burst) return true
+    return replacement.candidateFor(customer) !== null
+  }
+
   /** Closes one connection that exceeds the pool's share. `keepWarm`: whether the share is kept. */
   closeSurplus(now: Milliseconds, keepWarm: boolean): void {
     const { connections, replacement, limits } = this.#parts
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -9,7 +9,6 @@
   ConnectionValues,
   ServiceEstimate,
   SessionValues,
-  WaitQueue,
   forecastWait,
   poolLimits,
   type PoolLimits,
@@ -20,6 +19,7 @@
 import type { HostContext } from './hostContext.js'
 import { LastUseReplacement } from './lastUseReplacement.js'
 import { LeastCostReplacement } from './leastCostReplacement.js'
+import { LinkQueue } from './linkQueue.js'
 import { PoolConnections } from './poolConnections.js'
 import { PoolGrowth, STARVATION_MILLISECONDS } from './poolGrowth.js'
 import {
@@ -50,7 +50,7 @@
   readonly #connections = new PoolConnections()
   readonly #idle = this.#connections.idle
   readonly #replacement: ConnectionReplacement
-  readonly #queue = new WaitQueue<LinkWaiter>()
+  readonly #queue: LinkQueue
   /** How long requests hold a connection, including idle time within transactions. */
   readonly #holdTimes = new ServiceEstimate()
   #connectionLimit: number
@@ -70,6 +70,7 @@
     this.#holdingHosts = holdingHosts
     this.#context = context
     this.#connectionLimit = connectionLimit
+    this.#queue = new LinkQueue(context.clock)
     this.#opener = new ConnectionOpener(context, address, this)
     this.#replacement = this.#chooseReplacement()
     this.#growth = new PoolGrowth({
@@ -160,12 +161,14 @@
     if (waitMilliseconds > terms.maximumWaitMilliseconds) {
       return Promise.resolve({ failure: 'overloaded', waitMilliseconds })
     }
-    return this.#wait(session, terms)
+    const acquired = this.#queue.wait(session, terms)
+    this.#openMore()
+    return acquired
   }
 
   /** How long a request that arrives now would wait for a connection. */
   #forecastWait(terms: AcquireOptions): number {
-    if (this.#opensAtOnce(terms.use)) return 0
+    if (this.#growth.opensAtOnce(terms.use)) return 0
     return Math.max(
       this.#opener.deniedMilliseconds,
       forecastWait({
@@ -176,14 +179,6 @@
     )
   }
 
-  /** Whether a connection can be opened for a customer's request at once, without queueing. */
-  #opensAtOnce(use: ConnectionUse): boolean {
-    const customer = customerOf(use)
-    if (customer === null || this.#opener.wasFull) return false
-    if (this.size < this.#limits().burst) return true
-    return this.#replacement.candidateFor(customer) !== null
-  }
-
   /** Acquires a connection for the host's own commands, ahead of all requests and however long the queue is. */
   acquireFirst(deadline: Milliseconds): Promise<Acquired> {
     return this.acquire(NO_SESSION, {
@@ -194,31 +189,6 @@
     })
   }
 
-  #wait(session: SessionValues, { priority, deadline, use }: AcquireOptions): Promise<Acquired> {
-    return new Promise(resolve => {
-      const waiter: LinkWaiter = {
-        priority,
-        deadline,
-        session,
-        use,
-        since: this.#context.clock.now(),
-        settle: acquired => {
-          clearTimeout(timer)
-          resolve(acquired)
-        },
-      }
-      const timer = setTimeout(
-        () => {
-          this.#queue.remove(waiter)
-          resolve({ failure: 'overdue' })
-        },
-        Math.max(0, deadline - this.#context.clock.now()),
-      )
-      this.#queue.enqueue(waiter)
-      this.#openMore()
-    })
-  }
-
   /** Takes an idle connection without waiting; null if there is none. */
   takeIdleNow(): PooledLink | null {
     const idle = this.#idle.takeAny()
@@ -280,7 +250,7 @@
 
   /** Fails all waiting requests, which then look for another server. */
   withdrawWaiting(failure: AcquireFailure): void {
-    for (const waiter of this.#queue.takeAll()) waiter.settle({ failure })
+    this.#queue.withdraw(failure)
   }
 
   tick(now: Milliseconds, keepWarm: boolean): void {
