--- a/packages/host/__tests__/idleTransactions.spec.ts
+++ b/packages/host/__tests__/idleTransactions.spec.ts
@@ -12,8 +12,8 @@
   type HostFixture,
 } from './support/hostFixture.js'
 
-/** Of this limit one host holds 2 connections. */
-const CONNECTION_LIMIT = 5
+/** Of this limit a dispatcher holds 2 connections. */
+const CONNECTION_LIMIT = 4
 const HELD = 2
 const SHORT_LIMIT_MILLISECONDS = 200
 
--- a/packages/host/__tests__/poolConnections.spec.ts
+++ b/packages/host/__tests__/poolConnections.spec.ts
@@ -42,6 +42,7 @@
   constructor(schedulesSlots: boolean, connectionLimit = CONNECTION_LIMIT) {
     const context = {
       clock: this.clock,
+      ownStall: { totalMilliseconds: 0 },
       random: new SeededRandom(1),
       settings: { schedulesSlots, requiresKeys: true },
       log: { write: () => undefined },
