test(state): bound how long a failing case of the order's properties is made smaller

Cause: with a fault put in on purpose the search for a smaller case took over 100 s, so that nothing was printed.

--- a/packages/state/__tests__/slots/properties.spec.ts
+++ b/packages/state/__tests__/slots/properties.spec.ts
@@ -11,8 +11,13 @@
 /** What a class may have saved up of its minimum share. */
 const CREDIT_MILLISECONDS = 100
 
+/** A failing case is made smaller for at most so long. */
+const fewerRequests = { interruptAfterTimeLimit: 30_000 }
+
 const at = milliseconds
 
+// Targets are deadlines: what can only be served late is refused if its class asks for more than the server has,
+// although that demand may end before its deadline.
 const requestsOfClasses = (classes: number) =>
   fc.array(
     fc
@@ -65,6 +70,7 @@
           expect(lower).toBeLessThanOrEqual(allowed)
         }
       }),
+      fewerRequests,
     )
   })
 
@@ -80,6 +86,7 @@
           expect(lower).toBeLessThanOrEqual(allowed)
         }
       }),
+      fewerRequests,
     )
   })
 
