fix(state): statements with long timeouts find their place kept as well

A place was kept only if half of the statement's time was left after the longest delay, so a statement that may wait for four seconds never had one. Now it is kept if a third is left.

--- a/packages/state/__tests__/slots/admission.spec.ts
+++ b/packages/state/__tests__/slots/admission.spec.ts
@@ -100,6 +100,16 @@
     expect(decide(admission, told.at(-1) ?? 0, 950).kind).toEqual('refused')
   })
 
+  // Guards against statements with a long timeout, whose queue alone is longer than the longest delay.
+  it('keeps a place for a statement with a long timeout', () => {
+    const admission = new Admission()
+    const until = (now: number) => ({ latestStart: milliseconds(now + 4000) })
+    const delay = delayOf(decide(admission, 0, 4200, until(0)))
+    expect(delay).toEqual(MAX_RETURN_MILLISECONDS)
+    expect(decide(admission, delay, 3990, until(delay)).kind).toEqual('admitted')
+    expect(decide(admission, delay, 3990, until(delay)).kind).toEqual('refused')
+  })
+
   it('keeps the place of a caller that is refused once more after it returned when told', () => {
     const admission = new Admission()
     const first = delayOf(decide(admission, 0, 1010))
--- a/packages/state/src/slots/admission.ts
+++ b/packages/state/src/slots/admission.ts
@@ -9,6 +9,9 @@
 /** Share of a statement's time that its forecast wait takes when its caller returns as told. */
 const RETURN_WAIT_SHARE = 0.5
 
+/** With a longer forecast, after the longest delay, no place is kept. */
+const MAX_RETURN_WAIT_SHARE = 0.65
+
 /** The queue in front of a statement that arrives now. */
 export interface SlotBacklog {
   /** Expected slot time of the requests that would be served before it, and of what is in flight. */
@@ -66,14 +69,15 @@
     return { kind: 'admitted', forecastMilliseconds, firstArrivedAt: place.arrivedAt }
   }
 
-  /** Refuses a statement and keeps a place for its caller, unless its turn comes after the longest delay. */
+  /** Refuses a statement and keeps a place for its caller, unless it would come too late after the longest delay. */
   #refuse({ request, place, waitMilliseconds }: Refusable, now: Milliseconds): AdmissionDecision {
     const timeLeft = Math.max(0, request.latestStart - now)
-    const delay = Math.max(1, waitMilliseconds - timeLeft * RETURN_WAIT_SHARE)
-    const retryAfterMilliseconds =
-      delay > MAX_RETURN_MILLISECONDS
-        ? MAX_RETURN_MILLISECONDS
-        : this.#keepPlace(request, place, addMilliseconds(now, delay), now)
+    const drained = Math.max(1, waitMilliseconds - timeLeft * RETURN_WAIT_SHARE)
+    const delay = Math.min(drained, MAX_RETURN_MILLISECONDS)
+    const isKept = waitMilliseconds - delay <= timeLeft * MAX_RETURN_WAIT_SHARE
+    const retryAfterMilliseconds = isKept
+      ? this.#keepPlace(request, place, addMilliseconds(now, delay), now)
+      : MAX_RETURN_MILLISECONDS
     return { kind: 'refused', forecastMilliseconds: waitMilliseconds, retryAfterMilliseconds }
   }
 
