--- a/packages/host/src/dispatcherDirectory.ts
+++ b/packages/host/src/dispatcherDirectory.ts
@@ -14,6 +14,7 @@
 import { addMilliseconds } from '@nutmegcourse/shared'
 import type { ConnectionPart } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
+import { primaryRegion, serverRegions } from './serviceRegions.js'
 import type { ServiceState } from './serviceState.js'
 
 /** A host that stands by has its region's connections for this long after another host last sent it a statement. */
@@ -39,23 +40,24 @@
 
   /** Plans the dispatchers of a service and returns them; there are none if no host runs statements for others. */
   plan(service: ServiceState, hosts: ReadonlyMap<string, HostRecord>): readonly string[] {
-    const { name, serverRegions } = service
-    const plan = planDispatchers(name, hosts)
-    this.#services.set(name, { plan, serverRegions, orders: new Map() })
-    return dispatchingRegions(plan, serverRegions).flatMap(region => plan.get(region) ?? [])
+    const regions = serverRegions(service, this.#context.settings)
+    const plan = planDispatchers(service.name, hosts)
+    this.#services.set(service.name, { plan, serverRegions: regions, orders: new Map() })
+    return dispatchingRegions(plan, regions).flatMap(region => plan.get(region) ?? [])
   }
 
   /** All dispatchers of the service in the order in which they are asked, this host included if it is one. */
   order(service: ServiceState, atPrimary: boolean): readonly string[] {
     const planned = this.#services.get(service.name)
     if (planned === undefined) return []
-    const { primaryRegion } = service
-    const key = `${atPrimary} ${primaryRegion ?? ''}`
+    const { settings } = this.#context
+    const region = primaryRegion(service, settings)
+    const key = `${atPrimary} ${region ?? ''}`
     const known = planned.orders.get(key)
     if (known !== undefined) return known
-    const { plan, serverRegions } = planned
-    const target = { serverRegions, primaryRegion, atPrimary }
-    const order = dispatchersFrom(plan, this.#context.settings.region, target)
+    const { plan } = planned
+    const target = { serverRegions: planned.serverRegions, primaryRegion: region, atPrimary }
+    const order = dispatchersFrom(plan, settings.region, target)
     planned.orders.set(key, order)
     return order
   }
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -13,7 +13,6 @@
   substitutesBefore,
   type HostRecord,
 } from '@nutmegcourse/coordination'
-import type { HostAddress } from '@nutmegcourse/protocol'
 import {
   addMilliseconds,
   milliseconds,
@@ -25,7 +24,8 @@
 import { Backoffs } from './backoffs.js'
 import { DispatcherDirectory } from './dispatcherDirectory.js'
 import { countByRegion, planAround, planHolders, type ObservedPlan } from './ownerPlanning.js'
-import { RelayPeer } from './relayPeer.js'
+import type { RelayPeer } from './relayPeer.js'
+import { RelayPeers } from './relayPeers.js'
 import type { OwnerDirectory } from './relayingRunner.js'
 import type { ServiceState } from './serviceState.js'
 import type { ChangeFeedSources } from './changeFeedReader.js'
@@ -40,7 +40,7 @@
 export class HostFleet implements OwnerDirectory, ChangeFeedSources {
   readonly #context: HostContext
   readonly #hosts = new Map<string, HostRecord>()
-  readonly #peers = new Map<string, RelayPeer>()
+  readonly #peers: RelayPeers
   /** By service: the hosts that vote on its primary: the owners, and others where they are few. */
   readonly #observers = new Map<string, readonly string[]>()
   /** By service: the hosts to which this one forwards statements, in order of preference. */
@@ -65,26 +65,25 @@
 
   constructor(context: HostContext) {
     this.#context = context
+    this.#peers = new RelayPeers(context, this.#hosts)
     this.#indirectPauses = new Backoffs(context.clock)
-    this.#dispatchers = new DispatcherDirectory(context, host => this.peer(host)?.isUp === true)
+    this.#dispatchers = new DispatcherDirectory(context, host => this.#peers.isUp(host))
   }
 
   observersOf(service: string): readonly string[] {
     return this.#observers.get(service) ?? []
   }
 
-  /**
-   * Applies a host's registration, or its removal with null. The connection to the host stays open unless its address
-   * changed: a host that stops or whose lease expired still runs the statements sent to it, and a dead one is
-   * detected by its silence. Closing the connection made the outcome of every write that ran there unknown.
-   */
+  /** Applies a host's registration, or its removal with null. */
   receiveHostRecord(host: string, record: HostRecord | null): void {
     this.#isPlanned = false
     this.#missingHosts.delete(host)
-    if (record === null) this.#hosts.delete(host)
-    else this.#hosts.set(host, record)
-    const address = record === null ? null : relayAddress(record)
-    if (address !== null && this.#peers.get(host)?.isAt(address) === false) this.#dropPeer(host)
+    if (record === null) {
+      this.#hosts.delete(host)
+      return
+    }
+    this.#hosts.set(host, record)
+    this.#peers.hostRegistered(host, record)
   }
 
   /** Applies a complete list: hosts that it does not name are gone. */
@@ -202,7 +201,7 @@
     const runsHere = service.isOwned && (!atPrimary || service.reachesPrimary(now))
     const order = this.#hostOrderFor(service, customer)
     if (runsHere) return this.#ownersBefore(order)
-    const peers = this.#upPeers(order)
+    const peers = this.#peers.up(order)
     if (service.isOwned) return this.#indirectPeers(service, peers, now)
     if (peers.length > 0) return peers
     service.standIn(now)
@@ -215,11 +214,11 @@
     const order = this.#dispatchers.order(service, atPrimary)
     if (service.isOwned) {
       if (!atPrimary || service.reachesPrimary(now)) return this.#ownersBefore(order)
-      return this.#indirectPeers(service, this.#upPeers(order), now)
+      return this.#indirectPeers(service, this.#peers.up(order), now)
     }
-    const dispatchers = this.#upPeers(order)
+    const dispatchers = this.#peers.up(order)
     if (dispatchers.length > 0) return dispatchers
-    const substitutes = this.#upPeers(this.#hostOrder.get(service.name) ?? [])
+    const substitutes = this.#peers.up(this.#hostOrder.get(service.name) ?? [])
     if (substitutes.length > 0) return substitutes
     service.standIn(now)
     return null
@@ -243,18 +242,10 @@
   /** Owners that precede this host, which is one of them; null when there are none. */
   #ownersBefore(order: readonly string[]): RelayPeer[] | null {
     const own = order.indexOf(this.#context.settings.entryHost)
-    const peers = this.#upPeers(order.slice(0, Math.max(0, own)))
+    const peers = this.#peers.up(order.slice(0, Math.max(0, own)))
     return peers.length === 0 ? null : peers
   }
 
-  #upPeers(order: readonly string[]): RelayPeer[] {
-    const { entryHost } = this.#context.settings
-    return order
-      .filter(host => host !== entryHost)
-      .flatMap(host => this.peer(host) ?? [])
-      .filter(peer => peer.isUp)
-  }
-
   limitHolders(customer: CustomerName): readonly string[] {
     const known = this.#limitHolders.get(customer)
     if (known !== undefined) return known
@@ -283,43 +274,21 @@
 
   /** Whether other hosts still run statements for this one. */
   get hasPendingWork(): boolean {
-    return [...this.#peers.values()].some(peer => peer.hasPendingCalls)
+    return this.#peers.hasPendingWork
   }
 
   /** True when hosts were removed because of elapsed time, so that a new plan is needed. */
   tick(now: Milliseconds): boolean {
-    for (const [host, peer] of this.#peers) {
-      const isGone = !this.#hosts.has(host) && peer.isLost && !peer.hasPendingCalls
-      if (isGone) this.#dropPeer(host)
-      else peer.tick(now)
-    }
+    this.#peers.tick(now)
     return this.#dropMissingHosts(now)
   }
 
   close(): void {
-    for (const peer of this.#peers.values()) peer.close()
-  }
-
-  #dropPeer(host: string): void {
-    this.#peers.get(host)?.close()
-    this.#peers.delete(host)
+    this.#peers.close()
   }
 
   /** The connection to another host; null for one that is unknown or runs no statements for others. */
   peer(host: string): RelayPeer | null {
-    const known = this.#peers.get(host)
-    if (known !== undefined) return known
-    const record = this.#hosts.get(host)
-    const address = record === undefined ? null : relayAddress(record)
-    if (address === null) return null
-    const peer = new RelayPeer(this.#context, host, address)
-    this.#peers.set(host, peer)
-    return peer
+    return this.#peers.peer(host)
   }
 }
-
-/** The address at which a host runs statements for others; null when it does not. */
-function relayAddress({ relay }: HostRecord): HostAddress | null {
-  const [host = '', port = ''] = relay?.split(':') ?? []
-  return host === '' || port === '' ? null : { host, port: Number(port) }
-}
--- a/packages/host/src/readRegion.ts
+++ b/packages/host/src/readRegion.ts
@@ -5,6 +5,7 @@
  */
 import type { HostSettings } from '@nutmegcourse/protocol'
 import type { Milliseconds } from '@nutmegcourse/shared'
+import { canServeNear, primaryRegion } from './serviceRegions.js'
 import { needsPrimary, type StatementRequest } from './statements.js'
 
 /**
@@ -15,13 +16,13 @@
 export function isBetterAtPrimary(
   request: StatementRequest,
   readOnly: boolean,
-  { region }: Pick<HostSettings, 'region'>,
+  settings: Pick<HostSettings, 'region' | 'regions'>,
   now: Milliseconds,
 ): boolean {
   const { service, route, session, customer } = request
-  const { primaryRegion } = service
   if (service.dispatchedPart === null || !service.isOwned) return false
-  if (primaryRegion === null || primaryRegion === region) return false
+  const region = primaryRegion(service, settings)
+  if (region === null || region === settings.region) return false
   if (needsPrimary(request, readOnly)) return false
   const need = service.need(route.guarantee, session.ownPosition, now)
   switch (need.kind) {
@@ -29,6 +30,6 @@
     case 'unknown':
       return true
     case 'position':
-      return !service.canServeNear(need.position, now, customer)
+      return !canServeNear(service, settings, need.position, customer, now)
   }
 }
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -80,9 +80,11 @@
    * Nothing was run: the host is stopping, does not reach the primary, or does not know the service, the route or the
    * transaction.
    */
-  | { readonly kind: 'declined' }
-  /** Nothing was run: no server of the region can serve the read in time; the primary's dispatcher is to be asked. */
-  | { readonly kind: 'redirected' }
+  | {
+      readonly kind: 'declined'
+      /** No server of the region can serve the read in time; the primary's dispatcher is to be asked. */
+      readonly isRedirected?: true
+    }
 
 export function writeRequest(
   request: StatementRequest,
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -97,8 +97,8 @@
     this.#pendingCalls -= 1
     if (answer.isOk()) {
       const message = answer.value
-      if (message.kind === 'redirected') return { kind: 'redirected' }
-      return message.kind === 'declined' ? { kind: 'notSent' } : { kind: 'answered', message }
+      if (message.kind !== 'declined') return { kind: 'answered', message }
+      return { kind: message.isRedirected === true ? 'redirected' : 'notSent' }
     }
     if (answer.error.kind === 'answerTimeout') return { kind: 'overdue' }
     return { kind: 'lost' }
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -219,7 +219,7 @@
     if (this.#isPrimaryOutOfReach(request, readOnly)) return { kind: 'declined' }
     const now = this.#context.clock.now()
     return isBetterAtPrimary(request, readOnly, this.#context.settings, now)
-      ? { kind: 'redirected' }
+      ? { kind: 'declined', isRedirected: true }
       : null
   }
 
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -33,6 +33,7 @@
 } from '@nutmegcourse/state'
 import { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
+import { regionOf } from './serviceRegions.js'
 import { Signal } from './waiting.js'
 
 /** How long a host stays active for a service that it does not own after it last served it in place of an owner. */
@@ -217,23 +218,9 @@
     return this.bounds.requirementFor(guarantee, own, now)
   }
 
-  #regionOf({ entry }: BackendServerState): RegionId | null {
-    return this.#context.settings.regions.get(entry.zone) ?? null
-  }
-
-  /** The regions that have servers of the service. */
-  get serverRegions(): ReadonlySet<string> {
-    return new Set(this.servers.flatMap(server => this.#regionOf(server) ?? []))
-  }
-
-  get primaryRegion(): RegionId | null {
-    const { primary } = this
-    return primary === null ? null : this.#regionOf(primary)
-  }
-
   #partOf(id: BackendServerId): ConnectionPart {
     const server = this.#servers.get(id)
-    const region = server === undefined ? null : this.#regionOf(server)
+    const region = server === undefined ? null : regionOf(server, this.#context.settings)
     if (this.dispatchedPart !== null && this.isOwned && region !== null) {
       return this.dispatchedPart(region)
     }
@@ -278,18 +265,6 @@
     return this.#best(this.#candidates(need, excluded, now, customer).filter(isReadyForRead))
   }
 
-  /** Whether a server of this host's region is expected to serve such a read now. */
-  canServeNear(
-    need: LogPosition | null,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): boolean {
-    const { region } = this.#context.settings
-    const far = this.servers.filter(server => this.#regionOf(server) !== region)
-    const excluded = new Set(far.map(({ entry }) => entry.server))
-    return this.chooseReadyReader(need, excluded, now, customer) !== null
-  }
-
   #best(candidates: readonly ReadCandidate[]): BackendServerState | null {
     const [best] = rankForRead(candidates)
     return best === undefined ? null : (this.#servers.get(best) ?? null)
