--- a/packages/state/src/slots/unloadedLatency.ts
+++ b/packages/state/src/slots/unloadedLatency.ts
@@ -4,17 +4,20 @@
  *
  * @internal
  */
-import { milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 
 /** It is measured again after this time, since the server may have become slower. */
 const LIFETIME_MILLISECONDS = 20_000
 
+/** The first value may contain waiting at a server that was busy before, and is measured again after this time. */
+const FIRST_LIFETIME_MILLISECONDS = 500
+
 const FALL_WEIGHT = 0.2
 const RISE_WEIGHT = 0.05
 
 export class UnloadedLatency {
   #value: number | null = null
-  #measuredAt = milliseconds(Number.NEGATIVE_INFINITY)
+  #validUntil = milliseconds(Number.POSITIVE_INFINITY)
 
   get value(): number {
     return this.#value ?? Number.POSITIVE_INFINITY
@@ -23,7 +26,8 @@
   /** The smallest latency of a round in which little seemed to wait. */
   record(smallest: number, now: Milliseconds): void {
     if (this.#value === null) {
-      this.restart(smallest, now)
+      this.#value = smallest
+      this.#validUntil = addMilliseconds(now, FIRST_LIFETIME_MILLISECONDS)
       return
     }
     const weight = smallest < this.#value ? FALL_WEIGHT : RISE_WEIGHT
@@ -31,12 +35,12 @@
   }
 
   isStale(now: Milliseconds): boolean {
-    return this.#value !== null && now - this.#measuredAt > LIFETIME_MILLISECONDS
+    return now > this.#validUntil
   }
 
   /** Replaces the value by one that was measured while hardly anything waited. */
   restart(smallest: number, now: Milliseconds): void {
     this.#value = smallest
-    this.#measuredAt = now
+    this.#validUntil = addMilliseconds(now, LIFETIME_MILLISECONDS)
   }
 }
