fix(host): a read keeps its place in the queue of its server

A read that waited 200 ms for its turn left the queue and came back, was counted as new demand each time, and the forecast of the lowest class rose to 14 s where 0.6 s of work was ahead of it (70 statements of 40 ms on 5 slots). It now waits until its latest start; what waits at a server that falls silent looks for another one, once. The tests of order and admission use a fixed limit: with the learned one they answered in times that no host can measure.

--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -121,22 +121,17 @@
   ): Promise<Access> {
     const { priority, latencyTargetMilliseconds } = request.route
     const latestStart = this.#latestStart(request, server)
-    const slot = await this.#enterGate(
-      request,
-      server,
-      latestStart,
-      earlier(acquireBy, latestStart),
-    )
+    const slot = await this.#enterGate(request, server, latestStart)
     if ('kind' in slot) return slot
+    const isScheduled = server.gate !== null
     const startedAt = this.#context.clock.now()
     const acquired = await server.pool.acquire(request.session.values, {
       priority,
-      deadline: earlier(acquireBy, latestStart),
       // Where slots are scheduled, the statement's turn has come already.
-      maximumWaitMilliseconds:
-        server.gate === null
-          ? latencyTargetMilliseconds * MAXIMUM_WAIT_SHARE
-          : Number.POSITIVE_INFINITY,
+      deadline: isScheduled ? latestStart : earlier(acquireBy, latestStart),
+      maximumWaitMilliseconds: isScheduled
+        ? Number.POSITIVE_INFINITY
+        : latencyTargetMilliseconds * MAXIMUM_WAIT_SHARE,
       use: { kind: 'customer', customer: request.customer },
     })
     request.timing.connectionMilliseconds += this.#context.clock.now() - startedAt
@@ -155,17 +150,17 @@
     request: StatementRequest,
     server: BackendServerState,
     latestStart: Milliseconds,
-    waitUntil: Milliseconds,
   ): Promise<SlotUse | Exclude<Access, Connected>> {
     if (server.gate === null) return UNSCHEDULED_SLOT
-    const access = await enterSlot(request, server.gate, { latestStart, waitUntil })
+    const startedAt = this.#context.clock.now()
+    const access = await enterSlot(request, server.gate, latestStart)
+    if (access.kind === 'entered') return access.slot
+    request.timing.connectionMilliseconds += this.#context.clock.now() - startedAt
     switch (access.kind) {
-      case 'entered':
-        return access.slot
       case 'overloaded':
         return { kind: 'overloaded', waitMilliseconds: access.waitMilliseconds }
       case 'overdue':
-        return { kind: this.#context.clock.now() >= latestStart ? 'tooLate' : 'none' }
+        return { kind: 'tooLate' }
       case 'withdrawn':
         return { kind: 'none' }
     }
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -14,7 +14,7 @@
   Route,
   StoreLink,
 } from '@nutmegcourse/protocol'
-import { ServerDirectory, type ServerChange } from '@nutmegcourse/state'
+import { SILENCE_LIMIT_MILLISECONDS, ServerDirectory, type ServerChange } from '@nutmegcourse/state'
 import type { CallerIdentity, RouteLookup } from './routeLookup.js'
 import { isUrgent, type ServiceInterest } from './changeUrgency.js'
 import { ConfigurationHolder } from './configurationHolder.js'
@@ -173,7 +173,7 @@
         server.probeIfSilent(now)
         const keepWarm = isActive && this.#directory.mayTakeWork(server.entry.server, now)
         server.pool.tick(now, keepWarm)
-        server.gate?.tick()
+        server.gate?.tick(server.silentMilliseconds(now) > SILENCE_LIMIT_MILLISECONDS)
       }
       if (isActive) probe.tick(now)
       if (!isStopping && service.isObserver) failover.tick(now)
--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -4,7 +4,7 @@
  *
  * @internal
  */
-import type { BackendServerId, Milliseconds } from '@nutmegcourse/shared'
+import type { BackendServerId } from '@nutmegcourse/shared'
 import {
   Admission,
   ConcurrencyLimit,
@@ -48,6 +48,7 @@
   readonly #server: BackendServerId
   readonly #slots: ServerSlots<GateRequest>
   readonly #waiting = new Set<GateRequest>()
+  #wasSilent = false
   /** How long statements occupy a slot, by route. */
   readonly #slotTimes = new Map<string, ServiceEstimate>()
 
@@ -69,11 +70,10 @@
     return this.#slots.waiting === 0 && this.#slots.inFlight < this.#slots.limit
   }
 
-  /** Waits for a slot, until `waitUntil` at the latest. */
+  /** Waits for a slot, until its latest start. */
   enter(
     request: StatementRequest,
     terms: Omit<SlotRequest, 'customer' | 'arrivedAt' | 'expectedMilliseconds'>,
-    waitUntil: Milliseconds,
   ): Promise<SlotAccess> {
     return new Promise(resolve => {
       const { clock } = this.#context
@@ -95,7 +95,7 @@
           this.#slots.withdraw(gated)
           gated.settle({ kind: 'overdue' })
         },
-        Math.max(0, waitUntil - clock.now()),
+        Math.max(0, terms.latestStart - clock.now()),
       )
       this.#submitted(request, gated, this.#slots.submit(gated, clock.now()))
     })
@@ -158,8 +158,11 @@
     for (const gated of this.#slots.takeStartable(now)) gated.settle(this.#entered(gated))
   }
 
-  tick(): void {
+  /** `isSilent`: the server has owed answers for too long; what waits looks for another server, once. */
+  tick(isSilent: boolean): void {
     if (this.#waiting.size > 0) this.#startNext()
+    if (isSilent && !this.#wasSilent) this.withdrawWaiting()
+    this.#wasSilent = isSilent
   }
 
   /** Fails all waiting requests, which then look for another server. */
--- a/packages/host/src/statementSlots.ts
+++ b/packages/host/src/statementSlots.ts
@@ -10,19 +10,13 @@
 import { UNSCHEDULED_SLOT, type SlotAccess, type SlotGate } from './slotGate.js'
 import type { StatementRequest } from './statements.js'
 
-export interface SlotTerms {
-  /** The latest time at which the statement may start and still be answered by its deadline. */
-  readonly latestStart: Milliseconds
-  readonly waitUntil: Milliseconds
-}
-
 /** Waits for the turn of a statement that begins new work. */
 export function enterSlot(
   request: StatementRequest,
   gate: SlotGate,
-  { latestStart, waitUntil }: SlotTerms,
+  latestStart: Milliseconds,
 ): Promise<SlotAccess> {
-  return enter(request, gate, latestStart, waitUntil, false)
+  return enter(request, gate, latestStart, false)
 }
 
 /** Waits for the turn of a later statement of a transaction, ahead of new work. */
@@ -31,14 +25,13 @@
   { gate }: BackendServerState,
 ): Promise<SlotAccess> {
   if (gate === null) return Promise.resolve({ kind: 'entered', slot: UNSCHEDULED_SLOT })
-  return enter(request, gate, request.deadline, request.deadline, true)
+  return enter(request, gate, request.deadline, true)
 }
 
 function enter(
   request: StatementRequest,
   gate: SlotGate,
   latestStart: Milliseconds,
-  waitUntil: Milliseconds,
   isUnderWay: boolean,
 ): Promise<SlotAccess> {
   const { service, route, customer, arrivedAt } = request
@@ -49,7 +42,7 @@
     latestStart,
     isUnderWay,
   }
-  return gate.enter(request, terms, waitUntil)
+  return gate.enter(request, terms)
 }
 
 /** What an answer tells about the use of a slot. */
--- a/packages/state/__tests__/slots/serverSlots.spec.ts
+++ b/packages/state/__tests__/slots/serverSlots.spec.ts
@@ -1,7 +1,13 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { customerName, milliseconds } from '@nutmegcourse/shared'
-import { Admission, ConcurrencyLimit, ServerSlots, type SlotResult } from '../../src/index.js'
+import {
+  Admission,
+  ConcurrencyLimit,
+  ServerSlots,
+  type ServerSlotsOptions,
+  type SlotResult,
+} from '../../src/index.js'
 import {
   serverSlots,
   slotRequest,
@@ -52,7 +58,7 @@
   ]
   for (const [name, result, limit, share] of results) {
     it(`frees the slot of a statement that ended: ${name}`, () => {
-      const slots = serverSlots(2)
+      const slots = serverSlots(2, { limit: new ConcurrencyLimit(2) })
       const [first, second] = [slotRequest({ customer: 'a' }), slotRequest({ customer: 'b' })]
       slots.submit(first, at(0))
       slots.submit(second, at(0))
@@ -139,6 +145,16 @@
 })
 
 describe('forecast of a statement that arrives on a busy server', () => {
+  /** Admits whatever is forecast to start in time, without a margin. */
+  const admission: ServerSlotsOptions['admission'] = {
+    decide: ({ latestStart }, { aheadMilliseconds, concurrency }, now) => {
+      const forecastMilliseconds = aheadMilliseconds / concurrency
+      const isInTime = now + forecastMilliseconds <= latestStart
+      return isInTime
+        ? { kind: 'admitted', forecastMilliseconds }
+        : { kind: 'refused', forecastMilliseconds, retryAfterMilliseconds: 0 }
+    },
+  }
   const running = { classPriority: 1, cost: 100 }
   const cases: readonly (readonly [string, readonly RequestValues[], RequestValues, number])[] = [
     ['nothing waits', [], {}, 100],
@@ -159,7 +175,7 @@
   ]
   for (const [name, waiting, values, forecast] of cases) {
     it(name, () => {
-      const slots = serverSlots(2)
+      const slots = serverSlots(2, { admission })
       for (const each of [running, running, ...waiting]) slots.submit(slotRequest(each), at(0))
       const request = (deadline: number) =>
         slotRequest({ ...values, cost: 10, deadline: deadline + 10 })
--- a/packages/state/__tests__/slots/support/fakeServer.ts
+++ b/packages/state/__tests__/slots/support/fakeServer.ts
@@ -40,7 +40,7 @@
     freeAt[slot] = answeredAt
     outcomes.set(request, { kind: 'answered', startedAt: now, answeredAt })
     const run = (then: Milliseconds) => {
-      slots.finish(request, { kind: 'answered', slotMilliseconds }, then)
+      slots.finish(request, { kind: 'answered', slotMilliseconds: then - now }, then)
       takeNext(then)
     }
     events.push({ at: answeredAt, run })
--- a/packages/state/__tests__/slots/support/requests.ts
+++ b/packages/state/__tests__/slots/support/requests.ts
@@ -1,5 +1,11 @@
 import { customerName, milliseconds, SeededRandom } from '@nutmegcourse/shared'
-import { Admission, ConcurrencyLimit, ServerSlots, type SlotRequest } from '../../../src/index.js'
+import {
+  Admission,
+  ServerSlots,
+  type ServerSlotsOptions,
+  type SlotRequest,
+  type StatementLimit,
+} from '../../../src/index.js'
 
 export interface NamedRequest extends SlotRequest {
   readonly name: string
@@ -34,8 +40,18 @@
   }
 }
 
-export const serverSlots = (slots: number): ServerSlots<NamedRequest> =>
-  new ServerSlots({ limit: new ConcurrencyLimit(slots), admission: new Admission() })
+/** The statements of these tests take as long as is expected of them, whatever the server's queue. */
+const fixedLimit = (value: number): StatementLimit => ({
+  value,
+  recordAnswer: () => undefined,
+  recordBusy: () => undefined,
+})
+
+export const serverSlots = (
+  slots: number,
+  parts: Partial<ServerSlotsOptions> = {},
+): ServerSlots<NamedRequest> =>
+  new ServerSlots({ limit: fixedLimit(slots), admission: new Admission(), ...parts })
 
 export interface Stream {
   readonly from: number
--- a/packages/state/src/slots/index.ts
+++ b/packages/state/src/slots/index.ts
@@ -4,5 +4,10 @@
 export * from './idleTransactions.js'
 export * from './ownConnectionWait.js'
 export * from './slotRequest.js'
-export { ServerSlots, type ServerSlotsOptions, type Submission } from './serverSlots.js'
+export {
+  ServerSlots,
+  type ServerSlotsOptions,
+  type StatementLimit,
+  type Submission,
+} from './serverSlots.js'
 export { SlotScheduler } from './slotScheduler.js'
--- a/packages/state/src/slots/serverSlots.ts
+++ b/packages/state/src/slots/serverSlots.ts
@@ -27,9 +27,12 @@
       readonly ahead: number
     }
 
+/** How many statements may be in flight; learns from how they end. */
+export type StatementLimit = Pick<ConcurrencyLimit, 'value' | 'recordAnswer' | 'recordBusy'>
+
 export interface ServerSlotsOptions {
-  readonly limit: ConcurrencyLimit
-  readonly admission: Admission
+  readonly limit: StatementLimit
+  readonly admission: Pick<Admission, 'decide'>
 }
 
 interface InFlight {
@@ -44,8 +47,8 @@
  * and `takeExpired` when the earliest latest start has passed.
  */
 export class ServerSlots<Request extends SlotRequest> {
-  readonly #limit: ConcurrencyLimit
-  readonly #admission: Admission
+  readonly #limit: StatementLimit
+  readonly #admission: ServerSlotsOptions['admission']
   readonly #scheduler = new SlotScheduler<Request>()
   readonly #demand = new SlotDemand()
   readonly #usage = new SlidingTotals<CustomerName | null>(SHARES_PERIOD_MILLISECONDS)
