--- a/packages/state/src/slots/returnReservations.ts
+++ b/packages/state/src/slots/returnReservations.ts
@@ -19,6 +19,9 @@
 /** Over all classes and customers; statements refused beyond it return without a place. */
 const MAX_RESERVATIONS = 20_000
 
+/** How much each kept place that is claimed or given up changes the expected share of claimed ones. */
+const CLAIM_WEIGHT = 0.02
+
 export interface Reservation {
   /** When the statement first arrived; its place counts from then. */
   readonly arrivedAt: Milliseconds
@@ -49,6 +52,8 @@
 export class ReturnReservations {
   readonly #classes = new Map<number, ClassLines>()
   #size = 0
+  /** The share of callers that return when told; some give up, or return at times of their own. */
+  #claimedShare = 1
   #sweptAt = Number.NEGATIVE_INFINITY
 
   get size(): number {
@@ -67,7 +72,7 @@
       if (classPriority < newcomer.classPriority) ahead += expectedMilliseconds
       else ahead += aheadInClass(byCustomer, newcomer)
     }
-    return ahead
+    return ahead * this.#claimedShare
   }
 
   /** Takes the first place whose told time has come; null if none was kept, or its caller is still to come. */
@@ -78,7 +83,10 @@
     this.#expire(ofClass, line, now)
     const [first] = line.reservations
     const claimed = first !== undefined && first.returnAt <= now ? first : null
-    if (claimed !== null) this.#removeFirst(ofClass, line)
+    if (claimed !== null) {
+      this.#removeFirst(ofClass, line)
+      this.#recordClaim(true)
+    }
     this.#dropIfEmpty(owner, ofClass, line)
     return claimed
   }
@@ -128,9 +136,14 @@
       if (first === undefined) return
       if (now < addMilliseconds(first.returnAt, RETURN_GRACE_MILLISECONDS)) return
       this.#removeFirst(ofClass, line)
+      this.#recordClaim(false)
     }
   }
 
+  #recordClaim(isClaimed: boolean): void {
+    this.#claimedShare += ((isClaimed ? 1 : 0) - this.#claimedShare) * CLAIM_WEIGHT
+  }
+
   #dropIfEmpty(
     owner: Pick<Owner, 'classPriority' | 'customer'>,
     ofClass: ClassLines,
--- a/packages/state/src/slots/serverSlots.ts
+++ b/packages/state/src/slots/serverSlots.ts
@@ -41,6 +41,9 @@
   readonly inFlight: number
 }
 
+/** Beyond this many times its expected duration, a statement no longer counts as one of the slow ones. */
+const OVERRUN_FACTOR = 8
+
 /**
  * A request is submitted once. If it is queued, it is later returned by `takeStartable` or `takeExpired`, or
  * withdrawn; if it started, it is finished. Callers ask `takeExpired` and `takeStartable` after each finish,
@@ -217,8 +220,16 @@
   #inFlightMilliseconds(now: Milliseconds): number {
     let milliseconds = 0
     for (const [request, { startedAt }] of this.#inFlight) {
-      milliseconds += Math.max(0, startedAt + validCost(request.expectedMilliseconds) - now)
+      milliseconds += remainingMilliseconds(
+        now - startedAt,
+        validCost(request.expectedMilliseconds),
+      )
     }
     return milliseconds
   }
 }
+
+/** One that takes many times as long as expected, as at a server that hangs, is likely to take as long again. */
+function remainingMilliseconds(elapsed: number, expected: number): number {
+  return elapsed > expected * OVERRUN_FACTOR ? elapsed : Math.max(0, expected - elapsed)
+}
