feat(host, ctl): queues of servers and shares of customers are shown to operators

Cause: what the scheduler of slots does could be seen in its refusals only. Change: where slots are scheduled, the metrics address also tells limit, statements in flight, queue and forecast by class and connections of each server, and of the ten customers with the most slot time (the rest as one) their shares, waiting statements, refusals by cause and use of their limits; as JSON at /slots, which nutmegcoursectl slots HOST:PORT prints. slot_refused names the priority and what decided, slot_overdue those that waited in vain, and statement_refused, limit_reached and limit_unknown the class; the latter two also the request.

--- a/packages/ctl/__tests__/parseCommand.spec.ts
+++ b/packages/ctl/__tests__/parseCommand.spec.ts
@@ -11,6 +11,8 @@
     { commandLine: 'status --settings ctl.yaml', kind: 'status' },
     { commandLine: 'explain session tally-7', kind: 'explain' },
     { commandLine: 'drain sched-1-a --undo', kind: 'drain' },
+    { commandLine: 'slots 10.0.3.7:9464 --json', kind: 'slots' },
+    { commandLine: 'slots [::1]:9464', kind: 'slots' },
     { commandLine: '--help', kind: 'help' },
     { commandLine: 'drain --help', kind: 'help' },
   ]
@@ -30,6 +32,12 @@
       message: '--expect-version takes a whole number, not new',
     },
     { commandLine: 'get --undo', message: 'get does not take --undo' },
+    { commandLine: 'slots', message: 'slots takes 1 operand, not 0' },
+    { commandLine: 'slots 10.0.3.7', message: 'slots takes HOST:PORT, not 10.0.3.7' },
+    { commandLine: 'slots :9464', message: 'slots takes HOST:PORT, not :9464' },
+    { commandLine: 'slots host:0', message: 'slots takes HOST:PORT, not host:0' },
+    { commandLine: 'slots host:65536', message: 'slots takes HOST:PORT, not host:65536' },
+    { commandLine: 'slots host:9464 --undo', message: 'slots does not take --undo' },
     {
       commandLine: 'explain caller x',
       message: 'explain takes one of class, session, database, not caller',
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -8,8 +8,10 @@
 import { ctlSettingsSchema, formatSettingsError, readYamlFile } from '@nutmegcourse/settings'
 import { EXIT_CODES, fail, succeed, type CommandResult } from './exitCode.js'
 import { readLogs, type LogsQuery } from './commands/logsCommand.js'
+import { showSlots } from './commands/slotsCommand.js'
 import { parseCommand } from './parseCommand.js'
 import { runCommand, type CommandContext, type FleetCommand } from './runCommand.js'
+import { readSlots } from './slotsOverHttp.js'
 import { GENERAL_USAGE } from './usage.js'
 
 const SETTINGS_VARIABLE = 'NUTMEGCOURSECTL_SETTINGS'
@@ -21,6 +23,7 @@
   const { command, json } = parsed.value
   if (command.kind === 'help') return succeed(command.text)
   if (command.kind === 'logs') return readLogFiles(command.files, command.question, json)
+  if (command.kind === 'slots') return showSlots(readSlots, command.endpoint, json)
   const settingsFile = parsed.value.settingsFile ?? process.env[SETTINGS_VARIABLE]
   if (settingsFile === undefined) {
     return fail(EXIT_CODES.usage, `no settings: give --settings FILE or set ${SETTINGS_VARIABLE}`)
--- a/packages/ctl/src/parseCommand.ts
+++ b/packages/ctl/src/parseCommand.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { backendServerId, type BackendServerId } from '@nutmegcourse/shared'
 import type { LogsQuery } from './commands/logsCommand.js'
+import type { RpcEndpoint } from './callOnce.js'
 import { COMMAND_USAGE, GENERAL_USAGE, isCommandName, type CommandName } from './usage.js'
 
 export type ExplainSubject = 'class' | 'session' | 'database'
@@ -22,6 +23,7 @@
   | { readonly kind: 'status' }
   | { readonly kind: 'explain'; readonly subject: ExplainSubject; readonly name: string }
   | { readonly kind: 'logs'; readonly question: LogsQuery; readonly files: readonly string[] }
+  | { readonly kind: 'slots'; readonly endpoint: RpcEndpoint }
   | { readonly kind: 'drain'; readonly backendServer: BackendServerId; readonly undo: boolean }
 
 export interface CommandLine {
@@ -57,8 +59,11 @@
   explain: [],
   drain: ['undo'],
   logs: [],
+  slots: [],
 }
 
+const MAXIMUM_PORT = 65_535
+
 const COMMON_OPTIONS: readonly (keyof Options)[] = ['settings', 'json', 'help']
 
 /** The error is a message for standard error. */
@@ -113,6 +118,8 @@
       return readExplain(operands)
     case 'logs':
       return readLogsCommand(operands)
+    case 'slots':
+      return readSlotsCommand(operands)
     case 'drain':
       return checkOperands(name, operands, 1).map(([server = '']) => ({
         kind: 'drain',
@@ -163,6 +170,23 @@
   return ok({ kind: 'logs', question: query, files })
 }
 
+function readSlotsCommand(operands: readonly string[]): Result<Command, string> {
+  return checkOperands('slots', operands, 1).andThen(([text = '']): Result<Command, string> => {
+    const endpoint = readEndpoint(text)
+    if (endpoint === null) return err(`slots takes HOST:PORT, not ${text}`)
+    return ok({ kind: 'slots', endpoint })
+  })
+}
+
+/** An address with colons of its own stands in brackets. Null for anything else than HOST:PORT. */
+function readEndpoint(text: string): RpcEndpoint | null {
+  const [, bracketed, plain, portText] = /^(?:\[([^\]]+)\]|([^:]+)):(\d+)$/.exec(text) ?? []
+  const address = bracketed ?? plain
+  const port = Number(portText)
+  if (address === undefined || port < 1 || port > MAXIMUM_PORT) return null
+  return { address, port }
+}
+
 function checkOperands(
   name: CommandName,
   operands: readonly string[],
--- a/packages/ctl/src/runCommand.ts
+++ b/packages/ctl/src/runCommand.ts
@@ -19,8 +19,8 @@
   readonly changeId: string
 }
 
-/** All commands but `logs`, which only reads files. Except for `help`, they need the store or an agent. */
-export type FleetCommand = Exclude<Command, { kind: 'logs' }>
+/** Commands that need settings. Except for `help`, they ask the store or an agent. */
+export type FleetCommand = Exclude<Command, { kind: 'logs' | 'slots' }>
 
 export async function runCommand(
   command: FleetCommand,
--- a/packages/ctl/src/usage.ts
+++ b/packages/ctl/src/usage.ts
@@ -9,6 +9,7 @@
   status            print entry hosts, databases, targets in force, refusals
   explain WHAT NAME explain routing (class, session) or the last change of primary (database)
   logs WHAT FILE... search or summarize the logs of entry hosts
+  slots HOST:PORT   print queues of backend servers and shares of customers
   drain SERVER      stop assigning new work to a backend server
 
 Options of every command:
@@ -67,6 +68,14 @@
 Examples:
   cat host-*.log | nutmegcoursectl logs request 5c0e7a21d94b36f8 -
   nutmegcoursectl logs change quai-sched host-1.log host-2.log
+`,
+  slots: `Usage: nutmegcoursectl slots HOST:PORT [--json]
+
+Asks the metrics address of an entry host. Needs no settings. Prints the queue of each backend server by
+class, and the ten customers with the most slot time. A server's queue stands at its dispatcher: ask that host.
+
+Example:
+  nutmegcoursectl slots 10.0.3.7:9464
 `,
   drain: `Usage: nutmegcoursectl drain SERVER [--undo] [--json]
 
--- a/packages/host/src/callerAuthorization.ts
+++ b/packages/host/src/callerAuthorization.ts
@@ -4,7 +4,7 @@
  *
  * @internal
  */
-import type { CallerRefusal, Route } from '@nutmegcourse/protocol'
+import type { CallerRefusal, Route, StatementId } from '@nutmegcourse/protocol'
 import type { CustomerName, KeyDigest } from '@nutmegcourse/shared'
 import type { RouteLookup } from './routeLookup.js'
 
@@ -61,11 +61,15 @@
   }
 
   /** Whether one more operation may run, within its customer's limit. */
-  async authorizeOperation(route: Route): Promise<Permission> {
+  async authorizeOperation(route: Route, request: StatementId): Promise<Permission> {
     const permission = this.authorizeSession(route)
     if (permission.kind === 'denied' || permission.customer === null) return permission
     const { customer } = permission
-    const admission = await this.#routes.admitOperation(customer)
+    const admission = await this.#routes.admitOperation(customer, {
+      request,
+      route: route.name,
+      priority: route.priority,
+    })
     if (admission.kind === 'admitted') return permission
     const after = String(Math.ceil(admission.waitMilliseconds))
     const detail = `limit of ${customer} is reached retry_after_ms=${after}`
--- a/packages/host/src/customerLimits.ts
+++ b/packages/host/src/customerLimits.ts
@@ -3,16 +3,26 @@
  *
  * @internal
  */
+import type { OperationLimit, StatementId } from '@nutmegcourse/protocol'
 import type { CustomerName } from '@nutmegcourse/shared'
 import type { SearchResult } from '@nutmegcourse/state'
+import type { LogFields } from './decisionLog.js'
 import type { HostContext } from './hostContext.js'
 import type { GrantAnswer, OwnParts } from './limitGranter.js'
 import { Backoffs } from './backoffs.js'
+import { CustomerTally } from './customerTally.js'
 import { CustomerGrants, type LimitPeers } from './customerGrants.js'
 
 export type Admission =
   { readonly kind: 'admitted' } | { readonly kind: 'overLimit'; readonly waitMilliseconds: number }
 
+/** The statement with which an operation begins. */
+export interface OperationStart {
+  readonly request: StatementId
+  readonly route: string
+  readonly priority: number
+}
+
 const ADMITTED: Admission = { kind: 'admitted' }
 
 /** Holders answer immediately; a round trip between regions takes tens of milliseconds. */
@@ -33,6 +43,10 @@
   readonly #unresponsive: Backoffs<string>
   /** Null where slots are not scheduled: then each operation asks one holder after the other. */
   readonly #grants: CustomerGrants | null
+  /** Counted where slots are scheduled, as are operations refused under a limit, or because it was unknown. */
+  readonly admitted = new CustomerTally()
+  readonly reached = new CustomerTally()
+  readonly unknown = new CustomerTally()
 
   constructor(context: HostContext, granter: OwnParts, peers: LimitPeers) {
     this.#context = context
@@ -45,11 +59,13 @@
   }
 
   /** Whether one more operation of the customer may run now. */
-  async admit(customer: CustomerName): Promise<Admission> {
+  async admit(customer: CustomerName, start: OperationStart | null = null): Promise<Admission> {
     const limit = this.#peers.limitOf(customer)
     if (limit === null) return ADMITTED
-    if (this.#grants !== null)
-      return this.#admissionOf(customer, await this.#grants.request(customer, limit))
+    if (this.#grants !== null) {
+      const result = await this.#grants.request(customer, limit)
+      return this.#admissionOf(customer, limit, result, start)
+    }
     const spentFor = this.#spent.remainingMilliseconds(customer)
     if (spentFor > 0) return this.#overLimit(customer, spentFor)
     let shortest: number | null = null
@@ -64,14 +80,25 @@
     return this.#overLimit(customer, shortest)
   }
 
-  #admissionOf(customer: CustomerName, result: SearchResult): Admission {
+  #admissionOf(
+    customer: CustomerName,
+    { operationsPerSecond }: OperationLimit,
+    result: SearchResult,
+    start: OperationStart | null,
+  ): Admission {
+    const now = this.#context.clock.now()
     switch (result.kind) {
       case 'granted':
+        this.admitted.count(customer, now)
         return ADMITTED
       case 'spent':
-        return this.#overLimit(customer, result.waitMilliseconds)
-      case 'unknown':
-        return this.#unreachable(customer)
+        this.reached.count(customer, now)
+        return this.#overLimit(customer, result.waitMilliseconds, { ...start, operationsPerSecond })
+      case 'unknown': {
+        this.unknown.count(customer, now)
+        const holders = this.#peers.limitHolders(customer)
+        return this.#unreachable(customer, { ...start, holders })
+      }
     }
   }
 
@@ -84,16 +111,17 @@
     return answer
   }
 
-  #overLimit(customer: CustomerName, waitMilliseconds: number): Admission {
+  #overLimit(customer: CustomerName, waitMilliseconds: number, details: LogFields = {}): Admission {
     this.#context.log.write('limit_reached', {
+      ...details,
       customer,
       waitMilliseconds: Math.round(waitMilliseconds),
     })
     return { kind: 'overLimit', waitMilliseconds }
   }
 
-  #unreachable(customer: CustomerName): Admission {
-    this.#context.log.write('limit_unknown', { customer })
+  #unreachable(customer: CustomerName, details: LogFields = {}): Admission {
+    this.#context.log.write('limit_unknown', { ...details, customer })
     return { kind: 'overLimit', waitMilliseconds: UNREACHABLE_RETRY_MILLISECONDS }
   }
 }
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -253,10 +253,14 @@
     fields: {
       request: 'id of the statement',
       route: 'its route',
+      priority: 'the priority of its class; 0 is the highest',
       customer: 'its customer; null where customers are not distinguished',
       server: 'the server',
       ahead: 'statements that would be served before it',
-      forecastMilliseconds: 'until its turn',
+      decidedBy:
+        'what the forecast consists of for the most part: queue (what waits and runs), higherClasses (what these are expected to send meanwhile), customer (its customer has more waiting than its share), target (it would miss its target, and what can still meet one goes first) or returning (callers that were told when to return)',
+      forecastMilliseconds:
+        'until its turn; a newcomer is also refused if it is below leftMilliseconds by less than its own uncertainty',
       leftMilliseconds: 'until the latest time at which it could start',
       retryAfterMilliseconds: 'when the caller should return',
       limit: 'statements that the server may have in flight',
@@ -264,6 +268,22 @@
       waiting: 'statements that wait for a slot',
     },
   },
+  slot_overdue: {
+    when: 'A statement waited for a slot until it was too late to answer it in time.',
+    fields: {
+      request: 'id of the statement',
+      route: 'its route',
+      priority: 'the priority of its class; 0 is the highest',
+      customer: 'its customer; null where customers are not distinguished',
+      server: 'the server',
+      ahead: 'statements that were to be served before it when it began to wait',
+      forecastMilliseconds: 'until its turn, as expected then',
+      waitedMilliseconds: 'since it arrived',
+      limit: 'statements that the server may have in flight',
+      inFlight: 'statements in flight there',
+      waiting: 'statements that wait for a slot',
+    },
+  },
   read_hedged: {
     when: 'A read took long at one server and was sent to a second one too.',
     fields: { request: 'id of the statement', first: 'the slow server', second: 'the other one' },
@@ -274,6 +294,9 @@
       request: 'id of the statement',
       database: 'the database that the caller named',
       route: 'the route',
+      priority: 'the priority of its class; only where slots are scheduled',
+      customer:
+        'its customer, null where customers are not distinguished; only where slots are scheduled',
       statement: 'read, write, commit or execute',
       write: 'whether it writes',
       primary: 'the server considered the primary',
@@ -308,11 +331,26 @@
   },
   limit_reached: {
     when: 'An operation was refused because its customer has used up its limit.',
-    fields: { customer: 'the customer', waitMilliseconds: 'until the next operation may run' },
+    fields: {
+      request:
+        'id of the statement that begins it; like the next three, only where slots are scheduled',
+      route: 'its route',
+      priority: 'the priority of its class',
+      operationsPerSecond: 'the limit',
+      customer: 'the customer',
+      waitMilliseconds: 'until the next operation may run',
+    },
   },
   limit_unknown: {
     when: 'An operation was refused because no host that holds a part of its customer’s limit was reachable, or too few to tell whether it is used up.',
-    fields: { customer: 'the customer' },
+    fields: {
+      request:
+        'id of the statement that begins it; like the next three, only where slots are scheduled',
+      route: 'its route',
+      priority: 'the priority of its class',
+      holders: 'the hosts that hold a part of the limit',
+      customer: 'the customer',
+    },
   },
   limit_invalid: {
     when: 'The limit of a customer is negative or not a number. It counts as 0, so none of its operations runs.',
--- a/packages/host/src/dispatcherDirectory.ts
+++ b/packages/host/src/dispatcherDirectory.ts
@@ -62,6 +62,13 @@
     return order
   }
 
+  /** The host to which this one sends statements for the servers of a region; null if none is planned or reached. */
+  dispatcherOf(service: ServiceState, serverRegion: string): string | null {
+    const { entryHost } = this.#context.settings
+    const dispatchers = this.#services.get(service.name)?.plan.get(serverRegion) ?? []
+    return dispatchers.find(host => host === entryHost || this.#isUp(host)) ?? null
+  }
+
   /** The part of the connections to servers in a region that falls to this host, which is a dispatcher. */
   partOf(service: ServiceState, serverRegion: string): ConnectionPart {
     const { plan } = this.#services.get(service.name) ?? {}
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -13,11 +13,13 @@
   HostSettings,
   PromotionPort,
   Route,
+  SlotStatus,
   StoreLink,
 } from '@nutmegcourse/protocol'
 import { STALL_MILLISECONDS } from '@nutmegcourse/state'
+import type { BackendServerState } from './backendServerState.js'
 import { CallerSession } from './callerSession.js'
-import { CustomerLimits, type Admission } from './customerLimits.js'
+import { CustomerLimits, type Admission, type OperationStart } from './customerLimits.js'
 import type { DecisionLog } from './decisionLog.js'
 import type { HostContext } from './hostContext.js'
 import { HostFleet } from './hostFleet.js'
@@ -32,6 +34,7 @@
 import type { CallerIdentity, RouteLookup, RoutedService } from './routeLookup.js'
 import { ServiceRegistry } from './serviceRegistry.js'
 import type { ServiceState } from './serviceState.js'
+import { slotStatusOf } from './slotStatus.js'
 import { StatementRunner } from './statementRunner.js'
 import { StoreFollower } from './storeFollower.js'
 import { ChangeFeedReader } from './changeFeedReader.js'
@@ -184,8 +187,24 @@
     return isStrict && clock.now() - this.#follower.knownAt > withinMilliseconds
   }
 
-  admitOperation(customer: CustomerName): Promise<Admission> {
-    return this.#customerLimits.admit(customer)
+  admitOperation(customer: CustomerName, start: OperationStart): Promise<Admission> {
+    return this.#customerLimits.admit(customer, start)
+  }
+
+  /** What operators see of slots; null where they are not scheduled. */
+  get slotStatus(): SlotStatus | null {
+    const { settings, clock } = this.#context
+    if (!settings.schedulesSlots) return null
+    const sources = {
+      entryHost: this.name,
+      services: this.#services.services,
+      routesOf: (service: ServiceState) => this.#services.routesOf(service),
+      dispatcherOf: (service: ServiceState, server: BackendServerState) =>
+        this.#fleet.dispatcherOf(service, server),
+      limits: this.#customerLimits,
+      limitOf: (customer: CustomerName) => this.#services.limitOf(customer),
+    }
+    return slotStatusOf(sources, clock.now())
   }
 
   serve(name: string): ServiceState | null {
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -20,6 +20,7 @@
   type Milliseconds,
 } from '@nutmegcourse/shared'
 import { connectionHolders } from '@nutmegcourse/state'
+import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
 import { Backoffs } from './backoffs.js'
 import { DispatcherDirectory } from './dispatcherDirectory.js'
@@ -27,6 +28,7 @@
 import type { RelayPeer } from './relayPeer.js'
 import { RelayPeers } from './relayPeers.js'
 import type { OwnerDirectory } from './relayingRunner.js'
+import { regionOf } from './serviceRegions.js'
 import type { ServiceState } from './serviceState.js'
 import type { ChangeFeedSources } from './changeFeedReader.js'
 
@@ -224,6 +226,12 @@
     return null
   }
 
+  /** The host through which this one sends statements to the server; null if none is planned. */
+  dispatcherOf(service: ServiceState, server: BackendServerState): string | null {
+    const region = regionOf(server, this.#context.settings)
+    return region === null ? null : this.#dispatchers.dispatcherOf(service, region)
+  }
+
   /** The hosts to try, in order; includes this host if it owns connections of the customer. */
   #hostOrderFor({ name }: ServiceState, customer: CustomerName | null): readonly string[] {
     const order = this.#hostOrder.get(name) ?? []
--- a/packages/host/src/hostMetrics.ts
+++ b/packages/host/src/hostMetrics.ts
@@ -1,12 +1,16 @@
 /** Counters and latency histograms of one entry host, served as text. */
 import { createHistogram, type RecordableHistogram } from 'node:perf_hooks'
 import { createServer, type Server } from 'node:http'
-import type { HostAddress, StatementBody } from '@nutmegcourse/protocol'
+import type { HostAddress, SlotStatus, StatementBody } from '@nutmegcourse/protocol'
 import type { EventName } from './decisionEvents.js'
+import { slotMetricLines } from './slotMetrics.js'
 
 /** The result of a statement as reported to its caller, in one word. */
 export type StatementOutcome = string
 
+/** Answers with the status of slots, where they are scheduled. */
+const SLOTS_PATH = '/slots'
+
 const PERCENTILES = [50, 90, 99, 99.9]
 const MICROSECONDS_PER_MILLISECOND = 1000
 
@@ -43,7 +47,8 @@
     histogram.record(Math.max(1, Math.round(tookMilliseconds * MICROSECONDS_PER_MILLISECOND)))
   }
 
-  text(): string {
+  /** `slots`: the status of slots; null where they are not scheduled. */
+  text(slots: SlotStatus | null = null): string {
     const lines: string[] = []
     for (const [name, read] of this.#gauges) {
       lines.push(`nutmegcourse_${name} ${String(read())}`)
@@ -61,14 +66,23 @@
         lines.push(`nutmegcourse_statement_milliseconds{${labels}} ${String(value)}`)
       }
     }
+    if (slots !== null) lines.push(...slotMetricLines(slots))
     return `${lines.join('\n')}\n`
   }
 }
 
-/** Serves the text at every path. */
-export function serveMetrics(address: HostAddress, metrics: HostMetrics): Server {
-  const server = createServer((_incoming, outgoing) => {
-    outgoing.writeHead(200, { 'Content-Type': 'text/plain; charset=utf-8' }).end(metrics.text())
+/** Serves the text at every path; where slots are scheduled, their status as JSON at `/slots`. */
+export function serveMetrics(
+  address: HostAddress,
+  metrics: HostMetrics,
+  slotStatus: () => SlotStatus | null,
+): Server {
+  const server = createServer((incoming, outgoing) => {
+    const slots = slotStatus()
+    const isStatus = slots !== null && incoming.url?.split('?')[0] === SLOTS_PATH
+    const type = isStatus ? 'application/json' : 'text/plain; charset=utf-8'
+    const body = isStatus ? JSON.stringify(slots) : metrics.text(slots)
+    outgoing.writeHead(200, { 'Content-Type': type }).end(body)
   })
   return server.listen(address.port, address.host)
 }
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -62,7 +62,10 @@
   host.listen(notListening('callers', true))
   const metricsAddress = metricsListenAddress(settings)
   if (metricsAddress !== null) {
-    serveMetrics(metricsAddress, metrics).on('error', notListening('metrics', false))
+    serveMetrics(metricsAddress, metrics, () => host.slotStatus).on(
+      'error',
+      notListening('metrics', false),
+    )
   }
   serveReadiness(settings.readiness, () => host.isReady).on(
     'error',
--- a/packages/host/src/routeLookup.ts
+++ b/packages/host/src/routeLookup.ts
@@ -5,7 +5,7 @@
  */
 import type { Route } from '@nutmegcourse/protocol'
 import type { CustomerName, KeyDigest } from '@nutmegcourse/shared'
-import type { Admission } from './customerLimits.js'
+import type { Admission, OperationStart } from './customerLimits.js'
 import type { SessionIntake } from './plannedStop.js'
 import type { ServiceState } from './serviceState.js'
 
@@ -30,7 +30,7 @@
   find(database: string): RoutedService | null
   identify(route: Route, key: KeyDigest): CallerIdentity
   /** Whether one more operation of the customer is within its limit. */
-  admitOperation(customer: CustomerName): Promise<Admission>
+  admitOperation(customer: CustomerName, start: OperationStart): Promise<Admission>
   readonly intake: SessionIntake
   /** Whether a configuration has been received. */
   readonly hasConfiguration: boolean
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -146,6 +146,14 @@
     return this.#limits.of(this.#configuration.customers.limitOf(customer))
   }
 
+  get services(): readonly ServiceState[] {
+    return this.#services()
+  }
+
+  routesOf({ name }: ServiceState): readonly Route[] {
+    return this.#configuration.current?.routes.filter(({ service }) => service === name) ?? []
+  }
+
   service(name: string): ServiceState | undefined {
     return this.#components.get(name)?.service
   }
--- a/packages/host/src/sessionStatements.ts
+++ b/packages/host/src/sessionStatements.ts
@@ -164,7 +164,7 @@
     }
     const routed = this.#findRoutedService()
     if (routed === null) return this.#fail(denied(UNKNOWN_DATABASE))
-    const permission = await this.#permissionFor(routed.route)
+    const permission = await this.#permissionFor(routed.route, statement)
     if (permission.kind === 'denied') {
       return this.#fail(denied(permission.denial))
     }
@@ -184,9 +184,9 @@
   }
 
   /** A transaction counts against the customer's limit once, at its first statement. */
-  async #permissionFor(route: Route): Promise<Permission> {
+  async #permissionFor(route: Route, { id }: RemoteStatement): Promise<Permission> {
     const transaction = this.#transaction
-    if (transaction.kind !== 'running') return this.#authorization.authorizeOperation(route)
+    if (transaction.kind !== 'running') return this.#authorization.authorizeOperation(route, id)
     return this.#authorization.authorizeInTransaction(route, transaction.customer)
   }
 
--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -4,7 +4,13 @@
  *
  * @internal
  */
-import type { BackendServerId, Milliseconds } from '@nutmegcourse/shared'
+import type { Route } from '@nutmegcourse/protocol'
+import {
+  addMilliseconds,
+  type BackendServerId,
+  type CustomerName,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import {
   Admission,
   ConcurrencyLimit,
@@ -14,6 +20,7 @@
   type SlotResult,
   type Submission,
 } from '@nutmegcourse/state'
+import { CustomerTally } from './customerTally.js'
 import type { HostContext } from './hostContext.js'
 import type { StatementRequest } from './statements.js'
 
@@ -39,7 +46,10 @@
   | { readonly kind: 'withdrawn' }
 
 interface GateRequest extends SlotRequest {
+  readonly id: string
   readonly route: string
+  /** What was expected when it began to wait; null before. */
+  queued: Extract<Submission, { kind: 'queued' }> | null
   settle(access: SlotAccess): void
 }
 
@@ -50,6 +60,10 @@
   readonly #waiting = new Set<GateRequest>()
   /** How long statements occupy a slot, by route. */
   readonly #slotTimes = new Map<string, ServiceEstimate>()
+  /** Statements that were refused at once. */
+  readonly refused = new CustomerTally()
+  /** Statements that waited until it was too late. */
+  readonly overdue = new CustomerTally()
 
   constructor(context: HostContext, server: BackendServerId, slots: number) {
     this.#context = context
@@ -69,6 +83,54 @@
     return this.#slots.waiting === 0 && this.#slots.inFlight < this.#slots.limit
   }
 
+  /** How many statements the server may have in flight. */
+  get limit(): number {
+    return this.#slots.limit
+  }
+
+  get inFlight(): number {
+    return this.#slots.inFlight
+  }
+
+  /** By priority; only classes with waiting statements. */
+  get waitingByClass(): ReadonlyMap<number, number> {
+    return this.#slots.waitingByClass
+  }
+
+  get waitingByCustomer(): ReadonlyMap<CustomerName | null, number> {
+    const counts = new Map<CustomerName | null, number>()
+    for (const { customer } of this.#waiting) counts.set(customer, (counts.get(customer) ?? 0) + 1)
+    return counts
+  }
+
+  /** Slot time that each customer used recently. */
+  get usedMilliseconds(): ReadonlyMap<CustomerName | null, number> {
+    return this.#slots.usedMilliseconds(this.#context.clock.now())
+  }
+
+  /** Expected wait of a statement that arrives now, of a customer that has nothing waiting. */
+  forecastMilliseconds(route: Route): number {
+    const now = this.#context.clock.now()
+    const expectedMilliseconds = this.#slotTimesOf(route.name).at(now)
+    const newcomer: GateRequest = {
+      classPriority: route.priority,
+      customer: null,
+      customerWeight: 1,
+      arrivedAt: now,
+      targetAt: addMilliseconds(now, route.latencyTargetMilliseconds),
+      latestStart: addMilliseconds(now, route.statementTimeoutMilliseconds - expectedMilliseconds),
+      isUnderWay: false,
+      expectedMilliseconds,
+      id: '',
+      route: route.name,
+      queued: null,
+      settle: () => {
+        // It is never submitted.
+      },
+    }
+    return this.#slots.forecastNewcomer(newcomer, now)
+  }
+
   /** Waits for a slot, until `waitUntil` at the latest. */
   enter(
     request: StatementRequest,
@@ -83,7 +145,9 @@
         customer,
         arrivedAt,
         expectedMilliseconds: this.#slotTimesOf(request.route.name).at(clock.now()),
+        id: request.statement.id,
         route: request.route.name,
+        queued: null,
         settle: access => {
           clearTimeout(timer)
           this.#waiting.delete(gated)
@@ -93,7 +157,7 @@
       const timer = setTimeout(
         () => {
           this.#slots.withdraw(gated)
-          gated.settle({ kind: 'overdue' })
+          this.#expire(gated)
         },
         Math.max(0, waitUntil - clock.now()),
       )
@@ -107,16 +171,20 @@
         gated.settle(this.#entered(gated))
         return
       case 'queued':
+        gated.queued = submission
         this.#waiting.add(gated)
         return
       case 'refused': {
-        const { forecastMilliseconds, retryAfterMilliseconds, ahead } = submission
+        const { forecastMilliseconds, retryAfterMilliseconds, ahead, cause } = submission
+        this.refused.count(request.customer, this.#context.clock.now())
         this.#context.log.write('slot_refused', {
           request: request.statement.id,
           route: request.route.name,
+          priority: request.route.priority,
           customer: request.customer,
           server: this.#server,
           ahead,
+          decidedBy: cause,
           forecastMilliseconds: Math.round(forecastMilliseconds),
           leftMilliseconds: Math.round(gated.latestStart - this.#context.clock.now()),
           retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
@@ -129,6 +197,30 @@
     }
   }
 
+  #expire(gated: GateRequest): void {
+    const now = this.#context.clock.now()
+    // Otherwise it may still start, perhaps at another server.
+    if (now >= gated.latestStart) this.#reportOverdue(gated, now)
+    gated.settle({ kind: 'overdue' })
+  }
+
+  #reportOverdue({ id, route, classPriority, ...gated }: GateRequest, now: Milliseconds): void {
+    this.overdue.count(gated.customer, now)
+    this.#context.log.write('slot_overdue', {
+      request: id,
+      route,
+      priority: classPriority,
+      customer: gated.customer,
+      server: this.#server,
+      ahead: gated.queued?.ahead,
+      forecastMilliseconds: Math.round(gated.queued?.forecastMilliseconds ?? 0),
+      waitedMilliseconds: Math.round(now - gated.arrivedAt),
+      limit: this.#slots.limit,
+      inFlight: this.#slots.inFlight,
+      waiting: this.#slots.waiting,
+    })
+  }
+
   #entered(gated: GateRequest): SlotAccess {
     let isEnded = false
     const end = (result: SlotResult): void => {
@@ -154,7 +246,7 @@
 
   #startNext(): void {
     const now = this.#context.clock.now()
-    for (const gated of this.#slots.takeExpired(now)) gated.settle({ kind: 'overdue' })
+    for (const gated of this.#slots.takeExpired(now)) this.#expire(gated)
     for (const gated of this.#slots.takeStartable(now)) gated.settle(this.#entered(gated))
   }
 
--- a/packages/host/src/statementReport.ts
+++ b/packages/host/src/statementReport.ts
@@ -25,7 +25,9 @@
   if (answer.kind === 'refused') {
     const { refusal, detail } = answer
     const cause = { refusal, reason: reason ?? refusal, detail }
-    log.write('statement_refused', { ...description, write: isWrite, ...cause })
+    const { customer } = request
+    const scheduled = service.schedulesSlots ? { priority: route.priority, customer } : {}
+    log.write('statement_refused', { ...description, ...scheduled, write: isWrite, ...cause })
   } else if (elapsed > route.latencyTargetMilliseconds) {
     // For a relayed statement the waiting times and attempts of the other host are not included.
     log.write('statement_late', {
--- a/packages/protocol/src/host/index.ts
+++ b/packages/protocol/src/host/index.ts
@@ -1,6 +1,7 @@
 export * from './backendLink.js'
 export * from './directory.js'
 export * from './hostSettings.js'
+export * from './slotStatus.js'
 export * from './statements.js'
 export * from './storeLink.js'
 export * from './storeRevision.js'
--- a/packages/state/src/slots/admission.ts
+++ b/packages/state/src/slots/admission.ts
@@ -69,6 +69,11 @@
     return { kind: 'admitted', forecastMilliseconds, firstArrivedAt: place.arrivedAt }
   }
 
+  /** Expected slot time of callers that were told to return and come before a newcomer. */
+  reservedMilliseconds(newcomer: SlotRequest, now: Milliseconds): number {
+    return this.#returns.aheadMilliseconds(newcomer, now)
+  }
+
   /** Refuses a statement and keeps a place for its caller, unless it would come too late after the longest delay. */
   #refuse({ request, place, waitMilliseconds }: Refusable, now: Milliseconds): AdmissionDecision {
     const timeLeft = Math.max(0, request.latestStart - now)
--- a/packages/state/src/slots/index.ts
+++ b/packages/state/src/slots/index.ts
@@ -4,5 +4,11 @@
 export * from './idleTransactions.js'
 export * from './ownConnectionWait.js'
 export * from './slotRequest.js'
-export { ServerSlots, type ServerSlotsOptions, type Submission } from './serverSlots.js'
+export { SlidingTotals } from './slidingTotals.js'
+export {
+  ServerSlots,
+  type RefusalCause,
+  type ServerSlotsOptions,
+  type Submission,
+} from './serverSlots.js'
 export { SlotScheduler } from './slotScheduler.js'
--- a/packages/state/src/slots/serverSlots.ts
+++ b/packages/state/src/slots/serverSlots.ts
@@ -4,7 +4,7 @@
 import type { ConcurrencyLimit } from './concurrencyLimit.js'
 import { IndexedHeap } from './indexedHeap.js'
 import { SlidingTotals } from './slidingTotals.js'
-import { SlotDemand } from './slotDemand.js'
+import { SlotDemand, type ForecastCause } from './slotDemand.js'
 import type { SlotRequest, SlotResult } from './slotRequest.js'
 import { SlotScheduler, type PositionInOrder } from './slotScheduler.js'
 import { validCost } from './waitingRequest.js'
@@ -25,13 +25,21 @@
       readonly forecastMilliseconds: number
       readonly retryAfterMilliseconds: number
       readonly ahead: number
+      readonly cause: RefusalCause
     }
 
+/** `returning`: without the places kept for callers that were told to return, it could have waited. */
+export type RefusalCause = ForecastCause | 'returning'
+
 export interface ServerSlotsOptions {
   readonly limit: ConcurrencyLimit
   readonly admission: Admission
 }
 
+interface CausedBacklog extends SlotBacklog {
+  readonly cause: ForecastCause
+}
+
 interface InFlight {
   readonly startedAt: Milliseconds
   /** Statements in flight when it started, itself included. */
@@ -90,6 +98,12 @@
     return new Map(total > 0 ? used.map(([key, milliseconds]) => [key, milliseconds / total]) : [])
   }
 
+  /** Slot time that each customer used recently. */
+  usedMilliseconds(now: Milliseconds): ReadonlyMap<CustomerName | null, number> {
+    this.#usage.advance(now)
+    return new Map([...this.#usage.keys()].map(key => [key, this.#usage.get(key)]))
+  }
+
   submit(request: Request, now: Milliseconds): Submission {
     this.#demand.recordOffered(request, now)
     if (this.#scheduler.size === 0 && this.#hasFreeSlot) {
@@ -109,7 +123,8 @@
     const { forecastMilliseconds } = decision
     if (decision.kind === 'refused') {
       const { retryAfterMilliseconds } = decision
-      return { kind: 'refused', forecastMilliseconds, retryAfterMilliseconds, ahead }
+      const cause = causeOf(request, backlog, forecastMilliseconds, now)
+      return { kind: 'refused', forecastMilliseconds, retryAfterMilliseconds, ahead, cause }
     }
     this.#enqueue(request, now)
     return { kind: 'queued', forecastMilliseconds, ahead }
@@ -172,6 +187,13 @@
     return aheadMilliseconds / concurrency
   }
 
+  /** Expected wait of a newcomer, also behind callers that were told to return. */
+  forecastNewcomer(newcomer: Request, now: Milliseconds): number {
+    const reserved = this.#admission.reservedMilliseconds(newcomer, now)
+    const wait = this.forecast(newcomer, now)
+    return wait === 0 ? 0 : wait + reserved / Math.max(1, this.#limit.value)
+  }
+
   get #hasFreeSlot(): boolean {
     return this.#inFlight.size < this.#limit.value
   }
@@ -200,11 +222,11 @@
     }
   }
 
-  #backlogOf(request: Request, position: PositionInOrder, now: Milliseconds): SlotBacklog {
+  #backlogOf(request: Request, position: PositionInOrder, now: Milliseconds): CausedBacklog {
     const concurrency = Math.max(1, this.#limit.value)
     const load = { slots: concurrency, inFlightMilliseconds: this.#inFlightMilliseconds(now) }
     return {
-      aheadMilliseconds: this.#demand.aheadMilliseconds(request, position, load, now),
+      ...this.#demand.forecast(request, position, load, now),
       ownMilliseconds: this.#scheduler.ownMilliseconds(request),
       concurrency,
     }
@@ -219,3 +241,13 @@
     return milliseconds
   }
 }
+
+function causeOf(
+  { latestStart }: SlotRequest,
+  { aheadMilliseconds, concurrency, cause }: CausedBacklog,
+  forecastMilliseconds: number,
+  now: Milliseconds,
+): RefusalCause {
+  const wait = aheadMilliseconds / concurrency
+  return forecastMilliseconds > wait && now + wait <= latestStart ? 'returning' : cause
+}
--- a/packages/state/src/slots/slidingTotals.ts
+++ b/packages/state/src/slots/slidingTotals.ts
@@ -1,8 +1,4 @@
-/**
- * Totals by key over a sliding period. State is bounded by the keys of two periods.
- *
- * @internal
- */
+/** Totals by key over a sliding period. State is bounded by the keys of two periods. */
 import type { Milliseconds } from '@nutmegcourse/shared'
 
 /** Rates of a shorter time than this would be those of a few events. */
--- a/packages/state/src/slots/slotDemand.ts
+++ b/packages/state/src/slots/slotDemand.ts
@@ -18,6 +18,19 @@
   readonly inFlightMilliseconds: number
 }
 
+/**
+ * What the forecast of a request consists of for the most part. `queue`: what waits before it and is in flight.
+ * `higherClasses`: what these are expected to send meanwhile. `customer`: the backlog of its own customer, which has more
+ * waiting than its share. `target`: it would miss its target, and what can still meet one goes first.
+ */
+export type ForecastCause = 'queue' | 'higherClasses' | 'customer' | 'target'
+
+/** Slot time until a request starts, including what will overtake it. */
+export interface SlotForecast {
+  readonly aheadMilliseconds: number
+  readonly cause: ForecastCause
+}
+
 export class SlotDemand {
   readonly #classes = new Map<number, ClassDemand>()
 
@@ -31,15 +44,14 @@
     this.#classOf(request).recordAdmitted(customer, validWeight(customerWeight), cost, now)
   }
 
-  /** Slot time until a request starts, including what will overtake it. */
-  aheadMilliseconds(
+  forecast(
     request: SlotRequest,
     position: PositionInOrder,
     { slots, inFlightMilliseconds }: ServerLoad,
     now: Milliseconds,
-  ): number {
+  ): SlotForecast {
     const ahead = position.aheadMilliseconds + inFlightMilliseconds
-    if (request.isUnderWay) return ahead
+    if (request.isUnderWay) return { aheadMilliseconds: ahead, cause: 'queue' }
     const cost = validCost(request.expectedMilliseconds)
     const left = slots - this.#slotsOfHigherClasses(request, now)
     const guaranteed = slots * MINIMUM_SHARE
@@ -52,9 +64,14 @@
     // Shares hold to within one statement.
     const byCustomer = own > 0 ? (own + cost) / ownSlots : 0
     const wait = Math.max(byClass, byCustomer)
-    if (now + wait + cost <= request.targetAt) return slots * wait
+    const cause = byCustomer > byClass ? 'customer' : causeByClass(byClass, ahead / slots)
+    if (now + wait + cost <= request.targetAt) return { aheadMilliseconds: slots * wait, cause }
     const aheadWhenLate = ahead - position.classMilliseconds + position.lateClassMilliseconds
-    return slots * Math.max(wait, this.#waitWhenLate(request, aheadWhenLate, classSlots, now))
+    const waitWhenLate = this.#waitWhenLate(request, aheadWhenLate, classSlots, now)
+    return {
+      aheadMilliseconds: slots * Math.max(wait, waitWhenLate),
+      cause: waitWhenLate > wait ? 'target' : cause,
+    }
   }
 
   /** A late request gets what those leave over that arrive after it and can meet their targets. */
@@ -96,3 +113,6 @@
     return demand
   }
 }
+
+const causeByClass = (wait: number, queued: number): ForecastCause =>
+  queued >= wait / 2 ? 'queue' : 'higherClasses'
