--- /dev/null
+++ b/packages/host/__tests__/slotGate.spec.ts
@@ -0,0 +1,106 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { VirtualClock, addMilliseconds, backendServerId, customerName } from '@nutmegcourse/shared'
+import type { LogFields } from '../src/decisionLog.js'
+import type { HostContext } from '../src/hostContext.js'
+import { SlotGate } from '../src/slotGate.js'
+import type { StatementRequest } from '../src/statements.js'
+
+const CUSTOMER = customerName('alfa')
+const LONG_MILLISECONDS = 5000
+
+class GateFixture {
+  readonly clock = new VirtualClock()
+  readonly lines: { readonly event: string; readonly fields: LogFields }[] = []
+  readonly gate: SlotGate
+
+  constructor() {
+    const log = {
+      write: (event: string, fields: LogFields) => this.lines.push({ event, fields }),
+    }
+    const context = { clock: this.clock, log } as unknown as HostContext
+    this.gate = new SlotGate(context, backendServerId('i-p'), 1)
+  }
+
+  /** `left`: milliseconds until its latest start. `wait`: how long it waits at most. */
+  async enter(id: string, left: number, wait = LONG_MILLISECONDS): Promise<string> {
+    const now = this.clock.now()
+    const request = {
+      customer: CUSTOMER,
+      arrivedAt: now,
+      route: { name: 'r-report', priority: 2 },
+      statement: { id },
+    } as unknown as StatementRequest
+    const terms = {
+      classPriority: 2,
+      customerWeight: 1,
+      targetAt: addMilliseconds(now, 2 * LONG_MILLISECONDS),
+      latestStart: addMilliseconds(now, left),
+      isUnderWay: false,
+    }
+    const { kind } = await this.gate.enter(request, terms, addMilliseconds(now, wait))
+    return kind
+  }
+
+  get refusalsPerSecond(): { readonly atOnce: number; readonly overdue: number } {
+    const now = this.clock.now()
+    const { refused, overdue } = this.gate
+    return {
+      atOnce: refused.perSecond(now).get(CUSTOMER) ?? 0,
+      overdue: overdue.perSecond(now).get(CUSTOMER) ?? 0,
+    }
+  }
+}
+
+describe('SlotGate', () => {
+  // Guards against statements that end without a line from which operators learn why.
+  it('logs and counts a statement that waited until it was too late', async () => {
+    const fixture = new GateFixture()
+    await fixture.enter('running', LONG_MILLISECONDS)
+    const waiting = fixture.enter('waiting', 500)
+    expect([...fixture.gate.waitingByCustomer]).toEqual([[CUSTOMER, 1]])
+    expect([...fixture.gate.waitingByClass]).toEqual([[2, 1]])
+    fixture.clock.advance(501)
+    fixture.gate.tick()
+    expect(await waiting).toEqual('overdue')
+    const [line] = fixture.lines
+    const forecastMilliseconds = line?.fields.forecastMilliseconds
+    expect(line).toEqual({
+      event: 'slot_overdue',
+      fields: {
+        request: 'waiting',
+        route: 'r-report',
+        priority: 2,
+        customer: CUSTOMER,
+        ahead: 0,
+        forecastMilliseconds,
+        waitedMilliseconds: 501,
+        server: backendServerId('i-p'),
+        limit: 1,
+        inFlight: 1,
+        waiting: 0,
+      },
+    })
+    expect(typeof forecastMilliseconds).toEqual('number')
+    expect(fixture.refusalsPerSecond.overdue > 0).toEqual(true)
+  })
+
+  it('counts no statement that gives its place up while it may still start elsewhere', async () => {
+    const fixture = new GateFixture()
+    await fixture.enter('running', LONG_MILLISECONDS)
+    expect(await fixture.enter('read', 500, 0)).toEqual('overdue')
+    expect([fixture.lines.length, fixture.refusalsPerSecond]).toEqual([
+      0,
+      { atOnce: 0, overdue: 0 },
+    ])
+  })
+
+  it('logs and counts a statement that is refused at once', async () => {
+    const fixture = new GateFixture()
+    await fixture.enter('running', LONG_MILLISECONDS)
+    expect(await fixture.enter('short', 0)).toEqual('overloaded')
+    const { priority, customer, ahead, decidedBy } = fixture.lines[0]?.fields ?? {}
+    expect([priority, customer, ahead, decidedBy]).toEqual([2, CUSTOMER, 0, 'queue'])
+    expect(fixture.refusalsPerSecond.atOnce > 0).toEqual(true)
+  })
+})
--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -22,6 +22,12 @@
 } from '@nutmegcourse/state'
 import { CustomerTally } from './customerTally.js'
 import type { HostContext } from './hostContext.js'
+import {
+  reportSlotOverdue,
+  reportSlotRefused,
+  type GatedStatement,
+  type QueuedSubmission,
+} from './slotReports.js'
 import type { StatementRequest } from './statements.js'
 
 /** A statement's use of a slot, which ends with the statement's answer. */
@@ -45,11 +51,8 @@
   /** The server is gone, or lost the role that the statement needs. */
   | { readonly kind: 'withdrawn' }
 
-interface GateRequest extends SlotRequest {
-  readonly id: string
-  readonly route: string
-  /** What was expected when it began to wait; null before. */
-  queued: Extract<Submission, { kind: 'queued' }> | null
+interface GateRequest extends GatedStatement {
+  queued: QueuedSubmission | null
   settle(access: SlotAccess): void
 }
 
@@ -161,11 +164,11 @@
         },
         Math.max(0, waitUntil - clock.now()),
       )
-      this.#submitted(request, gated, this.#slots.submit(gated, clock.now()))
+      this.#submitted(gated, this.#slots.submit(gated, clock.now()))
     })
   }
 
-  #submitted(request: StatementRequest, gated: GateRequest, submission: Submission): void {
+  #submitted(gated: GateRequest, submission: Submission): void {
     switch (submission.kind) {
       case 'started':
         gated.settle(this.#entered(gated))
@@ -175,23 +178,10 @@
         this.#waiting.add(gated)
         return
       case 'refused': {
-        const { forecastMilliseconds, retryAfterMilliseconds, ahead, cause } = submission
-        this.refused.count(request.customer, this.#context.clock.now())
-        this.#context.log.write('slot_refused', {
-          request: request.statement.id,
-          route: request.route.name,
-          priority: request.route.priority,
-          customer: request.customer,
-          server: this.#server,
-          ahead,
-          decidedBy: cause,
-          forecastMilliseconds: Math.round(forecastMilliseconds),
-          leftMilliseconds: Math.round(gated.latestStart - this.#context.clock.now()),
-          retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-          limit: this.#slots.limit,
-          inFlight: this.#slots.inFlight,
-          waiting: this.#slots.waiting,
-        })
+        const { retryAfterMilliseconds } = submission
+        const now = this.#context.clock.now()
+        this.refused.count(gated.customer, now)
+        reportSlotRefused(this.#context, this.#state, gated, submission, now)
         gated.settle({ kind: 'overloaded', waitMilliseconds: retryAfterMilliseconds })
       }
     }
@@ -200,25 +190,16 @@
   #expire(gated: GateRequest): void {
     const now = this.#context.clock.now()
     // Otherwise it may still start, perhaps at another server.
-    if (now >= gated.latestStart) this.#reportOverdue(gated, now)
+    if (now >= gated.latestStart) {
+      this.overdue.count(gated.customer, now)
+      reportSlotOverdue(this.#context, this.#state, gated, now)
+    }
     gated.settle({ kind: 'overdue' })
   }
 
-  #reportOverdue({ id, route, classPriority, ...gated }: GateRequest, now: Milliseconds): void {
-    this.overdue.count(gated.customer, now)
-    this.#context.log.write('slot_overdue', {
-      request: id,
-      route,
-      priority: classPriority,
-      customer: gated.customer,
-      server: this.#server,
-      ahead: gated.queued?.ahead,
-      forecastMilliseconds: Math.round(gated.queued?.forecastMilliseconds ?? 0),
-      waitedMilliseconds: Math.round(now - gated.arrivedAt),
-      limit: this.#slots.limit,
-      inFlight: this.#slots.inFlight,
-      waiting: this.#slots.waiting,
-    })
+  get #state() {
+    const { limit, inFlight, waiting } = this.#slots
+    return { server: this.#server, limit, inFlight, waiting }
   }
 
   #entered(gated: GateRequest): SlotAccess {
--- a/packages/state/src/slots/slotDemand.ts
+++ b/packages/state/src/slots/slotDemand.ts
@@ -64,7 +64,7 @@
     // Shares hold to within one statement.
     const byCustomer = own > 0 ? (own + cost) / ownSlots : 0
     const wait = Math.max(byClass, byCustomer)
-    const cause = byCustomer > byClass ? 'customer' : causeByClass(byClass, ahead / slots)
+    const cause = own / ownSlots > byClass ? 'customer' : causeByClass(byClass, ahead / slots)
     if (now + wait + cost <= request.targetAt) return { aheadMilliseconds: slots * wait, cause }
     const aheadWhenLate = ahead - position.classMilliseconds + position.lateClassMilliseconds
     const waitWhenLate = this.#waitWhenLate(request, aheadWhenLate, classSlots, now)
