--- a/packages/host/__tests__/slotStatus.spec.ts
+++ b/packages/host/__tests__/slotStatus.spec.ts
@@ -2,7 +2,12 @@
 import type { AddressInfo } from 'node:net'
 import { expect } from 'earl'
 import { customerName, digestOfKey, milliseconds } from '@nutmegcourse/shared'
-import type { Customer, CustomerSlotStatus, SlotStatus } from '@nutmegcourse/protocol'
+import {
+  readSlotStatus,
+  type Customer,
+  type CustomerSlotStatus,
+  type SlotStatus,
+} from '@nutmegcourse/protocol'
 import { HostMetrics, serveMetrics } from '../src/hostMetrics.js'
 import { slotMetricLines } from '../src/slotMetrics.js'
 import { slotStatusOf, type SlotStatusSources } from '../src/slotStatus.js'
@@ -195,6 +200,7 @@
         )
         const seen = host.host.slotStatus
         await Promise.all(served)
+        expect(readSlotStatus(JSON.parse(JSON.stringify(seen)))).toEqual(seen)
         const primary = seen?.servers.find(({ server }) => server === P)
         const [highest, lowest] = primary?.classes ?? []
         expect([primary?.isPrimary, primary?.slots, highest?.priority, lowest?.priority]).toEqual([
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,2 +1,3 @@
 export { describeEvents } from './decisionEvents.js'
+export { describeSlotMetrics } from './slotMetrics.js'
 export { EntryHost, type EntryHostPorts } from './entryHost.js'
--- a/packages/host/src/slotMetrics.ts
+++ b/packages/host/src/slotMetrics.ts
@@ -3,10 +3,34 @@
  *
  * @internal
  */
-import type { CustomerSlotStatus, ServerSlotStatus, SlotStatus } from '@nutmegcourse/protocol'
+import {
+  OTHER_CUSTOMERS,
+  type CustomerSlotStatus,
+  type ServerSlotStatus,
+  type SlotStatus,
+} from '@nutmegcourse/protocol'
 
 type Labels = Readonly<Record<string, string>>
 
+/** Every metric, and what it means. docs/METRICS.md is generated from this table. */
+const SLOT_METRICS = {
+  slots: 'Statements that a server processes concurrently, by its entry. Labels: service, server.',
+  slot_limit: 'Statements that it may have in flight. Labels: service, server.',
+  slots_in_flight: 'Statements that it has in flight through this host. Labels: service, server.',
+  server_connections: 'Connections of this host to it. Labels: service, server.',
+  slot_waiting: 'Statements that wait for a slot. Labels: service, server, priority.',
+  slot_forecast_milliseconds:
+    'Expected wait of the next statement, of a customer that has nothing waiting. Labels: service, server, priority.',
+  customer_slot_share:
+    'Part of the slot time used through this host, 0 to 1. Labels: customer, as for the others below.',
+  customer_waiting: 'Statements that wait for a slot. Labels: customer.',
+  customer_refused_per_second:
+    'Refusals. Labels: customer, cause (slots: at once by a server’s queue, though another server may have run it; overdue: after waiting in vain; limit; limitUnknown).',
+  customer_limit_per_second: 'The limit. Labels: customer.',
+  customer_admitted_per_second:
+    'Operations of this host’s callers that were admitted under the limit. Labels: customer.',
+} as const satisfies Readonly<Record<string, string>>
+
 export const slotMetricLines = ({ servers, customers }: SlotStatus): string[] => [
   ...servers.flatMap(serverLines),
   ...customers.flatMap(customerLines),
@@ -48,10 +72,27 @@
   ]
 }
 
-function line(name: string, labels: Labels, value: number): string {
+function line(name: keyof typeof SLOT_METRICS, labels: Labels, value: number): string {
   const described = Object.entries(labels).map(([label, text]) => `${label}="${escaped(text)}"`)
   return `nutmegcourse_${name}{${described.join(',')}} ${String(value)}`
 }
 
 const escaped = (text: string): string =>
   text.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n')
+
+/** The part of docs/METRICS.md on slots. */
+export function describeSlotMetrics(): string {
+  const lines = [
+    '',
+    '## Slots',
+    '',
+    'At the metrics address of an entry host of the platform, where slots are scheduled; all with the prefix',
+    '`nutmegcourse_`. A server’s queue stands at its dispatcher. Of customers the ten with the most slot time are told',
+    `apart; the rest is \`customer="${OTHER_CUSTOMERS}"\`. Rates and shares are those of about the last ten seconds.`,
+    '',
+    '| metric | meaning |',
+    '|---|---|',
+    ...Object.entries(SLOT_METRICS).map(([name, meaning]) => `| \`${name}\` | ${meaning} |`),
+  ]
+  return `${lines.join('\n')}\n`
+}
--- a/packages/protocol/src/host/slotStatus.ts
+++ b/packages/protocol/src/host/slotStatus.ts
@@ -34,7 +34,7 @@
   slotShare: z.number(),
   waiting: z.number(),
   refusedPerSecond: z.looseObject({
-    /** At once, because their turns would come too late. */
+    /** At once, because their turns would come too late; another server may have run them. */
     slots: z.number(),
     /** After having waited for a slot in vain. */
     overdue: z.number(),
--- a/scripts/generateDocs.js
+++ b/scripts/generateDocs.js
@@ -1,14 +1,14 @@
 // Writes the pages that are made from the code. `--check` writes nothing and fails on a difference.
 import { readFileSync, writeFileSync } from 'node:fs'
 import { describeCounters } from '@nutmegcourse/observability'
-import { describeEvents } from '@nutmegcourse/host'
+import { describeEvents, describeSlotMetrics } from '@nutmegcourse/host'
 import { describeErrors } from '@nutmegcourse/proxy'
 import { describeSettings } from '@nutmegcourse/settings'
 
 const PAGES = [
   { path: 'docs/ERRORS.md', text: describeErrors() },
   { path: 'docs/LOGS.md', text: describeEvents() },
-  { path: 'docs/METRICS.md', text: describeCounters() },
+  { path: 'docs/METRICS.md', text: `${describeCounters()}${describeSlotMetrics()}` },
   { path: 'docs/SETTINGS.md', text: describeSettings() },
 ]
 
