--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -4,7 +4,13 @@
  *
  * @internal
  */
-import type { BackendServerId } from '@nutmegcourse/shared'
+import type { Route } from '@nutmegcourse/protocol'
+import {
+  addMilliseconds,
+  type BackendServerId,
+  type CustomerName,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import {
   Admission,
   ConcurrencyLimit,
@@ -14,7 +20,14 @@
   type SlotResult,
   type Submission,
 } from '@nutmegcourse/state'
+import { CustomerTally } from './customerTally.js'
 import type { HostContext } from './hostContext.js'
+import {
+  reportSlotOverdue,
+  reportSlotRefused,
+  type GatedStatement,
+  type QueuedSubmission,
+} from './slotReports.js'
 import type { StatementRequest } from './statements.js'
 
 /** A statement's use of a slot, which ends with the statement's answer. */
@@ -38,8 +51,8 @@
   /** The server is gone, or lost the role that the statement needs. */
   | { readonly kind: 'withdrawn' }
 
-interface GateRequest extends SlotRequest {
-  readonly route: string
+interface GateRequest extends GatedStatement {
+  queued: QueuedSubmission | null
   settle(access: SlotAccess): void
 }
 
@@ -51,6 +64,10 @@
   #wasSilent = false
   /** How long statements occupy a slot, by route. */
   readonly #slotTimes = new Map<string, ServiceEstimate>()
+  /** Statements that were refused at once. */
+  readonly refused = new CustomerTally()
+  /** Statements that waited until it was too late. */
+  readonly overdue = new CustomerTally()
 
   constructor(context: HostContext, server: BackendServerId, slots: number) {
     this.#context = context
@@ -70,6 +87,54 @@
     return this.#slots.waiting === 0 && this.#slots.inFlight < this.#slots.limit
   }
 
+  /** How many statements the server may have in flight. */
+  get limit(): number {
+    return this.#slots.limit
+  }
+
+  get inFlight(): number {
+    return this.#slots.inFlight
+  }
+
+  /** By priority; only classes with waiting statements. */
+  get waitingByClass(): ReadonlyMap<number, number> {
+    return this.#slots.waitingByClass
+  }
+
+  get waitingByCustomer(): ReadonlyMap<CustomerName | null, number> {
+    const counts = new Map<CustomerName | null, number>()
+    for (const { customer } of this.#waiting) counts.set(customer, (counts.get(customer) ?? 0) + 1)
+    return counts
+  }
+
+  /** Slot time that each customer used recently. */
+  get usedMilliseconds(): ReadonlyMap<CustomerName | null, number> {
+    return this.#slots.usedMilliseconds(this.#context.clock.now())
+  }
+
+  /** Expected wait of a statement that arrives now, of a customer that has nothing waiting. */
+  forecastMilliseconds(route: Route): number {
+    const now = this.#context.clock.now()
+    const expectedMilliseconds = this.#slotTimesOf(route.name).at(now)
+    const newcomer: GateRequest = {
+      classPriority: route.priority,
+      customer: null,
+      customerWeight: 1,
+      arrivedAt: now,
+      targetAt: addMilliseconds(now, route.latencyTargetMilliseconds),
+      latestStart: addMilliseconds(now, route.statementTimeoutMilliseconds - expectedMilliseconds),
+      isUnderWay: false,
+      expectedMilliseconds,
+      id: '',
+      route: route.name,
+      queued: null,
+      settle: () => {
+        // It is never submitted.
+      },
+    }
+    return this.#slots.forecastNewcomer(newcomer, now)
+  }
+
   /** Waits for a slot, until its latest start. */
   enter(
     request: StatementRequest,
@@ -83,7 +148,9 @@
         customer,
         arrivedAt,
         expectedMilliseconds: this.#slotTimesOf(request.route.name).at(clock.now()),
+        id: request.statement.id,
         route: request.route.name,
+        queued: null,
         settle: access => {
           clearTimeout(timer)
           this.#waiting.delete(gated)
@@ -93,42 +160,48 @@
       const timer = setTimeout(
         () => {
           this.#slots.withdraw(gated)
-          gated.settle({ kind: 'overdue' })
+          this.#expire(gated)
         },
         Math.max(0, terms.latestStart - clock.now()),
       )
-      this.#submitted(request, gated, this.#slots.submit(gated, clock.now()))
+      this.#submitted(gated, this.#slots.submit(gated, clock.now()))
     })
   }
 
-  #submitted(request: StatementRequest, gated: GateRequest, submission: Submission): void {
+  #submitted(gated: GateRequest, submission: Submission): void {
     switch (submission.kind) {
       case 'started':
         gated.settle(this.#entered(gated))
         return
       case 'queued':
+        gated.queued = submission
         this.#waiting.add(gated)
         return
       case 'refused': {
-        const { forecastMilliseconds, retryAfterMilliseconds, ahead } = submission
-        this.#context.log.write('slot_refused', {
-          request: request.statement.id,
-          route: request.route.name,
-          customer: request.customer,
-          server: this.#server,
-          ahead,
-          forecastMilliseconds: Math.round(forecastMilliseconds),
-          leftMilliseconds: Math.round(gated.latestStart - this.#context.clock.now()),
-          retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-          limit: this.#slots.limit,
-          inFlight: this.#slots.inFlight,
-          waiting: this.#slots.waiting,
-        })
+        const { retryAfterMilliseconds } = submission
+        const now = this.#context.clock.now()
+        this.refused.count(gated.customer, now)
+        reportSlotRefused(this.#context, this.#state, gated, submission, now)
         gated.settle({ kind: 'overloaded', waitMilliseconds: retryAfterMilliseconds })
       }
     }
   }
 
+  #expire(gated: GateRequest): void {
+    const now = this.#context.clock.now()
+    // Otherwise it may still start, perhaps at another server.
+    if (now >= gated.latestStart) {
+      this.overdue.count(gated.customer, now)
+      reportSlotOverdue(this.#context, this.#state, gated, now)
+    }
+    gated.settle({ kind: 'overdue' })
+  }
+
+  get #state() {
+    const { limit, inFlight, waiting } = this.#slots
+    return { server: this.#server, limit, inFlight, waiting }
+  }
+
   #entered(gated: GateRequest): SlotAccess {
     let isEnded = false
     const end = (result: SlotResult): void => {
@@ -154,7 +227,7 @@
 
   #startNext(): void {
     const now = this.#context.clock.now()
-    for (const gated of this.#slots.takeExpired(now)) gated.settle({ kind: 'overdue' })
+    for (const gated of this.#slots.takeExpired(now)) this.#expire(gated)
     for (const gated of this.#slots.takeStartable(now)) gated.settle(this.#entered(gated))
   }
 
