--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -99,6 +99,7 @@
           paceMilliseconds: 500,
           connectionLimit: 25,
           kinds,
+          isHardLoad: false,
           program: PROGRAM,
           directory,
         })
--- a/packages/soak/src/consistencyChecker.ts
+++ b/packages/soak/src/consistencyChecker.ts
@@ -4,7 +4,8 @@
  */
 import { isAtOrPast, laterPosition, logPosition, type LogPosition } from '@nutmegcourse/shared'
 import type { MemoryGroup } from '@nutmegcourse/stand-ins'
-import type { UnsuccessfulStatement } from './soakCaller.js'
+import { IDLE_TRANSACTION_MILLISECONDS } from './guarantees.js'
+import type { UnsuccessfulStatement } from './soakCallerOptions.js'
 
 export type ReadRule =
   | { readonly kind: 'latest' }
@@ -100,10 +101,11 @@
   /**
    * Checks an unsuccessful statement while only planned operations were in progress. A planned stop
    * or a new configuration must not interrupt a statement, roll back a transaction or leave its
-   * outcome unknown. A refusal without effect that can be retried at once is allowed.
+   * outcome unknown. A refusal without effect that can be retried at once is allowed, and the end of a
+   * transaction that was idle for as long as the operators allow.
    */
   checkDuringPlannedOperation(
-    { host, id, owedMilliseconds, answer }: UnsuccessfulStatement,
+    { host, id, owedMilliseconds, answer, restedMilliseconds }: UnsuccessfulStatement,
     isStopping: boolean,
   ): void {
     const waited = `unanswered for ${owedMilliseconds.toFixed(1)} ms`
@@ -118,7 +120,7 @@
         )
         return
       case 'notRun':
-        if (!answer.isRolledBack) return
+        if (!answer.isRolledBack || restedMilliseconds >= IDLE_TRANSACTION_MILLISECONDS) return
         this.#report(
           `${host} rolled ${id} back during planned operations: "${answer.detail}", ${waited}`,
         )
--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -24,8 +24,8 @@
   readonly #roleTimer: NodeJS.Timeout
   /** The number of started faults by kind. */
   readonly faultCounts = new Map<string, number>()
-  /** The intervals in which an unplanned fault was active. */
-  readonly #unplannedFaults: { readonly from: number; until: number }[] = []
+  /** When each fault ended. */
+  readonly #faults: { readonly isPlanned: boolean; until: number }[] = []
 
   constructor(fleet: SoakFleet, random: RandomSource) {
     this.#fleet = fleet
@@ -52,17 +52,23 @@
 
   /** Whether an unplanned fault was active at or after `time`. */
   hadUnplannedFaultSince(time: number): boolean {
-    return this.#unplannedFaults.some(({ until }) => until >= time)
+    return this.#faults.some(({ isPlanned, until }) => !isPlanned && until >= time)
+  }
+
+  /** Whether any fault was active at or after `time`. */
+  hadFaultSince(time: number): boolean {
+    return this.#faults.some(({ until }) => until >= time)
   }
 
   async #applyFault({ fault, durationMilliseconds }: PlannedFault): Promise<void> {
     this.faultCounts.set(fault.kind, (this.faultCounts.get(fault.kind) ?? 0) + 1)
-    const interval = { from: performance.now(), until: Number.POSITIVE_INFINITY }
-    if (!PLANNED_KINDS.includes(fault.kind)) this.#unplannedFaults.push(interval)
+    const isPlanned = PLANNED_KINDS.includes(fault.kind)
+    const record = { isPlanned, until: Number.POSITIVE_INFINITY }
+    this.#faults.push(record)
     await this.#begin(fault)
     await delay(durationMilliseconds)
     await this.#end(fault)
-    interval.until = performance.now()
+    record.until = performance.now()
   }
 
   async #begin(fault: Fault): Promise<void> {
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -2,4 +2,4 @@
 export * from './faultPlan.js'
 export { ConsistencyChecker, type ReadRule } from './consistencyChecker.js'
 export * from './runSoak.js'
-export type { OnUnsuccessfulStatement, UnsuccessfulStatement } from './soakCaller.js'
+export type { OnUnsuccessfulStatement, UnsuccessfulStatement } from './soakCallerOptions.js'
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -7,7 +7,7 @@
 import { parseArgs } from 'node:util'
 import { DEFAULT_FAULT_KINDS, PLANNED_KINDS, type FaultKind } from './faultPlan.js'
 import { runSoak, type SoakOptions } from './runSoak.js'
-import type { UnsuccessfulStatement } from './soakCaller.js'
+import type { UnsuccessfulStatement } from './soakCallerOptions.js'
 
 const USAGE = `usage: npm run soak -- [options]
   --seed N       the first seed (default: derived from the current time)
@@ -19,6 +19,8 @@
   --pace N       average milliseconds between the starts of two faults (600)
   --limit N      connection limit of a backend server (25)
   --kinds A,B    inject only these kinds of fault
+  --load         hard load: customers, classes and callers beyond the slots of the servers,
+                 during the faults and for 9 s after them
   --program F    path of another build of the entry host program
   --keep DIR     keep settings and logs in this directory
   --told         print one line of JSON to standard error for each statement without a successful answer
@@ -40,6 +42,7 @@
   pace: { type: 'string', default: '600' },
   limit: { type: 'string', default: '25' },
   kinds: { type: 'string' },
+  load: { type: 'boolean', default: false },
   program: { type: 'string', default: PROGRAM },
   keep: { type: 'string' },
   told: { type: 'boolean', default: false },
@@ -81,6 +84,7 @@
     paceMilliseconds: count('pace', values.pace),
     connectionLimit: count('limit', values.limit),
     kinds: kinds as readonly FaultKind[],
+    isHardLoad: values.load,
     program: values.program,
     keep: values.keep ?? null,
     printsUnsuccessful: values.told,
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -2,9 +2,15 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { SeededRandom } from '@nutmegcourse/shared'
 import { FaultInjector } from './faultInjector.js'
-import { planFaults, type FaultKind } from './faultPlan.js'
+import { planFaults, type FaultKind, type PlannedFault } from './faultPlan.js'
+import { USUAL_HABITS, steadyHabits, type CallerHabits } from './hardLoad.js'
+import { LoadChecker } from './loadChecker.js'
+import { LoadGenerator } from './loadGenerator.js'
+import { planLoads, type PlannedLoad } from './loadPlan.js'
 import { ConsistencyChecker } from './consistencyChecker.js'
-import { SoakCaller, type OnUnsuccessfulStatement } from './soakCaller.js'
+import { SoakCaller } from './soakCaller.js'
+import type { OnUnsuccessfulStatement } from './soakCallerOptions.js'
+import { CONFIGURATION_BOUND_MILLISECONDS } from '@nutmegcourse/platform/standIns'
 import { SoakFleet } from './soakFleet.js'
 import { StallDetector, type Stall } from './stallDetector.js'
 
@@ -17,6 +23,8 @@
   readonly paceMilliseconds: number
   readonly connectionLimit: number
   readonly kinds: readonly FaultKind[]
+  /** Adds customers, classes and load beyond the slots of the backend servers. */
+  readonly isHardLoad: boolean
   readonly program: string
   /** The directory for the settings and logs of the hosts. */
   readonly directory: string
@@ -29,6 +37,8 @@
   readonly findings: readonly string[]
   readonly faults: Readonly<Record<string, number>>
   readonly operations: ConsistencyChecker['counts']
+  /** Only statements that were judged: sent while load was on and no fault. */
+  readonly underLoad?: LoadChecker['counts']
   readonly promotions: number
   /** From the end of the last fault until every host has written to every service; null on a timeout. */
   readonly recoveryMilliseconds: number | null
@@ -45,69 +55,136 @@
 /** A failed statement within this time after a stall of this process may be caused by the stall. */
 const STALL_AFTERMATH_MILLISECONDS = 500
 
+/**
+ * Load is judged when no fault was active for this long: the bound within which hosts must have acted on what the store
+ * says, which by then includes the ends of faults.
+ */
+const SETTLING_MILLISECONDS = CONFIGURATION_BOUND_MILLISECONDS
+
+/** After the faults of a hard load run. */
+const CALM_MILLISECONDS = SETTLING_MILLISECONDS + 5000
+
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const random = new SeededRandom(options.seed)
-  const fleet = new SoakFleet(options)
-  const checker = new ConsistencyChecker(fleet.groups)
-  const injector = new FaultInjector(fleet, random)
-  const stallDetector = new StallDetector()
+  const run = new SoakRun(options)
   try {
-    await fleet.start()
-    const isExcused = (): boolean => {
-      const now = performance.now()
-      return (
-        injector.hadUnplannedFaultSince(now - FAULT_AFTERMATH_MILLISECONDS) ||
-        stallDetector.hasStalledSince(now - STALL_AFTERMATH_MILLISECONDS)
-      )
-    }
-    const callers = makeCallers(options, fleet, checker, isExcused)
-    const running = callers.map(caller => caller.run())
-    await injector.run(
-      planFaults(
-        {
-          hosts: fleet.hosts.map(({ plan }) => plan.name),
-          servers: fleet.groups.flatMap(group => [...group.servers.keys()]),
-          spanMilliseconds: options.seconds * 1000,
-          paceMilliseconds: options.paceMilliseconds,
-          kinds: options.kinds,
-        },
-        random,
-      ),
+    return await run.run()
+  } finally {
+    run.close()
+  }
+}
+
+class SoakRun {
+  readonly #options: SoakOptions
+  readonly #random: SeededRandom
+  readonly #fleet: SoakFleet
+  readonly #checker: ConsistencyChecker
+  readonly #loadChecker = new LoadChecker()
+  readonly #injector: FaultInjector
+  readonly #generator: LoadGenerator
+  readonly #stallDetector = new StallDetector()
+  #madeCallers = 0
+
+  constructor(options: SoakOptions) {
+    this.#options = options
+    this.#random = new SeededRandom(options.seed)
+    this.#fleet = new SoakFleet(options)
+    this.#checker = new ConsistencyChecker(this.#fleet.groups)
+    this.#injector = new FaultInjector(this.#fleet, this.#random)
+    this.#generator = new LoadGenerator((name, habits) => this.#makeCaller(name, habits))
+  }
+
+  async run(): Promise<SoakReport> {
+    const { callers: count, isHardLoad, seed } = this.#options
+    await this.#fleet.start()
+    const callers = Array.from({ length: count }, (_, index) =>
+      this.#makeCaller(`c${String(index)}`, isHardLoad ? steadyHabits(index) : USUAL_HABITS),
     )
-    const recoveryMilliseconds = await waitForRecovery(fleet, checker)
+    const running = callers.map(caller => caller.run())
+    await Promise.all([
+      this.#injector.run(this.#planFaults()),
+      ...(isHardLoad ? [this.#generator.run(this.#planLoads(), running)] : []),
+    ])
+    const recoveryMilliseconds = await waitForRecovery(this.#fleet, this.#checker)
     for (const caller of callers) caller.stop()
     await Promise.all(running)
     return {
-      seed: options.seed,
-      findings: checker.finish(),
-      faults: Object.fromEntries([...injector.faultCounts].sort()),
-      operations: checker.counts,
-      promotions: fleet.groups.reduce((sum, group) => sum + group.promotions, 0),
+      seed,
+      findings: [...this.#checker.finish(), ...this.#loadChecker.finish()],
+      faults: Object.fromEntries([...this.#injector.faultCounts].sort()),
+      operations: this.#checker.counts,
+      ...(isHardLoad ? { underLoad: this.#loadChecker.counts } : {}),
+      promotions: this.#fleet.groups.reduce((sum, group) => sum + group.promotions, 0),
       recoveryMilliseconds,
-      standstills: stallDetector.stalls,
+      standstills: this.#stallDetector.stalls,
     }
-  } finally {
-    stallDetector.close()
-    injector.close()
-    fleet.close()
   }
-}
 
-function makeCallers(
-  options: SoakOptions,
-  fleet: SoakFleet,
-  checker: ConsistencyChecker,
-  isExcused: () => boolean,
-): SoakCaller[] {
-  const onUnsuccessful: OnUnsuccessfulStatement = statement => {
-    options.onUnsuccessfulStatement?.(statement)
-    if (isExcused()) return
-    checker.checkDuringPlannedOperation(statement, fleet.host(statement.host).isStopping)
+  close(): void {
+    this.#stallDetector.close()
+    this.#injector.close()
+    this.#fleet.close()
+  }
+
+  #planFaults(): PlannedFault[] {
+    const { seconds, paceMilliseconds, kinds } = this.#options
+    return planFaults(
+      {
+        hosts: this.#fleet.hosts.map(({ plan }) => plan.name),
+        servers: this.#fleet.groups.flatMap(group => [...group.servers.keys()]),
+        spanMilliseconds: seconds * 1000,
+        paceMilliseconds,
+        kinds,
+      },
+      this.#random,
+    )
+  }
+
+  /** From random numbers of its own, so that a seed has the same faults with and without load. */
+  #planLoads(): PlannedLoad[] {
+    const spans = {
+      faultMilliseconds: this.#options.seconds * 1000,
+      calmMilliseconds: CALM_MILLISECONDS,
+    }
+    return planLoads(spans, new SeededRandom(this.#options.seed))
+  }
+
+  #makeCaller(name: string, habits: CallerHabits): SoakCaller {
+    const random = new SeededRandom(this.#options.seed * 1000 + this.#madeCallers)
+    this.#madeCallers += 1
+    return new SoakCaller({
+      name,
+      fleet: this.#fleet,
+      checker: this.#checker,
+      random,
+      habits,
+      onUnsuccessfulStatement: statement => {
+        this.#options.onUnsuccessfulStatement?.(statement)
+        if (this.#isExcused()) return
+        const { isStopping } = this.#fleet.host(statement.host)
+        this.#checker.checkDuringPlannedOperation(statement, isStopping)
+      },
+      onEndedStatement: statement => {
+        this.#loadChecker.record(statement, this.#isCalmSince(statement.sentAt))
+      },
+    })
+  }
+
+  #isExcused(): boolean {
+    const now = performance.now()
+    return (
+      this.#injector.hadUnplannedFaultSince(now - FAULT_AFTERMATH_MILLISECONDS) ||
+      this.#stallDetector.hasStalledSince(now - STALL_AFTERMATH_MILLISECONDS)
+    )
+  }
+
+  /** Whether load is on, and neither faults nor stalls can have affected a statement that was sent then. */
+  #isCalmSince(sentAt: number): boolean {
+    return (
+      this.#generator.isActive &&
+      !this.#injector.hadFaultSince(sentAt - SETTLING_MILLISECONDS) &&
+      !this.#stallDetector.hasStalledSince(sentAt - STALL_AFTERMATH_MILLISECONDS)
+    )
   }
-  return Array.from({ length: options.callers }, (_, index) => {
-    const random = new SeededRandom(options.seed * 1000 + index)
-    return new SoakCaller(`c${String(index)}`, fleet, checker, random, onUnsuccessful)
-  })
 }
 
 async function waitForRecovery(
@@ -115,7 +192,13 @@
   checker: ConsistencyChecker,
 ): Promise<number | null> {
   const faultsEndedAt = performance.now()
-  const prober = new SoakCaller('check', fleet, checker, new SeededRandom(0), () => undefined)
+  const prober = new SoakCaller({
+    name: 'check',
+    fleet,
+    checker,
+    random: new SeededRandom(0),
+    habits: fleet.plan.isHardLoad ? steadyHabits(0) : USUAL_HABITS,
+  })
   for (const { plan } of fleet.hosts) {
     for (const { service } of fleet.groups) {
       while (!(await prober.writeAt(plan.name, service))) {
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -4,21 +4,15 @@
 import { pick } from '@nutmegcourse/stand-ins'
 import { WireCaller, type WireAnswer } from '@nutmegcourse/platform/standIns'
 import type { ConsistencyChecker, ReadRule } from './consistencyChecker.js'
-import {
-  BOUNDED_AGE_MILLISECONDS,
-  GUARANTEES,
-  databaseName,
-  type Guarantee,
-  type SoakFleet,
-} from './soakFleet.js'
-
-const THINK_MILLISECONDS = 20
+import { BOUNDED_AGE_MILLISECONDS, databaseName, type Guarantee } from './guarantees.js'
+import { keyOf, type CallerHabits } from './hardLoad.js'
+import type { SoakCallerOptions } from './soakCallerOptions.js'
+import type { SoakFleet } from './soakFleet.js'
+
 const RECONNECT_MILLISECONDS = 50
 const STATEMENTS_PER_SESSION = 25
 /** A caller stops waiting for an answer after this time; the longest statement timeout of a route is 1 s. */
 const ANSWER_TIMEOUT_MILLISECONDS = 8000
-const WRITE_SHARE = 0.3
-const TRANSACTION_SHARE = 0.2
 
 interface Session {
   readonly wire: WireCaller
@@ -28,41 +22,27 @@
   ownPosition: LogPosition | null
 }
 
-/** A statement without a successful answer. */
-export interface UnsuccessfulStatement {
-  readonly host: string
-  /** `-` for a begin or a rollback. */
-  readonly id: string
-  /** The time from sending the statement to its answer or to the end of the wait. */
-  readonly owedMilliseconds: number
-  /** `closed`: the connection ended, or the wait timed out, before an answer arrived. */
-  readonly answer: Exclude<WireAnswer, { kind: 'done' }>
-  readonly at: string
-}
-
-export type OnUnsuccessfulStatement = (statement: UnsuccessfulStatement) => void
-
 export class SoakCaller {
   readonly #name: string
   readonly #fleet: SoakFleet
   readonly #checker: ConsistencyChecker
   readonly #random: RandomSource
-  readonly #onUnsuccessfulStatement: OnUnsuccessfulStatement
+  readonly #habits: CallerHabits
+  readonly #options: SoakCallerOptions
   #lastId = 0
+  /** Inside the open transaction, since its last statement. */
+  #restedMilliseconds = 0
+  /** For how long the last refusal told it to stay away. */
+  #retryAfterMilliseconds = 0
   #isStopped = false
 
-  constructor(
-    name: string,
-    fleet: SoakFleet,
-    checker: ConsistencyChecker,
-    random: RandomSource,
-    onUnsuccessfulStatement: OnUnsuccessfulStatement,
-  ) {
-    this.#name = name
-    this.#fleet = fleet
-    this.#checker = checker
-    this.#random = random
-    this.#onUnsuccessfulStatement = onUnsuccessfulStatement
+  constructor(options: SoakCallerOptions) {
+    this.#options = options
+    this.#name = options.name
+    this.#fleet = options.fleet
+    this.#checker = options.checker
+    this.#random = options.random
+    this.#habits = options.habits
   }
 
   async run(): Promise<void> {
@@ -89,14 +69,16 @@
   #openRandomSession(): Promise<Session | null> {
     const host = pick(this.#fleet.hosts, this.#random).plan.name
     const { service } = pick(this.#fleet.groups, this.#random)
-    return this.#openSession(host, service, pick(GUARANTEES, this.#random))
+    return this.#openSession(host, service, pick(this.#habits.guarantees, this.#random))
   }
 
   async #openSession(host: string, service: string, guarantee: Guarantee): Promise<Session | null> {
     const wire = new WireCaller(this.#fleet.callerPorts.get(host) ?? 0)
+    const { customer } = this.#habits
+    const key = customer === null ? undefined : keyOf(customer)
     const isAccepted = await this.#withTimeout(
       wire,
-      wire.startSession(databaseName(service, guarantee)),
+      wire.startSession(databaseName(service, guarantee), key),
     )
     if (isAccepted === true) return { wire, host, service, guarantee, ownPosition: null }
     wire.destroy()
@@ -104,13 +86,16 @@
   }
 
   async #runSession(session: Session): Promise<void> {
+    const { transactionShare, writeShare, thinkMilliseconds } = this.#habits
     for (let count = 0; count < STATEMENTS_PER_SESSION; count += 1) {
       if (this.#isStopped || session.wire.isClosed) break
       const draw = this.#random.next()
-      if (draw < TRANSACTION_SHARE) await this.#runTransaction(session)
-      else if (draw < TRANSACTION_SHARE + WRITE_SHARE) await this.#write(session)
+      if (draw < transactionShare) await this.#runTransaction(session)
+      else if (draw < transactionShare + writeShare) await this.#write(session)
       else await this.#read(session)
-      await delay(THINK_MILLISECONDS * 2 * this.#random.next())
+      const thinking = thinkMilliseconds * 2 * this.#random.next()
+      await delay(Math.max(thinking, this.#retryAfterMilliseconds))
+      this.#retryAfterMilliseconds = 0
     }
     session.wire.terminate()
   }
@@ -123,7 +108,7 @@
       readRuleOf(session.guarantee),
       session.ownPosition,
     )
-    const answer = await this.#awaitAnswer(session, id, session.wire.read(id, 'a1'))
+    const answer = await this.#awaitAnswer(session, id, session.wire.read(id, 'a1'), true)
     if (answer.kind === 'done') this.#checker.checkRead(service, id, answer, required)
   }
 
@@ -150,7 +135,7 @@
         await this.#awaitAnswer(session, '-', wire.rollBack(this.#nextId()))
         return
       }
-      await delay(THINK_MILLISECONDS * this.#random.next())
+      await this.#rest()
     }
     const draw = this.#random.next()
     if (draw < 0.1) {
@@ -176,13 +161,28 @@
     return false
   }
 
+  async #rest(): Promise<void> {
+    const { restMilliseconds, thinkMilliseconds } = this.#habits
+    const span =
+      restMilliseconds.length === 0
+        ? thinkMilliseconds * this.#random.next()
+        : pick(restMilliseconds, this.#random)
+    this.#restedMilliseconds = span
+    await delay(span)
+  }
+
+  /** `id` is `-` for what the host answers itself. */
   async #awaitAnswer(
     session: Session,
     id: string,
     pending: Promise<WireAnswer>,
+    isRead = false,
   ): Promise<WireAnswer> {
     const sentAt = performance.now()
+    const restedMilliseconds = this.#restedMilliseconds
+    this.#restedMilliseconds = 0
     const answer = (await this.#withTimeout(session.wire, pending)) ?? { kind: 'closed' }
+    if (id !== '-') this.#reportEnded(session, id, isRead, sentAt, answer)
     const { counts } = this.#checker
     if (answer.kind === 'notRun') counts.notRun += 1
     if (answer.kind === 'unknown') counts.unknown += 1
@@ -190,11 +190,41 @@
     if (answer.kind !== 'done') {
       const owedMilliseconds = Math.round((performance.now() - sentAt) * 10) / 10
       const at = new Date().toISOString()
-      this.#onUnsuccessfulStatement({ host: session.host, id, owedMilliseconds, answer, at })
+      this.#options.onUnsuccessfulStatement?.({
+        host: session.host,
+        id,
+        owedMilliseconds,
+        answer,
+        restedMilliseconds,
+        at,
+      })
     }
     return answer
   }
 
+  #reportEnded(
+    { host, service, guarantee }: Session,
+    id: string,
+    isRead: boolean,
+    sentAt: number,
+    answer: WireAnswer,
+  ): void {
+    if (this.#habits.heedsRetryAdvice && answer.kind === 'notRun') {
+      this.#retryAfterMilliseconds = retryAdviceOf(answer.detail)
+    }
+    const needsPrimary = !isRead || guarantee === 'latest'
+    this.#options.onEndedStatement?.({
+      id,
+      service,
+      guarantee,
+      customer: this.#habits.customer,
+      place: needsPrimary ? 'primary' : (this.#fleet.regions.get(host) ?? host),
+      sentAt,
+      endedAt: performance.now(),
+      answer,
+    })
+  }
+
   /** Returns null and closes the session if the answer does not arrive in time. */
   async #withTimeout<Value>(wire: WireCaller, pending: Promise<Value>): Promise<Value | null> {
     const timeout = new AbortController()
@@ -215,6 +245,9 @@
   }
 }
 
+const retryAdviceOf = (detail: string): number =>
+  Number(/ retry_after_ms=(\d+)/.exec(detail)?.[1] ?? 0)
+
 function readRuleOf(guarantee: Guarantee): ReadRule {
   switch (guarantee) {
     case 'latest':
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -5,10 +5,25 @@
  * directly.
  */
 import { availabilityZoneId, backendServerId, type BackendServerId } from '@nutmegcourse/shared'
-import type { BackendServerEntry, FleetConfiguration, Route } from '@nutmegcourse/protocol'
-import { MemoryDialer, MemoryGroup, MemoryStore, Relay, freePorts } from '@nutmegcourse/stand-ins'
+import type { BackendServerEntry } from '@nutmegcourse/protocol'
+import {
+  MemoryDialer,
+  MemoryGroup,
+  MemoryStore,
+  Relay,
+  Slots,
+  freePorts,
+} from '@nutmegcourse/stand-ins'
 import { portOf, serveBackend, serveStore, writeSettings } from '@nutmegcourse/platform/standIns'
 import { CALLERS, STORE } from './faultPlan.js'
+import { configurationOf } from './fleetConfiguration.js'
+import {
+  HARD_LOAD_CONTRACTS,
+  HARD_LOAD_QUEUE_LIMIT,
+  HARD_LOAD_SLOTS,
+  HARD_LOAD_WORK_MILLISECONDS,
+  keyOf,
+} from './hardLoad.js'
 import { HostProcess } from './hostProcess.js'
 
 export interface FleetPlan {
@@ -16,6 +31,8 @@
   readonly services: number
   /** The connection limit of a backend server; a low limit makes only some hosts owners of connections. */
   readonly connectionLimit: number
+  /** Whether there are customers and classes, and backend servers have few slots. */
+  readonly isHardLoad: boolean
   readonly program: string
   readonly directory: string
 }
@@ -26,20 +43,14 @@
 /** The one-way delay of every link through the relay, as between two availability zones. */
 const LINK_DELAY_MILLISECONDS = 1
 const STATEMENT_WORK_MILLISECONDS = 4
+const SERVER_SLOTS = 3
 const PROMOTION_MILLISECONDS = 300
 export const DRAIN_MILLISECONDS = 5000
 const GRACE_SECONDS = 4
-export const BOUNDED_AGE_MILLISECONDS = 1500
 const SERVERS_PER_SERVICE = 3
 /** One port each for callers, readiness and other hosts. */
 const PORTS_PER_HOST = 3
 
-export type Guarantee = 'latest' | 'bounded' | 'own'
-export const GUARANTEES: readonly Guarantee[] = ['latest', 'bounded', 'own']
-
-export const databaseName = (service: string, guarantee: Guarantee): string =>
-  `${service}-${guarantee}`
-
 export class SoakFleet {
   readonly plan: FleetPlan
   readonly store = new MemoryStore()
@@ -55,6 +66,7 @@
   readonly hosts: HostProcess[] = []
   /** The relay port at which callers reach each host. */
   readonly callerPorts = new Map<string, number>()
+  readonly regions = new Map<string, string>()
   dropsStoreAnswers = false
   #version = 0
   readonly #closeCallbacks: (() => void)[] = []
@@ -76,6 +88,19 @@
     })
     this.dialer = new MemoryDialer(this.groups)
     this.dialer.hooks.workMilliseconds = STATEMENT_WORK_MILLISECONDS
+    if (plan.isHardLoad) this.#limitSlots()
+  }
+
+  #limitSlots(): void {
+    const slots = new Map(
+      this.groups.flatMap(group =>
+        [...group.servers.keys()].map(
+          id => [id, new Slots(HARD_LOAD_SLOTS, HARD_LOAD_QUEUE_LIMIT)] as const,
+        ),
+      ),
+    )
+    this.dialer.hooks.slotsOf = server => slots.get(server)
+    this.dialer.hooks.workMilliseconds = HARD_LOAD_WORK_MILLISECONDS
   }
 
   async start(): Promise<void> {
@@ -90,32 +115,11 @@
     if (!ready.every(Boolean)) throw new Error('an entry host did not become ready in time')
   }
 
-  /** Publishes the next configuration version; the statement timeouts change with each version. */
+  /** Publishes the next configuration version. */
   publishConfiguration(): void {
     this.#version += 1
-    const timeout = 700 + (this.#version % 4) * 100
-    const route = (service: string, guarantee: Guarantee): Route => ({
-      name: `r-${service}-${guarantee}`,
-      database: databaseName(service, guarantee),
-      service,
-      guarantee: GUARANTEE_TYPES[guarantee],
-      statementTimeoutMilliseconds: timeout,
-      latencyTargetMilliseconds: 600,
-      priority: 1,
-      isPublic: false,
-    })
-    const configuration: FleetConfiguration = {
-      version: this.#version,
-      routes: this.groups.flatMap(({ service }) => GUARANTEES.map(each => route(service, each))),
-      services: this.groups.map(({ service, connectionLimit }) => ({
-        name: service,
-        connectionLimit,
-        synchronousReplicas: 1,
-      })),
-      customers: [],
-      idleTransactionMilliseconds: 2000,
-    }
-    this.store.configure(configuration)
+    const { isHardLoad } = this.plan
+    this.store.configure(configurationOf(this.#version, this.groups, isHardLoad))
   }
 
   host(name: string): HostProcess {
@@ -174,7 +178,7 @@
         host: '127.0.0.1',
         port: portOf(listener),
         zone: availabilityZoneId(ZONES[place % ZONES.length] ?? ZONES[0]),
-        slots: 3,
+        slots: this.plan.isHardLoad ? HARD_LOAD_SLOTS : SERVER_SLOTS,
         isLeaving: false,
         role: server.role,
         startedAtUnixMilliseconds: 1,
@@ -188,9 +192,11 @@
   async #addHost(index: number, ports: readonly number[]): Promise<void> {
     const name = `host-${String(index + 1)}`
     const zone = ZONES[index % ZONES.length] ?? ZONES[0]
+    this.regions.set(name, REGIONS[zone])
     const serverPorts = await this.#openServerLinks(name)
     const listener = await serveStore(this.store, this.groups, {
       portOf: server => serverPorts.get(server) ?? 0,
+      keysOf: customer => [keyOf(customer)],
       losesAnswer: method => method === 'POST' && this.dropsStoreAnswers,
     })
     this.#closeCallbacks.push(() => {
@@ -223,6 +229,7 @@
         store: address(store),
         drainMilliseconds: DRAIN_MILLISECONDS,
         graceSeconds: GRACE_SECONDS,
+        ...(this.plan.isHardLoad ? { contracts: HARD_LOAD_CONTRACTS } : {}),
       }),
     })
     this.hosts.push(host)
@@ -241,9 +248,3 @@
     return ports
   }
 }
-
-const GUARANTEE_TYPES: Readonly<Record<Guarantee, Route['guarantee']>> = {
-  latest: { kind: 'latest' },
-  bounded: { kind: 'bounded', maximumAgeMilliseconds: BOUNDED_AGE_MILLISECONDS },
-  own: { kind: 'ownWrites', maximumAgeMilliseconds: BOUNDED_AGE_MILLISECONDS },
-}
--- a/packages/stand-ins/src/backendServer/slots.ts
+++ b/packages/stand-ins/src/backendServer/slots.ts
@@ -1,12 +1,19 @@
 /** Limits how many statements a backend server runs concurrently; the others wait in arrival order. */
 export class Slots {
   readonly #count: number
+  readonly #queueLimit: number
   readonly #waiting: (() => void)[] = []
   #inUse = 0
   #startedCount = 0
 
-  constructor(count: number) {
+  constructor(count: number, queueLimit = Number.POSITIVE_INFINITY) {
     this.#count = count
+    this.#queueLimit = queueLimit
+  }
+
+  /** Whether the slots and the queue are full, so that another statement is to be refused. */
+  get isFull(): boolean {
+    return this.#inUse >= this.#count && this.#waiting.length >= this.#queueLimit
   }
 
   /** Number of statements that have been given a slot since the start. */
--- a/packages/stand-ins/src/hostPlatform/memoryLink.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryLink.ts
@@ -12,6 +12,7 @@
   SessionStatus,
 } from '@nutmegcourse/protocol'
 import { term, type BackendServerId, type CustomerName } from '@nutmegcourse/shared'
+import type { Slots } from '../backendServer/slots.js'
 import type { MemoryGroup, MemoryServer } from './memoryGroup.js'
 
 type Reply = Result<BackendReply, LinkFailure>
@@ -81,18 +82,26 @@
   }
 
   async #answer(command: BackendCommand): Promise<Reply> {
+    const slots = occupiesSlot(command) ? this.#hooks.slotsOf?.(this.#server.id) : undefined
+    if (slots?.isFull === true && !this.#isUnresponsive()) return ok(this.#refused('busy'))
+    const reply = await (slots?.run(() => this.#execute(command)) ?? this.#execute(command))
+    return reply ?? neverSettles()
+  }
+
+  /** Null when it is not answered. */
+  async #execute(command: BackendCommand): Promise<Reply | null> {
     await this.#simulateWork()
-    if (this.#isUnresponsive()) return neverSettles()
+    if (this.#isUnresponsive()) return null
     if (this.#server.isDown) {
       this.close()
       return err({ kind: 'connectionLost' })
     }
     const fault = this.#hooks.onCommand?.(this.#server.id, command) ?? 'none'
-    if (fault === 'lostBefore') return neverSettles()
+    if (fault === 'lostBefore') return null
     const reply = this.#run(command)
     await this.#simulateWork()
-    if (this.#isUnresponsive()) return neverSettles()
-    if (fault === 'lostAfter') return neverSettles()
+    if (this.#isUnresponsive()) return null
+    if (fault === 'lostAfter') return null
     if (fault === 'cutAfter') {
       this.close()
       return err({ kind: 'connectionLost' })
@@ -234,6 +243,10 @@
   }
 }
 
+function occupiesSlot({ kind }: BackendCommand): boolean {
+  return kind === 'forward' || kind === 'execute' || kind === 'report'
+}
+
 /**
  * Fault of one command: `lostBefore` neither runs nor answers it, `lostAfter` runs it without an
  * answer, and `cutAfter` runs it and closes the connection instead of answering.
@@ -244,6 +257,8 @@
   onCommand?: (server: BackendServerId, command: BackendCommand) => CommandFault
   /** Duration of each command. */
   workMilliseconds?: number
+  /** The slots of a server, shared by all dialers that are given the same ones; without it slots are unlimited. */
+  slotsOf?: (server: BackendServerId) => Slots | undefined
 }
 
 export class MemoryDialer implements BackendDialer {
