--- a/packages/soak/src/loadChecker.ts
+++ b/packages/soak/src/loadChecker.ts
@@ -27,6 +27,9 @@
 /** Customers' shares are those of this period, about the time for which a statement may wait. */
 const SHARES_PERIOD_MILLISECONDS = 1000
 
+/** Of fewer answers in the period, a single one is a large part: a lower class may be given two in a second. */
+const MINIMUM_SERVED = 20
+
 /** Only a customer below this part of its fair share counts as under it: over a short period shares vary by chance. */
 const UNDER_SHARE = 0.5
 
@@ -80,7 +83,7 @@
     const weights = [...counts.keys()].reduce((sum, name) => sum + weightOf(name), 0)
     const shareOf = (name: CustomerName | null): number =>
       (counts.get(name) ?? 0) / (weightOf(name) * (served.length / weights))
-    if (served.length === 0 || shareOf(customer) >= UNDER_SHARE) return
+    if (served.length < MINIMUM_SERVED || shareOf(customer) >= UNDER_SHARE) return
     const over = [...counts.keys()].filter(name => shareOf(name) > 1)
     const shares = over.map(name => `${String(name)} at ${shareOf(name).toFixed(1)}`).join(', ')
     this.#findings.push(
--- a/packages/soak/src/loadPlan.ts
+++ b/packages/soak/src/loadPlan.ts
@@ -18,44 +18,42 @@
   readonly durationMilliseconds: number
 }
 
-export interface LoadSpans {
-  readonly faultMilliseconds: number
-  /** Afterwards every kind of load is on, without faults. */
-  readonly calmMilliseconds: number
-}
-
 const PACE_MILLISECONDS = 2000
 const MIN_DURATION_MILLISECONDS = 500
 const MAX_DURATION_MILLISECONDS = 3000
-/** In the calm, loads start within this time one after the other. */
+/** After the faults, loads start within this time one after the other. */
 const CALM_START_MILLISECONDS = 1000
 
-export function planLoads(
-  { faultMilliseconds, calmMilliseconds }: LoadSpans,
-  random: RandomSource,
-): PlannedLoad[] {
+/** Loads beside the faults, overlapping with them and with each other. */
+export function planLoads(spanMilliseconds: number, random: RandomSource): PlannedLoad[] {
   const planned: PlannedLoad[] = []
-  const add = (
-    kind: LoadKind,
-    startsAtMilliseconds: number,
-    durationMilliseconds: number,
-  ): void => {
-    const customer = pick(LARGE_CUSTOMER_NAMES, random)
-    planned.push({ kind, customer, startsAtMilliseconds, durationMilliseconds })
-  }
   const drawnSpan = MAX_DURATION_MILLISECONDS - MIN_DURATION_MILLISECONDS
-  let startsAt = PACE_MILLISECONDS * random.next()
-  while (startsAt < faultMilliseconds) {
-    add(pick(LOAD_KINDS, random), startsAt, MIN_DURATION_MILLISECONDS + drawnSpan * random.next())
-    startsAt += PACE_MILLISECONDS * (0.25 + 1.5 * random.next())
-  }
-  for (const kind of LOAD_KINDS) {
-    const offset = CALM_START_MILLISECONDS * random.next()
-    add(kind, faultMilliseconds + offset, calmMilliseconds - offset)
+  let startsAtMilliseconds = PACE_MILLISECONDS * random.next()
+  while (startsAtMilliseconds < spanMilliseconds) {
+    planned.push({
+      kind: pick(LOAD_KINDS, random),
+      customer: pick(LARGE_CUSTOMER_NAMES, random),
+      startsAtMilliseconds,
+      durationMilliseconds: MIN_DURATION_MILLISECONDS + drawnSpan * random.next(),
+    })
+    startsAtMilliseconds += PACE_MILLISECONDS * (0.25 + 1.5 * random.next())
   }
   return planned
 }
 
+/** Every kind of load, until the end of the span: for the time after the faults, in which their order is judged. */
+export function planCalmLoads(spanMilliseconds: number, random: RandomSource): PlannedLoad[] {
+  return LOAD_KINDS.map(kind => {
+    const startsAtMilliseconds = CALM_START_MILLISECONDS * random.next()
+    return {
+      kind,
+      customer: pick(LARGE_CUSTOMER_NAMES, random),
+      startsAtMilliseconds,
+      durationMilliseconds: spanMilliseconds - startsAtMilliseconds,
+    }
+  })
+}
+
 export interface LoadCallers {
   readonly count: number
   readonly habitsOf: (index: number) => CallerHabits
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -6,7 +6,7 @@
 import { USUAL_HABITS, steadyHabits, type CallerHabits } from './hardLoad.js'
 import { LoadChecker } from './loadChecker.js'
 import { LoadGenerator } from './loadGenerator.js'
-import { planLoads, type PlannedLoad } from './loadPlan.js'
+import { planCalmLoads, planLoads } from './loadPlan.js'
 import { ConsistencyChecker } from './consistencyChecker.js'
 import { SoakCaller } from './soakCaller.js'
 import type { OnUnsuccessfulStatement } from './soakCallerOptions.js'
@@ -61,7 +61,7 @@
  */
 const SETTLING_MILLISECONDS = CONFIGURATION_BOUND_MILLISECONDS
 
-/** After the faults of a hard load run. */
+/** How long a hard load run goes on after its faults. */
 const CALM_MILLISECONDS = SETTLING_MILLISECONDS + 5000
 
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
@@ -94,17 +94,21 @@
   }
 
   async run(): Promise<SoakReport> {
-    const { callers: count, isHardLoad, seed } = this.#options
+    const { callers: count, isHardLoad, seconds, seed } = this.#options
     await this.#fleet.start()
     const callers = Array.from({ length: count }, (_, index) =>
       this.#makeCaller(`c${String(index)}`, isHardLoad ? steadyHabits(index) : USUAL_HABITS),
     )
     const running = callers.map(caller => caller.run())
-    await Promise.all([
-      this.#injector.run(this.#planFaults()),
-      ...(isHardLoad ? [this.#generator.run(this.#planLoads(), running)] : []),
+    // From random numbers of their own, so that a seed has the same faults with and without load.
+    const random = new SeededRandom(seed)
+    const loads = isHardLoad ? planLoads(seconds * 1000, random) : []
+    const calmLoads = isHardLoad ? planCalmLoads(CALM_MILLISECONDS, random) : []
+    await Promise.all([this.#injector.run(this.#planFaults()), this.#generator.run(loads, running)])
+    const [recoveryMilliseconds] = await Promise.all([
+      waitForRecovery(this.#fleet, this.#checker),
+      this.#generator.run(calmLoads, running),
     ])
-    const recoveryMilliseconds = await waitForRecovery(this.#fleet, this.#checker)
     for (const caller of callers) caller.stop()
     await Promise.all(running)
     return {
@@ -139,15 +143,6 @@
     )
   }
 
-  /** From random numbers of its own, so that a seed has the same faults with and without load. */
-  #planLoads(): PlannedLoad[] {
-    const spans = {
-      faultMilliseconds: this.#options.seconds * 1000,
-      calmMilliseconds: CALM_MILLISECONDS,
-    }
-    return planLoads(spans, new SeededRandom(this.#options.seed))
-  }
-
   #makeCaller(name: string, habits: CallerHabits): SoakCaller {
     const random = new SeededRandom(this.#options.seed * 1000 + this.#madeCallers)
     this.#madeCallers += 1
