fix(soak): judge shares beyond chance only, and nothing that a host's standstill or a used-up timeout explains

Shares were those of one second, in which a customer of weight 1/2 is due 6 answers, so that 3 of 6 counted as below its share; now a customer must be three standard deviations below what it is due in two seconds. Hosts had stood still for 397 to 602 ms; statements of such times are not judged, and the standstills are counted in the report. Statements that used up their route's timeout were reported as cut by planned work; under load beyond the slots that needs no fault.

--- a/packages/soak/src/fleetConfiguration.ts
+++ b/packages/soak/src/fleetConfiguration.ts
@@ -6,6 +6,7 @@
   GUARANTEES,
   IDLE_TRANSACTION_MILLISECONDS,
   LATENCY_TARGET_MILLISECONDS,
+  SHORTEST_TIMEOUT_MILLISECONDS,
   databaseName,
   type Guarantee,
 } from './guarantees.js'
@@ -23,7 +24,7 @@
   groups: readonly MemoryGroup[],
   isHardLoad: boolean,
 ): FleetConfiguration {
-  const timeout = 700 + (version % 4) * 100
+  const timeout = SHORTEST_TIMEOUT_MILLISECONDS + (version % 4) * 100
   const route = (service: string, guarantee: Guarantee): Route => ({
     name: `r-${service}-${guarantee}`,
     database: databaseName(service, guarantee),
--- a/packages/soak/src/hostProcess.ts
+++ b/packages/soak/src/hostProcess.ts
@@ -1,6 +1,6 @@
 /** Runs one entry host as a separate process and sends it signals. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { closeSync, openSync, writeFileSync } from 'node:fs'
+import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { probeReadiness } from '@nutmegcourse/platform/standIns'
@@ -19,6 +19,11 @@
   readonly readinessPort: number
 }
 
+interface StandstillLine {
+  readonly timestamp: string
+  readonly milliseconds: number
+}
+
 export class HostProcess {
   readonly plan: HostProcessPlan
   #child: ChildProcess | null = null
@@ -40,6 +45,18 @@
     return join(this.plan.directory, `${this.plan.name}.log`)
   }
 
+  /** When the process noticed that it had stood still, on the clock of this process. */
+  get standstills(): { readonly from: number; readonly until: number }[] {
+    const lines = readFileSync(this.logFile, 'utf8').split('\n')
+    return lines
+      .filter(line => line.includes('"stood_still"'))
+      .map(line => {
+        const { timestamp, milliseconds } = JSON.parse(line) as StandstillLine
+        const until = Date.parse(timestamp) - performance.timeOrigin
+        return { from: until - milliseconds, until }
+      })
+  }
+
   start(): void {
     if (this.#isRunning) return
     this.#hasBecomeReady = false
--- a/packages/soak/src/loadChecker.ts
+++ b/packages/soak/src/loadChecker.ts
@@ -24,18 +24,22 @@
 /** The part of the highest class that may be late or refused: a host may stand still, or a limit be probed. */
 const MAXIMUM_LATE_SHARE = 0.05
 
-/** Customers' shares are those of this period, about the time for which a statement may wait. */
-const SHARES_PERIOD_MILLISECONDS = 1000
+/** Customers' shares are those of this period. No refused caller is told to stay away for longer. */
+const SHARES_PERIOD_MILLISECONDS = 2000
 
-/** Of fewer answers in the period, a single one is a large part: a lower class may be given two in a second. */
-const MINIMUM_SERVED = 20
-
-/** Only a customer below this part of its fair share counts as under it: over a short period shares vary by chance. */
-const UNDER_SHARE = 0.5
+/** A customer is under its share if it was answered so many standard deviations of a random count less than it is due. */
+const DEVIATIONS = 3
 
 const WEIGHTS = new Map(CUSTOMERS.map(({ name, priority }) => [name, customerWeight(priority)]))
 
+export interface Interval {
+  readonly from: number
+  readonly until: number
+}
+
 export class LoadChecker {
+  /** In the order of their ends. */
+  readonly #ended: { readonly statement: EndedStatement; readonly isCalm: boolean }[] = []
   /** Answered statements of the last period, by place and class. */
   readonly #served = new Map<string, EndedStatement[]>()
   readonly #findings: string[] = []
@@ -43,6 +47,24 @@
 
   /** `isCalm`: load was on and no fault, from the time that its effects take before the statement to its end. */
   record(statement: EndedStatement, isCalm: boolean): void {
+    this.#ended.push({ statement, isCalm })
+  }
+
+  /** Statements that were unanswered while a host stood still are not judged. */
+  finish(standstills: readonly Interval[]): readonly string[] {
+    for (const { statement, isCalm } of this.#ended) {
+      const wasHeldUp = standstills.some(
+        ({ from, until }) => from <= statement.endedAt && until >= statement.sentAt,
+      )
+      this.#judge(statement, isCalm && !wasHeldUp)
+    }
+    const { highest, highestLate } = this.counts
+    if (highestLate <= highest * MAXIMUM_LATE_SHARE) return this.#findings
+    const finding = `${String(highestLate)} of ${String(highest)} statements of the highest class were refused or later than ${String(LATENCY_TARGET_MILLISECONDS)} ms under load`
+    return [...this.#findings, finding]
+  }
+
+  #judge(statement: EndedStatement, isCalm: boolean): void {
     const { answer, endedAt, sentAt } = statement
     if (isCalm) {
       const isInTime = answer.kind === 'done' && endedAt - sentAt <= LATENCY_TARGET_MILLISECONDS
@@ -52,13 +74,6 @@
     if (answer.kind === 'done') this.#recent(statement).push(statement)
   }
 
-  finish(): readonly string[] {
-    const { highest, highestLate } = this.counts
-    if (highestLate <= highest * MAXIMUM_LATE_SHARE) return this.#findings
-    const finding = `${String(highestLate)} of ${String(highest)} statements of the highest class were refused or later than ${String(LATENCY_TARGET_MILLISECONDS)} ms under load`
-    return [...this.#findings, finding]
-  }
-
   #count({ guarantee, answer }: EndedStatement, isInTime: boolean): void {
     if (CLASS_PRIORITIES[guarantee] === 0) {
       this.counts.highest += 1
@@ -81,9 +96,10 @@
       counts.set(other.customer, (counts.get(other.customer) ?? 0) + 1)
     }
     const weights = [...counts.keys()].reduce((sum, name) => sum + weightOf(name), 0)
-    const shareOf = (name: CustomerName | null): number =>
-      (counts.get(name) ?? 0) / (weightOf(name) * (served.length / weights))
-    if (served.length < MINIMUM_SERVED || shareOf(customer) >= UNDER_SHARE) return
+    const dueTo = (name: CustomerName | null): number => (weightOf(name) * served.length) / weights
+    const due = dueTo(customer)
+    if ((counts.get(customer) ?? 0) >= due - DEVIATIONS * Math.sqrt(due)) return
+    const shareOf = (name: CustomerName | null): number => (counts.get(name) ?? 0) / dueTo(name)
     const over = [...counts.keys()].filter(name => shareOf(name) > 1)
     const shares = over.map(name => `${String(name)} at ${shareOf(name).toFixed(1)}`).join(', ')
     this.#findings.push(
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -3,13 +3,14 @@
 import { SeededRandom } from '@nutmegcourse/shared'
 import { FaultInjector } from './faultInjector.js'
 import { planFaults, type FaultKind, type PlannedFault } from './faultPlan.js'
+import { SHORTEST_TIMEOUT_MILLISECONDS } from './guarantees.js'
 import { USUAL_HABITS, steadyHabits, type CallerHabits } from './hardLoad.js'
 import { LoadChecker } from './loadChecker.js'
 import { LoadGenerator } from './loadGenerator.js'
 import { planCalmLoads, planLoads } from './loadPlan.js'
 import { ConsistencyChecker } from './consistencyChecker.js'
 import { SoakCaller } from './soakCaller.js'
-import type { OnUnsuccessfulStatement } from './soakCallerOptions.js'
+import type { OnUnsuccessfulStatement, UnsuccessfulStatement } from './soakCallerOptions.js'
 import { CONFIGURATION_BOUND_MILLISECONDS } from '@nutmegcourse/platform/standIns'
 import { SoakFleet } from './soakFleet.js'
 import { StallDetector, type Stall } from './stallDetector.js'
@@ -38,7 +39,7 @@
   readonly faults: Readonly<Record<string, number>>
   readonly operations: ConsistencyChecker['counts']
   /** Only statements that were judged: sent while load was on and no fault. */
-  readonly underLoad?: LoadChecker['counts']
+  readonly underLoad?: LoadChecker['counts'] & { readonly hostStandstills: number }
   readonly promotions: number
   /** From the end of the last fault until every host has written to every service; null on a timeout. */
   readonly recoveryMilliseconds: number | null
@@ -111,12 +112,15 @@
     ])
     for (const caller of callers) caller.stop()
     await Promise.all(running)
+    const hostStandstills = this.#fleet.hosts.flatMap(host => host.standstills)
     return {
       seed,
-      findings: [...this.#checker.finish(), ...this.#loadChecker.finish()],
+      findings: [...this.#checker.finish(), ...this.#loadChecker.finish(hostStandstills)],
       faults: Object.fromEntries([...this.#injector.faultCounts].sort()),
       operations: this.#checker.counts,
-      ...(isHardLoad ? { underLoad: this.#loadChecker.counts } : {}),
+      ...(isHardLoad
+        ? { underLoad: { ...this.#loadChecker.counts, hostStandstills: hostStandstills.length } }
+        : {}),
       promotions: this.#fleet.groups.reduce((sum, group) => sum + group.promotions, 0),
       recoveryMilliseconds,
       standstills: this.#stallDetector.stalls,
@@ -154,7 +158,7 @@
       habits,
       onUnsuccessfulStatement: statement => {
         this.#options.onUnsuccessfulStatement?.(statement)
-        if (this.#isExcused()) return
+        if (this.#isExcused() || this.#isOverloadTimeout(statement)) return
         const { isStopping } = this.#fleet.host(statement.host)
         this.#checker.checkDuringPlannedOperation(statement, isStopping)
       },
@@ -172,6 +176,11 @@
     )
   }
 
+  /** Beyond the slots, a statement may use up all of its time without a fault. */
+  #isOverloadTimeout({ owedMilliseconds }: UnsuccessfulStatement): boolean {
+    return this.#options.isHardLoad && owedMilliseconds >= SHORTEST_TIMEOUT_MILLISECONDS
+  }
+
   /** Whether load is on, and neither faults nor stalls can have affected a statement that was sent then. */
   #isCalmSince(sentAt: number): boolean {
     return (
