--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -2,4 +2,5 @@
 export * from './faultPlan.js'
 export { ConsistencyChecker, type ReadRule } from './consistencyChecker.js'
 export * from './runSoak.js'
-export type { OnUnsuccessfulStatement, UnsuccessfulStatement } from './soakCaller.js'
+export type { OnUnsuccessfulStatement, UnsuccessfulStatement } from './soakCallerOptions.js'
+export { LOAD_KINDS, planCalmLoads, planLoads } from './loadPlan.js'
