--- a/packages/state/src/slots/serverSlots.ts
+++ b/packages/state/src/slots/serverSlots.ts
@@ -52,6 +52,9 @@
 /** Beyond this many times its expected duration, a statement no longer counts as one of the slow ones. */
 const OVERRUN_FACTOR = 8
 
+/** Of its expected duration, what a statement in flight takes at least from now on. */
+const LEAST_REMAINING_SHARE = 0.1
+
 /**
  * A request is submitted once. If it is queued, it is later returned by `takeStartable` or `takeExpired`, or
  * withdrawn; if it started, it is finished. Callers ask `takeExpired` and `takeStartable` after each finish,
@@ -251,9 +254,13 @@
   }
 }
 
-/** One that takes many times as long as expected, as at a server that hangs, is likely to take as long again. */
+/**
+ * One that takes many times as long as expected, as at a server that hangs, is likely to take as long again; one that
+ * takes a little longer is not over at once.
+ */
 function remainingMilliseconds(elapsed: number, expected: number): number {
-  return elapsed > expected * OVERRUN_FACTOR ? elapsed : Math.max(0, expected - elapsed)
+  if (elapsed > expected * OVERRUN_FACTOR) return elapsed
+  return Math.max(expected * LEAST_REMAINING_SHARE, expected - elapsed)
 }
 
 function causeOf(
