test(host): the dispatcher named at every host, forecasts by class on a virtual clock

slotStatus.spec.ts failed in 2 of 3 runs at load 12: it demanded that a forecast is above 0 while statements run, which does not hold once they take longer than expected. The forecasts by class are tested at the gate on a virtual clock instead, stricter: longer for the lower class.

--- a/packages/host/__tests__/slotGate.spec.ts
+++ b/packages/host/__tests__/slotGate.spec.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import type { Route } from '@nutmegcourse/protocol'
 import { VirtualClock, addMilliseconds, backendServerId, customerName } from '@nutmegcourse/shared'
 import type { LogFields } from '../src/decisionLog.js'
 import type { HostContext } from '../src/hostContext.js'
@@ -23,16 +24,21 @@
   }
 
   /** `left`: milliseconds until its latest start. `wait`: how long it waits at most. */
-  async enter(id: string, left: number, wait = LONG_MILLISECONDS): Promise<string> {
+  async enter(
+    id: string,
+    left: number,
+    wait = LONG_MILLISECONDS,
+    classPriority = 2,
+  ): Promise<string> {
     const now = this.clock.now()
     const request = {
       customer: CUSTOMER,
       arrivedAt: now,
-      route: { name: 'r-report', priority: 2 },
+      route: { name: 'r-report', priority: classPriority },
       statement: { id },
     } as unknown as StatementRequest
     const terms = {
-      classPriority: 2,
+      classPriority,
       customerWeight: 1,
       targetAt: addMilliseconds(now, 2 * LONG_MILLISECONDS),
       latestStart: addMilliseconds(now, left),
@@ -52,6 +58,17 @@
   }
 }
 
+/** For newcomers of the highest class and of the one of what runs. */
+const forecastsOf = ({ gate }: GateFixture): readonly number[] =>
+  [0, 2].map(priority =>
+    gate.forecastMilliseconds({
+      name: `r-${String(priority)}`,
+      priority,
+      latencyTargetMilliseconds: LONG_MILLISECONDS,
+      statementTimeoutMilliseconds: LONG_MILLISECONDS,
+    } as unknown as Route),
+  )
+
 describe('SlotGate', () => {
   // Guards against statements that end without a line from which operators learn why.
   it('logs and counts a statement that waited until it was too late', async () => {
@@ -95,6 +112,19 @@
     ])
   })
 
+  it('forecasts a longer wait to a route of a lower class', async () => {
+    const fixture = new GateFixture()
+    await fixture.enter('running', LONG_MILLISECONDS)
+    expect(forecastsOf(fixture).every(forecast => forecast > 0)).toEqual(true)
+    const waiting = ['first', 'second', 'third'].map(id =>
+      fixture.enter(id, LONG_MILLISECONDS, LONG_MILLISECONDS, 0),
+    )
+    const [higher = 0, lower = 0] = forecastsOf(fixture)
+    expect([higher > 0, lower > higher]).toEqual([true, true])
+    fixture.gate.withdrawWaiting()
+    expect(await Promise.all(waiting)).toEqual(['withdrawn', 'withdrawn', 'withdrawn'])
+  })
+
   it('logs and counts a statement that is refused at once', async () => {
     const fixture = new GateFixture()
     await fixture.enter('running', LONG_MILLISECONDS)
--- a/packages/host/__tests__/slotStatus.spec.ts
+++ b/packages/host/__tests__/slotStatus.spec.ts
@@ -8,6 +8,7 @@
   type CustomerSlotStatus,
   type SlotStatus,
 } from '@nutmegcourse/protocol'
+import { freePorts } from '@nutmegcourse/stand-ins'
 import { HostMetrics, serveMetrics } from '../src/hostMetrics.js'
 import { slotMetricLines } from '../src/slotMetrics.js'
 import { slotStatusOf, type SlotStatusSources } from '../src/slotStatus.js'
@@ -211,11 +212,6 @@
         ])
         expect((primary?.inFlight ?? 0) > 0 && (lowest?.waiting ?? 0) > 0).toEqual(true)
         expect(highest?.waiting).toEqual(0)
-        const [ofHighest = 0, ofLowest = 0] = [highest, lowest].map(
-          each => each?.forecastMilliseconds,
-        )
-        // A newcomer of another customer goes before the many that have become late.
-        expect(ofHighest > 0 && ofLowest >= ofHighest).toEqual(true)
         const [alfa, bravo] = seen?.customers ?? []
         expect([alfa?.customer, alfa?.slotShare, alfa?.limitUse]).toEqual(['alfa', 1, null])
         expect((alfa?.refusedPerSecond.slots ?? 0) > 0).toEqual(true)
@@ -237,6 +233,31 @@
     )
   })
 
+  // Guards against operators that find an empty queue at a host that is not the dispatcher, and look no further.
+  it('names the dispatcher at every host, and tells its queue there', async () => {
+    await withHostFixture(
+      3,
+      async (fixture, hosts) => {
+        const dispatchers = () =>
+          new Set(
+            hosts.flatMap(({ host }) => host.slotStatus?.servers.map(each => each.dispatcher)),
+          )
+        const isAgreed = () => dispatchers().size === 1 && !dispatchers().has(null)
+        await fixture.until(isAgreed, 'all hosts name one dispatcher')
+        const [name] = dispatchers()
+        const other = hosts.find(({ host }) => host.name !== name)
+        if (other === undefined) throw new Error('every host is the dispatcher')
+        const caller = await fixture.caller(other, 'latest', 'key-of-alfa')
+        expect(await caller.outcomeOf('write 1')).toEqual('done')
+        for (const { host } of hosts) {
+          const shares = host.slotStatus?.customers.map(({ slotShare }) => slotShare)
+          expect(shares).toEqual(host.name === name ? [1] : [])
+        }
+      },
+      { customers, schedulesSlots: true, connectionLimit: 40, relayPorts: await freePorts(3) },
+    )
+  })
+
   it('shows and logs nothing of this where slots are not scheduled', async () => {
     await withHostFixture(
       1,
