--- a/packages/soak/src/consistencyChecker.ts
+++ b/packages/soak/src/consistencyChecker.ts
@@ -4,7 +4,11 @@
  */
 import { isAtOrPast, laterPosition, logPosition, type LogPosition } from '@nutmegcourse/shared'
 import type { MemoryGroup } from '@nutmegcourse/stand-ins'
-import { IDLE_TRANSACTION_MILLISECONDS } from './guarantees.js'
+import {
+  BOUNDED_AGE_MILLISECONDS,
+  IDLE_TRANSACTION_MILLISECONDS,
+  type Guarantee,
+} from './guarantees.js'
 import type { UnsuccessfulStatement } from './soakCallerOptions.js'
 
 export type ReadRule =
@@ -162,3 +166,14 @@
     this.findings.push(finding)
   }
 }
+
+/** What a read of a route must see. */
+export function readRuleOf(guarantee: Guarantee): ReadRule {
+  switch (guarantee) {
+    case 'latest':
+      return { kind: 'latest' }
+    case 'bounded':
+    case 'own':
+      return { kind: guarantee, ageMilliseconds: BOUNDED_AGE_MILLISECONDS }
+  }
+}
--- a/packages/soak/src/hardLoad.ts
+++ b/packages/soak/src/hardLoad.ts
@@ -4,6 +4,7 @@
  */
 import { customerName, digestOfKey, type CustomerName } from '@nutmegcourse/shared'
 import type { Customer } from '@nutmegcourse/protocol'
+import { Slots, type MemoryDialer, type MemoryGroup } from '@nutmegcourse/stand-ins'
 import { GUARANTEES, type Guarantee } from './guarantees.js'
 
 /** The parts of the platform's contract that are in force. */
@@ -11,9 +12,19 @@
 
 /** Together a primary runs 125 statements a second, less than its callers ask for. */
 export const HARD_LOAD_SLOTS = 2
-export const HARD_LOAD_WORK_MILLISECONDS = 16
+const HARD_LOAD_WORK_MILLISECONDS = 16
 /** Statements that wait at a backend server; it refuses further ones as busy. */
-export const HARD_LOAD_QUEUE_LIMIT = 4
+const HARD_LOAD_QUEUE_LIMIT = 4
+
+/** Gives each backend server its slots and its queue. */
+export function limitSlots(dialer: MemoryDialer, groups: readonly MemoryGroup[]): void {
+  const servers = groups.flatMap(group => [...group.servers.keys()])
+  const slots = new Map(
+    servers.map(id => [id, new Slots(HARD_LOAD_SLOTS, HARD_LOAD_QUEUE_LIMIT)] as const),
+  )
+  dialer.hooks.slotsOf = server => slots.get(server)
+  dialer.hooks.workMilliseconds = HARD_LOAD_WORK_MILLISECONDS
+}
 
 /** The class of a statement follows from the guarantee of its route; 0 is the highest. */
 export const CLASS_PRIORITIES: Readonly<Record<Guarantee, number>> = {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -163,6 +163,7 @@
         this.#checker.checkDuringPlannedOperation(statement, isStopping)
       },
       onEndedStatement: statement => {
+        if (!this.#options.isHardLoad) return
         this.#loadChecker.record(statement, this.#isCalmSince(statement.sentAt))
       },
     })
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -3,8 +3,8 @@
 import type { LogPosition, RandomSource } from '@nutmegcourse/shared'
 import { pick } from '@nutmegcourse/stand-ins'
 import { WireCaller, type WireAnswer } from '@nutmegcourse/platform/standIns'
-import type { ConsistencyChecker, ReadRule } from './consistencyChecker.js'
-import { BOUNDED_AGE_MILLISECONDS, databaseName, type Guarantee } from './guarantees.js'
+import { readRuleOf, type ConsistencyChecker } from './consistencyChecker.js'
+import { databaseName, type Guarantee } from './guarantees.js'
 import { keyOf, type CallerHabits } from './hardLoad.js'
 import type { SoakCallerOptions } from './soakCallerOptions.js'
 import type { SoakFleet } from './soakFleet.js'
@@ -247,13 +247,3 @@
 
 const retryAdviceOf = (detail: string): number =>
   Number(/ retry_after_ms=(\d+)/.exec(detail)?.[1] ?? 0)
-
-function readRuleOf(guarantee: Guarantee): ReadRule {
-  switch (guarantee) {
-    case 'latest':
-      return { kind: 'latest' }
-    case 'bounded':
-    case 'own':
-      return { kind: guarantee, ageMilliseconds: BOUNDED_AGE_MILLISECONDS }
-  }
-}
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -6,24 +6,11 @@
  */
 import { availabilityZoneId, backendServerId, type BackendServerId } from '@nutmegcourse/shared'
 import type { BackendServerEntry } from '@nutmegcourse/protocol'
-import {
-  MemoryDialer,
-  MemoryGroup,
-  MemoryStore,
-  Relay,
-  Slots,
-  freePorts,
-} from '@nutmegcourse/stand-ins'
+import { MemoryDialer, MemoryGroup, MemoryStore, Relay, freePorts } from '@nutmegcourse/stand-ins'
 import { portOf, serveBackend, serveStore, writeSettings } from '@nutmegcourse/platform/standIns'
 import { CALLERS, STORE } from './faultPlan.js'
 import { configurationOf } from './fleetConfiguration.js'
-import {
-  HARD_LOAD_CONTRACTS,
-  HARD_LOAD_QUEUE_LIMIT,
-  HARD_LOAD_SLOTS,
-  HARD_LOAD_WORK_MILLISECONDS,
-  keyOf,
-} from './hardLoad.js'
+import { HARD_LOAD_CONTRACTS, HARD_LOAD_SLOTS, keyOf, limitSlots } from './hardLoad.js'
 import { HostProcess } from './hostProcess.js'
 
 export interface FleetPlan {
@@ -88,19 +75,7 @@
     })
     this.dialer = new MemoryDialer(this.groups)
     this.dialer.hooks.workMilliseconds = STATEMENT_WORK_MILLISECONDS
-    if (plan.isHardLoad) this.#limitSlots()
-  }
-
-  #limitSlots(): void {
-    const slots = new Map(
-      this.groups.flatMap(group =>
-        [...group.servers.keys()].map(
-          id => [id, new Slots(HARD_LOAD_SLOTS, HARD_LOAD_QUEUE_LIMIT)] as const,
-        ),
-      ),
-    )
-    this.dialer.hooks.slotsOf = server => slots.get(server)
-    this.dialer.hooks.workMilliseconds = HARD_LOAD_WORK_MILLISECONDS
+    if (plan.isHardLoad) limitSlots(this.dialer, this.groups)
   }
 
   async start(): Promise<void> {
