--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -41,6 +41,9 @@
  */
 const MAXIMUM_RUN_SHARE = 0.5
 
+/** The time reserved for the execution of a statement that waits for a slot, as a multiple of the usual latency. */
+const SCHEDULED_RUN_FACTOR = 2
+
 /** How long a read waits for a connection before it considers other servers. */
 export const READ_ACQUIRE_MILLISECONDS = 200
 
@@ -173,7 +176,9 @@
   #latestStart(request: StatementRequest, server: BackendServerState): Milliseconds {
     const { arrivedAt, deadline } = request
     const usual = server.latency.at(this.#context.clock.now())
-    return milliseconds(deadline - Math.min(usual, (deadline - arrivedAt) * MAXIMUM_RUN_SHARE))
+    // Those that wait for a slot start as late as this, so a statement slower than usual must still be answered.
+    const reserved = server.gate === null ? usual : usual * SCHEDULED_RUN_FACTOR
+    return milliseconds(deadline - Math.min(reserved, (deadline - arrivedAt) * MAXIMUM_RUN_SHARE))
   }
 
   async #afterNoConnection(request: StatementRequest, failure: AcquireFailure): Promise<void> {
