fix(host): a statement of a relayed transaction no longer reaches another one after a reconnection

The host that runs transactions for others numbers them from 1 on each connection, and rolls them back when it closes. The host of the caller kept only the number: after a reconnection, the next statement or the end of a lost transaction was sent over the new connection and reached whichever transaction had that number there, also another customer's. A transaction now belongs to the connection over which it was begun; once that has closed, nothing is sent for it and the statement counts as not sent, as when the other host declined it.

--- /dev/null
+++ b/packages/host/__tests__/relayedTransactions.spec.ts
@@ -0,0 +1,103 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { freePorts } from '@nutmegcourse/stand-ins'
+import { SystemClock, addMilliseconds, customerName, type CustomerName } from '@nutmegcourse/shared'
+import { SessionValues } from '@nutmegcourse/state'
+import type { HostContext } from '../src/hostContext.js'
+import { RelayPeer } from '../src/relayPeer.js'
+import { RelayServer, type RelayServices } from '../src/relayServer.js'
+import { RelayingRunner } from '../src/relayingRunner.js'
+import type { StatementRunner } from '../src/statementRunner.js'
+import {
+  StatementTiming,
+  type RunningTransaction,
+  type StatementRequest,
+} from '../src/statements.js'
+
+const A = customerName('a')
+const B = customerName('b')
+
+const CONTEXT = {
+  clock: new SystemClock(),
+  log: { write: () => undefined },
+  settings: { schedulesSlots: false },
+} as unknown as HostContext
+
+const SERVICE = { name: 'db-1', isOwned: false, dispatchedPart: null }
+
+const requestOf = (customer: CustomerName): StatementRequest =>
+  ({
+    service: SERVICE,
+    route: { service: SERVICE.name, guarantee: { kind: 'latest' } },
+    customer,
+    session: { values: new SessionValues(), ownPosition: null },
+    statement: { id: 's-1', text: 'write 1', body: { kind: 'query' } },
+    isWrite: true,
+    arrivedAt: CONTEXT.clock.now(),
+    deadline: addMilliseconds(CONTEXT.clock.now(), 800),
+    timing: new StatementTiming(),
+  }) as unknown as StatementRequest
+
+/** The other host: records whose statements ran in whose transaction, and whose transactions were ended. */
+function serveAt(port: number, ran: (readonly [string, string])[], ended: string[]): RelayServer {
+  const step = (transaction: { customer: string }) =>
+    Promise.resolve({ result: { answer: { kind: 'done' }, position: null }, transaction })
+  const runner = {
+    begin: (request: StatementRequest) => step({ customer: String(request.customer) }),
+    continue: (request: StatementRequest, transaction: { customer: string }) => {
+      ran.push([String(request.customer), transaction.customer])
+      return step(transaction)
+    },
+    endTransaction: ({ customer }: { customer: string }) => ended.push(customer),
+  }
+  const services = { serve: () => SERVICE, idleTransactionMilliseconds: 3000 }
+  const server = new RelayServer(
+    CONTEXT,
+    runner as unknown as StatementRunner,
+    services as unknown as RelayServices,
+  )
+  server.listen('127.0.0.1', port)
+  return server
+}
+
+describe('a relayed transaction whose connection was lost', () => {
+  // Guards against a statement, or an end, that reaches the transaction of another customer: the other host numbers
+  // the transactions of each connection from 1.
+  const nexts: readonly (readonly [
+    string,
+    (runner: RelayingRunner, of: RunningTransaction) => unknown,
+  ])[] = [
+    ['its next statement', (runner, of) => runner.continue(requestOf(A), of)],
+    [
+      'its end',
+      (runner, of) => {
+        runner.endTransaction(of, 'open')
+      },
+    ],
+  ]
+  for (const [what, next] of nexts) {
+    it(`is over: ${what} does not reach another one`, async () => {
+      const [port = 0] = await freePorts(1)
+      const ran: (readonly [string, string])[] = []
+      const ended: string[] = []
+      const servers = [serveAt(port, [], [])]
+      const peer = new RelayPeer(CONTEXT, 'host-2', { host: '127.0.0.1', port })
+      const local = {} as unknown as StatementRunner
+      const runner = new RelayingRunner(CONTEXT, local, { peersFor: () => [peer] })
+      try {
+        const lost = await runner.begin(requestOf(A), false)
+        servers[0]?.close()
+        await new Promise(resolve => setTimeout(resolve, 50))
+        servers.push(serveAt(port, ran, ended))
+        const open = await runner.begin(requestOf(B), false)
+        if (lost.transaction === null || open.transaction === null) throw new Error('none begun')
+        await next(runner, lost.transaction)
+        await runner.continue(requestOf(B), open.transaction)
+        expect([ran, ended]).toEqual([[['b', 'b']], []])
+      } finally {
+        peer.close()
+        for (const server of servers) server.close()
+      }
+    })
+  }
+})
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -31,7 +31,11 @@
 const ANSWER_MARGIN_MILLISECONDS = 60
 
 export type RelayOutcome =
-  | { readonly kind: 'answered'; readonly message: Extract<AnswerMessage, { kind: 'answered' }> }
+  | {
+      readonly kind: 'answered'
+      readonly message: Extract<AnswerMessage, { kind: 'answered' }>
+      readonly connection: JsonRpcConnection
+    }
   /** Nothing was run there. */
   | { readonly kind: 'notSent' }
   /** Nothing was run there; the dispatcher of the primary is to be asked. */
@@ -89,6 +93,28 @@
   ): Promise<RelayOutcome> {
     const connection = await this.#connect()
     if (connection === null) return { kind: 'notSent' }
+    return this.#callOver(connection, method, params, deadline)
+  }
+
+  /**
+   * Runs a statement in a transaction that was begun over the connection. The other host ended it when that closed, and
+   * numbers those of the next connection alike.
+   */
+  continue(
+    connection: JsonRpcConnection,
+    params: (routes: SentRoutes) => unknown,
+    deadline: Milliseconds,
+  ): Promise<RelayOutcome> {
+    if (!this.#isOpen(connection)) return Promise.resolve({ kind: 'notSent' })
+    return this.#callOver(connection, RELAY_METHODS.continue, params, deadline)
+  }
+
+  async #callOver(
+    connection: JsonRpcConnection,
+    method: string,
+    params: (routes: SentRoutes) => unknown,
+    deadline: Milliseconds,
+  ): Promise<RelayOutcome> {
     const { clock } = this.#context
     if (this.#pendingCalls === 0) this.#lastReceivedAt = clock.now()
     this.#pendingCalls += 1
@@ -97,7 +123,7 @@
     this.#pendingCalls -= 1
     if (answer.isOk()) {
       const message = answer.value
-      if (message.kind !== 'declined') return { kind: 'answered', message }
+      if (message.kind !== 'declined') return { kind: 'answered', message, connection }
       return { kind: message.isRedirected === true ? 'redirected' : 'notSent' }
     }
     if (answer.error.kind === 'answerTimeout') return { kind: 'overdue' }
@@ -123,14 +149,14 @@
     return answer.unwrapOr(null)
   }
 
-  /**
-   * Ends a transaction there. Without a connection nothing is sent: the other host ends it when the connection closes.
-   */
-  end(transaction: number): void {
+  /** Ends a transaction there. If its connection closed, nothing is sent: the other host ends it then. */
+  end(connection: JsonRpcConnection, transaction: number): void {
     const message: EndMessage = { transaction }
-    if (this.#connection?.closed === false) {
-      this.#connection.notify(RELAY_METHODS.end, message)
-    }
+    if (this.#isOpen(connection)) connection.notify(RELAY_METHODS.end, message)
+  }
+
+  #isOpen(connection: JsonRpcConnection): boolean {
+    return connection === this.#connection && !connection.closed
   }
 
   tick(now: Milliseconds): void {
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -55,6 +55,7 @@
 }
 
 type Answered = Extract<AnswerMessage, { kind: 'answered' }>
+type AnsweredOutcome = Extract<RelayOutcome, { kind: 'answered' }>
 
 export class RelayingRunner implements Runner {
   readonly #context: HostContext
@@ -102,7 +103,7 @@
     if (called === null) return this.#local.begin(request, readOnly)
     const { outcome, peer } = called
     if (outcome.kind === 'answered' && peer !== null) {
-      return this.#stepOf(request, peer, outcome.message)
+      return this.#stepOf(request, peer, outcome)
     }
     if (this.#mayRunHere(request, place, outcome)) {
       return this.#standInForOwners(request).begin(request, readOnly)
@@ -115,14 +116,14 @@
     transaction: RunningTransaction,
   ): Promise<TransactionStep> {
     if (transaction.kind === 'local') return this.#local.continue(request, transaction)
-    const { peer, id } = transaction
+    const { peer, connection, id } = transaction
     const params = (routes: SentRoutes): unknown => ({
       request: writeRequest(request, routes, this.#context.clock.now()),
       transaction: id,
     })
-    const outcome = await peer.call(RELAY_METHODS.continue, params, request.deadline)
-    if (outcome.kind === 'answered') return this.#stepOf(request, peer, outcome.message)
-    peer.end(id)
+    const outcome = await peer.continue(connection, params, request.deadline)
+    if (outcome.kind === 'answered') return this.#stepOf(request, peer, outcome)
+    peer.end(connection, id)
     const isCommit = request.statement.body.kind === 'commit'
     const place: StatementPlace = isCommit ? 'commit' : 'withinTransaction'
     return { result: this.#refusalFor(request, place, outcome), transaction: null }
@@ -130,7 +131,7 @@
 
   endTransaction(transaction: RunningTransaction, status: SessionStatus | null): void {
     if (transaction.kind === 'local') this.#local.endTransaction(transaction, status)
-    else transaction.peer.end(transaction.id)
+    else transaction.peer.end(transaction.connection, transaction.id)
   }
 
   /** Whether this host may run the statement itself: its deadline has not passed, and a retry is safe. */
@@ -216,13 +217,18 @@
     return reason === undefined ? { answer, position } : { answer, position, reason }
   }
 
-  #stepOf(request: StatementRequest, peer: RelayPeer, message: Answered): TransactionStep {
+  #stepOf(
+    request: StatementRequest,
+    peer: RelayPeer,
+    { message, connection }: AnsweredOutcome,
+  ): TransactionStep {
     const result = this.#resultOf(request, message)
     if (message.transaction === null) return { result, transaction: null }
     const transaction: RelayedTransaction = {
       kind: 'relayed',
       service: request.service,
       peer,
+      connection,
       id: message.transaction,
     }
     return { result, transaction }
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -15,6 +15,7 @@
   type SessionValues,
   type StatementFailure,
 } from '@nutmegcourse/state'
+import type { JsonRpcConnection } from '@nutmegcourse/transport'
 import type { AttemptOutcome, RemoteStatement } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { RelayPeer } from './relayPeer.js'
@@ -77,7 +78,9 @@
   readonly kind: 'relayed'
   readonly service: ServiceState
   readonly peer: RelayPeer
-  /** The other host's identifier of it. */
+  /** The connection over which it was begun; it ends with it. */
+  readonly connection: JsonRpcConnection
+  /** The other host's identifier of it, for this connection. */
   readonly id: number
 }
 
