fix(host): a released connection that no starved waiter can take goes to its own customer's waiter

Where slots are scheduled, a released connection is kept from its customer's waiters for a starved waiter of another customer, which takes its place. If the server was full, or its place was not needed, it stayed idle, and nothing gave it to the waiter that could use it: that waited until its deadline beside an idle connection of its own customer.

Without schedulesSlots unchanged.

--- a/packages/host/__tests__/poolConnections.spec.ts
+++ b/packages/host/__tests__/poolConnections.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it, mock } from 'node:test'
 import { expect } from 'earl'
-import { ok } from 'neverthrow'
+import { err, ok } from 'neverthrow'
 import {
   SeededRandom,
   VirtualClock,
@@ -37,6 +37,8 @@
 class PoolBench {
   readonly clock = new VirtualClock()
   opened = 0
+  /** The server accepts no further connection. */
+  isFull = false
   readonly pool: ServerPool
 
   constructor(schedulesSlots: boolean, connectionLimit = CONNECTION_LIMIT) {
@@ -100,6 +102,10 @@
     }
     const opened = new Promise(resolve => {
       setTimeout(() => {
+        if (this.isFull) {
+          resolve(err({ kind: 'rejected', refusal: 'tooManyConnections' }))
+          return
+        }
         this.opened += 1
         resolve(ok(undefined))
       }, OPENING_MILLISECONDS)
@@ -237,4 +243,21 @@
       SMALL_CONNECTION_LIMIT,
     )
   })
+
+  // Full server: a starved waiter of another customer, for which none can be opened, must not keep the released
+  // connection from the waiter that can use it.
+  it('are used by their own customer while none can be opened for another', async () => {
+    await withPool(true, async bench => {
+      const held = await bench.settle(bench.acquire(A), 100)
+      if (held === null) throw new Error('no connection')
+      bench.isFull = true
+      const starved = bench.acquire(B, 400)
+      const own = bench.acquire(A, 400)
+      for (let count = 0; count < 120; count += 1) await bench.advance()
+      bench.pool.release(held)
+      const next = await bench.settle(own, 500)
+      expect(next).toEqual(held)
+      expect(await starved).toEqual(null)
+    })
+  })
 })
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -211,6 +211,16 @@
     pooled.idleSince = this.#context.clock.now()
     this.#idle.add(pooled)
     if (this.#queue.size > 0) this.#openMore()
+    if (this.#context.settings.schedulesSlots) this.#useIfLeft(pooled)
+  }
+
+  /** Its place was kept for a starved waiter: if that does not get it now, a waiter that can use it does. */
+  #useIfLeft(pooled: PooledLink): void {
+    if (!this.#idle.includes(pooled)) return
+    const waiter = this.#queue.dequeue(each => canUse(pooled, each))
+    if (waiter === null) return
+    this.#idle.remove(pooled)
+    waiter.settle({ link: this.#markTaken(pooled, waiter.use) })
   }
 
   /** The waiter that gets a released connection; null if none can use it or a starved waiter needs its place. */
