fix(limits): an operation is not refused while a holder that is late may have granted it

When most parts were exhausted, an operation was refused as over the limit 60 ms after its last holder was asked, or at once if that holder owed another answer. The holder went on to grant it a token, which was lost: late holders' parts served nobody, and a customer could be refused below its limit for want of an answer. Now it waits for the holders that it has asked, at most for their time limit; only one that is probed for its silence is not waited for.

--- a/packages/host/__tests__/customerLimits.spec.ts
+++ b/packages/host/__tests__/customerLimits.spec.ts
@@ -96,6 +96,15 @@
     expect([admitted(served), served.waits.includes(0)]).toEqual([100, false])
   })
 
+  // Guards against tokens that are granted to operations which have already been refused.
+  it('hot customer: is served all parts of its limit while two holders answer late', async () => {
+    const holders = new LimitHolders(LIMIT)
+    await holders.pass(5000)
+    holders.lateMilliseconds.set('h4', 80).set('h5', 80)
+    const served = await sendOperations(holders, hosts(holders, 5), { perSecond: 200, seconds: 10 })
+    expect(admitted(served) >= LIMIT.operationsPerSecond * 10 * 0.95).toEqual(true)
+  })
+
   it('is not reached when one of its parts is exhausted', async () => {
     const holders = new LimitHolders(LIMIT)
     await holders.pass(5000)
--- a/packages/host/__tests__/support/limitHolders.ts
+++ b/packages/host/__tests__/support/limitHolders.ts
@@ -58,6 +58,8 @@
   readonly events: string[] = []
   /** Holders that receive requests and do not answer. */
   readonly silent = new Set<string>()
+  /** Holders that answer late, and by how much. */
+  readonly lateMilliseconds = new Map<string, number>()
   /** Holders to which connections are known to be down. */
   readonly down = new Set<string>()
   /** Holders of a version that knows nothing of tokens ahead. */
@@ -112,7 +114,7 @@
     const { customer } = request
     const understood = this.areOlder ? { customer } : request
     const answer = this.#granters.get(holder)?.answer(understood) ?? null
-    await wait(LINK_MILLISECONDS)
+    await wait(LINK_MILLISECONDS + (this.lateMilliseconds.get(holder) ?? 0))
     return answer
   }
 
--- a/packages/state/__tests__/synchronous/grantSearch.spec.ts
+++ b/packages/state/__tests__/synchronous/grantSearch.spec.ts
@@ -107,6 +107,22 @@
     expect([search.result?.kind, search.next()]).toEqual(['granted', []])
   })
 
+  // Guards against an operation that is refused while its token is on the way, and so is lost to the customer.
+  const stillAnswering: readonly (readonly [string, LimitHolder[]])[] = [
+    ['becomes overdue', holders(READY, [90, 90, 90, 90])],
+    ['owed an answer before', holders(['ready', 'ready', 'ready', 'ready', 'slow'], [9, 9, 9, 9])],
+  ]
+  for (const [name, given] of stillAnswering) {
+    it(`accepts the answer of a holder that ${name} when all other parts are exhausted`, () => {
+      const search = new GrantSearch(given)
+      expect(search.next()).toEqual(['h5'])
+      search.expectNone('h5')
+      expect(search.result).toEqual(null)
+      search.receive('h5', GRANTED)
+      expect(search.result?.kind).toEqual('granted')
+    })
+  }
+
   it('does not wait for a silent holder once most parts are known to be exhausted', () => {
     const search = new GrantSearch(
       holders(['probed', 'ready'], [0, 0, 0]).concat(holders(READY, [9, 9, 9])),
--- a/packages/state/src/synchronous/grantSearch.ts
+++ b/packages/state/src/synchronous/grantSearch.ts
@@ -35,8 +35,8 @@
 export class GrantSearch {
   readonly #parts: number
   readonly #queue: LimitHolder[]
-  /** Holders that were asked and have not answered, and whether an answer may be expected. */
-  readonly #awaited = new Map<string, boolean>()
+  /** Holders that were asked and have not answered, each with its state. */
+  readonly #awaited = new Map<string, HolderState>()
   readonly #waits: number[]
   #isGranted = false
 
@@ -59,14 +59,14 @@
       const holder = this.#queue.shift()
       if (holder === undefined) return names
       names.push(holder.name)
-      this.#awaited.set(holder.name, holder.state === 'ready')
+      this.#awaited.set(holder.name, holder.state)
       if (holder.state === 'ready') return names
     }
   }
 
-  /** No answer is expected from a holder any more, but one that arrives counts. */
+  /** The next holder is to be asked without the answer of this one, which counts if it arrives. */
   expectNone(name: string): void {
-    if (this.#awaited.has(name)) this.#awaited.set(name, false)
+    if (this.#awaited.get(name) === 'ready') this.#awaited.set(name, 'slow')
   }
 
   receive(name: string, answer: HolderAnswer): void {
@@ -86,7 +86,8 @@
   get result(): SearchResult | null {
     if (this.#isGranted) return { kind: 'granted' }
     if (this.#queue.length > 0) return null
-    if ([...this.#awaited.values()].some(isExpected => isExpected)) return null
+    // A holder that is late may have granted the operation: its token would be lost to the customer.
+    if ([...this.#awaited.values()].some(state => state !== 'probed')) return null
     if (2 * this.#waits.length > this.#parts) {
       return { kind: 'spent', waitMilliseconds: Math.min(...this.#waits) }
     }
