fix(limits): an exhausted part is asked again after a second, also if its holder named a longer wait

A host that knew of a raised limit before a holder did recorded the holder's wait under the old limit, up to 60 s, and refused the customer for as long. Now it asks again after 1 s at the latest; callers are told the holder's wait as before.

--- a/packages/host/__tests__/customerLimits.spec.ts
+++ b/packages/host/__tests__/customerLimits.spec.ts
@@ -172,6 +172,22 @@
     expect(admitted(served)).toEqual(1)
   })
 
+  // Guards against a host that believes for as long as a holder said under the old limit that its part is exhausted.
+  it('that is raised grants operations soon after the last holder learns of it', async () => {
+    const low = { operationsPerSecond: 0.1, burst: 0 }
+    const holders = new LimitHolders(low)
+    const host = holders.host('a')
+    await sendOperations(holders, [host], { perSecond: 50, seconds: 1 })
+    holders.olderLimit = low
+    holders.limit = LIMIT
+    await sendOperations(holders, [host], { perSecond: 50, seconds: 1 })
+    holders.olderLimit = null
+    // The parts are empty when they are first asked under the new limit.
+    await sendOperations(holders, [host], { perSecond: 10, seconds: 1 })
+    const served = await sendOperations(holders, [host], { perSecond: 10, seconds: 2 })
+    expect(admitted(served)).toEqual(20)
+  })
+
   it('is still kept for a customer that vanished and came back', async () => {
     const holders = new LimitHolders(LIMIT)
     await holders.pass(5000)
--- a/packages/host/__tests__/support/limitHolders.ts
+++ b/packages/host/__tests__/support/limitHolders.ts
@@ -66,6 +66,8 @@
   areOlder = false
   calls = 0
   limit: OperationLimit | null
+  /** The limit that holders still know, while hosts know a newer one; null if there is no difference. */
+  olderLimit: OperationLimit | null = null
 
   constructor(limit: OperationLimit) {
     this.limit = limit
@@ -73,7 +75,10 @@
   }
 
   restart(name: string): void {
-    const granter = new LimitGranter(this.#context(name), this.#plan())
+    const granter = new LimitGranter(this.#context(name), {
+      ...this.#plan(),
+      limitOf: () => this.olderLimit ?? this.limit,
+    })
     granter.joined()
     this.#granters.set(name, granter)
   }
--- a/packages/host/src/customerUse.ts
+++ b/packages/host/src/customerUse.ts
@@ -7,9 +7,20 @@
 import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import { GrantReserve } from '@nutmegcourse/state'
 
+/**
+ * An exhausted part is asked again after this time at the latest: its holder may have learned of a higher limit since,
+ * later than this host.
+ */
+const SPENT_KNOWN_MILLISECONDS = 1000
+
+interface SpentPart {
+  readonly until: Milliseconds
+  readonly knownUntil: Milliseconds
+}
+
 export class CustomerUse {
   readonly reserve = new GrantReserve()
-  readonly #spentUntil = new Map<string, Milliseconds>()
+  readonly #spent = new Map<string, SpentPart>()
   #limit: OperationLimit | null = null
   /** How many holders have been asked for tokens ahead and gave fewer than requested. */
   #moves = 0
@@ -19,18 +30,23 @@
     const { operationsPerSecond, burst } = limit
     const known = this.#limit
     if (known?.operationsPerSecond !== operationsPerSecond || known.burst !== burst) {
-      this.#spentUntil.clear()
+      this.#spent.clear()
     }
     this.#limit = limit
   }
 
   setSpent(holder: string, waitMilliseconds: number, now: Milliseconds): void {
-    this.#spentUntil.set(holder, addMilliseconds(now, waitMilliseconds))
+    this.#spent.set(holder, {
+      until: addMilliseconds(now, waitMilliseconds),
+      knownUntil: addMilliseconds(now, SPENT_KNOWN_MILLISECONDS),
+    })
   }
 
   /** Until the part of a holder has an operation again; 0 if it is not known to be exhausted. */
   spentMilliseconds(holder: string, now: Milliseconds): number {
-    return Math.max(0, (this.#spentUntil.get(holder) ?? now) - now)
+    const spent = this.#spent.get(holder)
+    if (spent === undefined || spent.knownUntil <= now) return 0
+    return Math.max(0, spent.until - now)
   }
 
   /** The holder to ask for tokens ahead: the nearest, or the next one after each that had too few. Null for none. */
@@ -45,6 +61,9 @@
   }
 
   isIdle(now: Milliseconds): boolean {
-    return this.reserve.isIdle(now) && [...this.#spentUntil.values()].every(until => until <= now)
+    const isAnySpent = [...this.#spent.keys()].some(
+      holder => this.spentMilliseconds(holder, now) > 0,
+    )
+    return this.reserve.isIdle(now) && !isAnySpent
   }
 }
