fix(limits): a holder that answers late is waited for instead of asking a second one as well

After 60 ms the next holder was asked too, and all holders that owed an answer were asked at once. Where holders answer, but late, each operation used up tokens of two or more parts and all but one were lost, so a customer within its limit was refused. A holder that answered late in the last second is now asked last, one at a time, and waited for.

If the late holders fall silent at once, some operations wait for one after the other, 1,000 ms at most with all five.

--- a/packages/host/__tests__/customerLimits.spec.ts
+++ b/packages/host/__tests__/customerLimits.spec.ts
@@ -96,6 +96,23 @@
     expect([admitted(served), served.waits.includes(0)]).toEqual([100, false])
   })
 
+  // Guards against operations for which two late holders are asked, and which use up a token of each.
+  for (const late of [2, 4, 5]) {
+    it(`a customer within its limit is served while ${String(late)} holders answer late`, async () => {
+      const holders = new LimitHolders(LIMIT)
+      await holders.pass(5000)
+      for (let each = 1; each <= late; each += 1) {
+        holders.lateMilliseconds.set(`h${String(each)}`, 80)
+      }
+      const served = await sendOperations(holders, hosts(holders, 5), {
+        perSecond: 45,
+        seconds: 10,
+      })
+      expect(admitted(served) >= 450 * 0.95).toEqual(true)
+      expect(Math.max(...served.waits) <= 500).toEqual(true)
+    })
+  }
+
   // Guards against tokens that are granted to operations which have already been refused.
   it('hot customer: is served all parts of its limit while two holders answer late', async () => {
     const holders = new LimitHolders(LIMIT)
--- a/packages/host/src/customerGrants.ts
+++ b/packages/host/src/customerGrants.ts
@@ -113,14 +113,18 @@
     if (holder === this.#context.settings.entryHost) return this.#granter.answer(request)
     const peer = this.#peers.peer(holder)
     if (peer === null) return DECLINED
+    const answersLate = this.#silence.answersLate(holder, this.#now)
     this.#silence.recordRequest(holder, this.#now)
+    const delay = { isOver: false }
     const stopHedge = startReadTimeout(() => {
+      delay.isOver = true
       this.#silence.recordDelay(holder)
-      onDelay?.()
+      if (!answersLate) onDelay?.()
     }, HEDGE_MILLISECONDS)
     const answer = await peer.askGrant(request, GRANT_TIMEOUT_MILLISECONDS)
     stopHedge()
     if (answer === null) this.#silence.recordSilence(holder, this.#now)
+    else if (delay.isOver) this.#silence.recordLateAnswer(holder, this.#now)
     else this.#silence.recordAnswer(holder)
     return answer ?? DECLINED
   }
--- a/packages/state/__tests__/synchronous/grantSearch.spec.ts
+++ b/packages/state/__tests__/synchronous/grantSearch.spec.ts
@@ -150,6 +150,35 @@
   })
 })
 
+describe('a holder that answers late', () => {
+  it('is asked last and waited for, for a second or until it answers in time', () => {
+    const silence = new HolderSilence()
+    const at = (now: number): readonly [HolderState, boolean] => [
+      silence.stateOf('h1', milliseconds(now)),
+      silence.answersLate('h1', milliseconds(now)),
+    ]
+    silence.recordDelay('h1')
+    expect(at(60)).toEqual(['slow', false])
+    silence.recordLateAnswer('h1', milliseconds(80))
+    expect(at(80)).toEqual(['slow', true])
+    expect(at(1079)).toEqual(['slow', true])
+    expect(at(1080)).toEqual(['ready', false])
+    silence.recordLateAnswer('h1', milliseconds(2000))
+    silence.recordAnswer('h1')
+    expect(at(2001)).toEqual(['ready', false])
+  })
+
+  it('is no longer waited for once it is silent', () => {
+    const silence = new HolderSilence()
+    silence.recordLateAnswer('h1', milliseconds(80))
+    silence.recordSilence('h1', milliseconds(280))
+    expect([
+      silence.stateOf('h1', milliseconds(280)),
+      silence.answersLate('h1', milliseconds(280)),
+    ]).toEqual(['silent', false])
+  })
+})
+
 describe('a map that forgets', () => {
   // Guards against memory that grows with every customer that ever sent an operation.
   it('holds no more entries than are in use with 10,000 customers', () => {
--- a/packages/state/src/synchronous/grantSearch.ts
+++ b/packages/state/src/synchronous/grantSearch.ts
@@ -7,7 +7,7 @@
   | 'ready'
   /** It did not answer some time ago. It is asked together with the next one, which answers if it does not. */
   | 'probed'
-  /** It has not answered another request yet. It is asked after all others. */
+  /** It has not answered another request yet, or lately answered late. It is asked after all others. */
   | 'slow'
   /** It can not be reached, or recently did not answer. */
   | 'silent'
@@ -60,7 +60,7 @@
       if (holder === undefined) return names
       names.push(holder.name)
       this.#awaited.set(holder.name, holder.state)
-      if (holder.state === 'ready') return names
+      if (holder.state !== 'probed') return names
     }
   }
 
