--- a/packages/host/__tests__/customerLimits.spec.ts
+++ b/packages/host/__tests__/customerLimits.spec.ts
@@ -96,6 +96,32 @@
     expect([admitted(served), served.waits.includes(0)]).toEqual([100, false])
   })
 
+  // Guards against operations for which two late holders are asked, and which use up a token of each.
+  for (const late of [2, 4, 5]) {
+    it(`a customer within its limit is served while ${String(late)} holders answer late`, async () => {
+      const holders = new LimitHolders(LIMIT)
+      await holders.pass(5000)
+      for (let each = 1; each <= late; each += 1) {
+        holders.lateMilliseconds.set(`h${String(each)}`, 80)
+      }
+      const served = await sendOperations(holders, hosts(holders, 5), {
+        perSecond: 45,
+        seconds: 10,
+      })
+      expect(admitted(served) >= 450 * 0.95).toEqual(true)
+      expect(Math.max(...served.waits) <= 500).toEqual(true)
+    })
+  }
+
+  // Guards against tokens that are granted to operations which have already been refused.
+  it('hot customer: is served all parts of its limit while two holders answer late', async () => {
+    const holders = new LimitHolders(LIMIT)
+    await holders.pass(5000)
+    holders.lateMilliseconds.set('h4', 80).set('h5', 80)
+    const served = await sendOperations(holders, hosts(holders, 5), { perSecond: 200, seconds: 10 })
+    expect(admitted(served) >= LIMIT.operationsPerSecond * 10 * 0.95).toEqual(true)
+  })
+
   it('is not reached when one of its parts is exhausted', async () => {
     const holders = new LimitHolders(LIMIT)
     await holders.pass(5000)
@@ -163,6 +189,22 @@
     expect(admitted(served)).toEqual(1)
   })
 
+  // Guards against a host that believes for as long as a holder said under the old limit that its part is exhausted.
+  it('that is raised grants operations soon after the last holder learns of it', async () => {
+    const low = { operationsPerSecond: 0.1, burst: 0 }
+    const holders = new LimitHolders(low)
+    const host = holders.host('a')
+    await sendOperations(holders, [host], { perSecond: 50, seconds: 1 })
+    holders.olderLimit = low
+    holders.limit = LIMIT
+    await sendOperations(holders, [host], { perSecond: 50, seconds: 1 })
+    holders.olderLimit = null
+    // The parts are empty when they are first asked under the new limit.
+    await sendOperations(holders, [host], { perSecond: 10, seconds: 1 })
+    const served = await sendOperations(holders, [host], { perSecond: 10, seconds: 2 })
+    expect(admitted(served)).toEqual(20)
+  })
+
   it('is still kept for a customer that vanished and came back', async () => {
     const holders = new LimitHolders(LIMIT)
     await holders.pass(5000)
--- a/packages/host/__tests__/support/limitHolders.ts
+++ b/packages/host/__tests__/support/limitHolders.ts
@@ -58,12 +58,16 @@
   readonly events: string[] = []
   /** Holders that receive requests and do not answer. */
   readonly silent = new Set<string>()
+  /** Holders that answer late, and by how much. */
+  readonly lateMilliseconds = new Map<string, number>()
   /** Holders to which connections are known to be down. */
   readonly down = new Set<string>()
   /** Holders of a version that knows nothing of tokens ahead. */
   areOlder = false
   calls = 0
   limit: OperationLimit | null
+  /** The limit that holders still know, while hosts know a newer one; null if there is no difference. */
+  olderLimit: OperationLimit | null = null
 
   constructor(limit: OperationLimit) {
     this.limit = limit
@@ -71,7 +75,10 @@
   }
 
   restart(name: string): void {
-    const granter = new LimitGranter(this.#context(name), this.#plan())
+    const granter = new LimitGranter(this.#context(name), {
+      ...this.#plan(),
+      limitOf: () => this.olderLimit ?? this.limit,
+    })
     granter.joined()
     this.#granters.set(name, granter)
   }
@@ -112,7 +119,7 @@
     const { customer } = request
     const understood = this.areOlder ? { customer } : request
     const answer = this.#granters.get(holder)?.answer(understood) ?? null
-    await wait(LINK_MILLISECONDS)
+    await wait(LINK_MILLISECONDS + (this.lateMilliseconds.get(holder) ?? 0))
     return answer
   }
 
--- a/packages/state/__tests__/synchronous/grantSearch.spec.ts
+++ b/packages/state/__tests__/synchronous/grantSearch.spec.ts
@@ -107,6 +107,22 @@
     expect([search.result?.kind, search.next()]).toEqual(['granted', []])
   })
 
+  // Guards against an operation that is refused while its token is on the way, and so is lost to the customer.
+  const stillAnswering: readonly (readonly [string, LimitHolder[]])[] = [
+    ['becomes overdue', holders(READY, [90, 90, 90, 90])],
+    ['owed an answer before', holders(['ready', 'ready', 'ready', 'ready', 'slow'], [9, 9, 9, 9])],
+  ]
+  for (const [name, given] of stillAnswering) {
+    it(`accepts the answer of a holder that ${name} when all other parts are exhausted`, () => {
+      const search = new GrantSearch(given)
+      expect(search.next()).toEqual(['h5'])
+      search.expectNone('h5')
+      expect(search.result).toEqual(null)
+      search.receive('h5', GRANTED)
+      expect(search.result?.kind).toEqual('granted')
+    })
+  }
+
   it('does not wait for a silent holder once most parts are known to be exhausted', () => {
     const search = new GrantSearch(
       holders(['probed', 'ready'], [0, 0, 0]).concat(holders(READY, [9, 9, 9])),
@@ -134,6 +150,35 @@
   })
 })
 
+describe('a holder that answers late', () => {
+  it('is asked last and waited for, for a second or until it answers in time', () => {
+    const silence = new HolderSilence()
+    const at = (now: number): readonly [HolderState, boolean] => [
+      silence.stateOf('h1', milliseconds(now)),
+      silence.answersLate('h1', milliseconds(now)),
+    ]
+    silence.recordDelay('h1')
+    expect(at(60)).toEqual(['slow', false])
+    silence.recordLateAnswer('h1', milliseconds(80))
+    expect(at(80)).toEqual(['slow', true])
+    expect(at(1079)).toEqual(['slow', true])
+    expect(at(1080)).toEqual(['ready', false])
+    silence.recordLateAnswer('h1', milliseconds(2000))
+    silence.recordAnswer('h1')
+    expect(at(2001)).toEqual(['ready', false])
+  })
+
+  it('is no longer waited for once it is silent', () => {
+    const silence = new HolderSilence()
+    silence.recordLateAnswer('h1', milliseconds(80))
+    silence.recordSilence('h1', milliseconds(280))
+    expect([
+      silence.stateOf('h1', milliseconds(280)),
+      silence.answersLate('h1', milliseconds(280)),
+    ]).toEqual(['silent', false])
+  })
+})
+
 describe('a map that forgets', () => {
   // Guards against memory that grows with every customer that ever sent an operation.
   it('holds no more entries than are in use with 10,000 customers', () => {
