fix(host): open transactions go on while new work waits for their connections

Statements take a slot before they have a connection. Where open transactions held all connections of a server and new work all its slots, neither went on until the new statements had run out of time. Statements of open transactions may now use the slots of statements that wait for connections in use.

--- a/packages/host/__tests__/slotScheduling.spec.ts
+++ b/packages/host/__tests__/slotScheduling.spec.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import { customerName, digestOfKey } from '@nutmegcourse/shared'
 import type { Customer } from '@nutmegcourse/protocol'
+import { freePorts } from '@nutmegcourse/stand-ins'
 import {
   CONFIGURATION,
   withHostFixture,
@@ -108,4 +109,42 @@
       await stop()
     })
   })
+
+  // Guards against a standstill: new work holds all slots and waits for the connections of transactions, and these wait
+  // for a slot, until the statements have run out of time.
+  it('lets transactions go on while new work waits for their connections', async () => {
+    const heldByDispatcher = 2
+    const scenario = async (fixture: HostFixture, host: FixtureHost): Promise<void> => {
+      const transactions = []
+      for (let count = 0; count < heldByDispatcher; count += 1) {
+        const caller = await fixture.caller(host, 'latest')
+        expect(await caller.outcomeOf('begin')).toEqual('done')
+        expect(await caller.outcomeOf('write 1')).toEqual('done')
+        transactions.push(caller)
+      }
+      const newcomers = []
+      for (let count = 0; count < SLOTS; count += 1) {
+        const caller = await fixture.caller(host, 'latest')
+        newcomers.push(caller.outcomeOf('write 2'))
+      }
+      await new Promise(resolve => setTimeout(resolve, WORK_MILLISECONDS))
+      const askedAt = performance.now()
+      const commits = await Promise.all(transactions.map(caller => caller.outcomeOf('commit')))
+      const elapsed = performance.now() - askedAt
+      const target = CONFIGURATION.routes[0]?.latencyTargetMilliseconds ?? 0
+      expect([...commits, ...(await Promise.all(newcomers)), elapsed < target]).toEqual([
+        ...transactions.map(() => 'done'),
+        ...newcomers.map(() => 'done'),
+        true,
+      ])
+    }
+    const relayPorts = await freePorts(1)
+    await withHostFixture(
+      1,
+      async (fixture, [host]) => {
+        if (host !== undefined) await scenario(fixture, host)
+      },
+      { connectionLimit: 2 * heldByDispatcher, relayPorts, schedulesSlots: true },
+    )
+  })
 })
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -54,7 +54,7 @@
     this.#entry = entry
     this.pool = new ServerPool(context, addressOf(entry), connectionLimit, part)
     this.gate = context.settings.schedulesSlots
-      ? new SlotGate(context, entry.server, entry.slots)
+      ? new SlotGate(context, entry.server, entry.slots, () => this.pool.waitingForUsed)
       : null
     this.progress = new ReplicaProgress(context.settings.schedulesSlots)
     this.distance = distanceOf(context, entry)
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -125,6 +125,13 @@
     return this.#growth.stuckWaiters
   }
 
+  /** Number of customers' requests that wait without a connection being opened for them. */
+  get waitingForUsed(): number {
+    let waiting = 0
+    for (const { use } of this.#queue.waiting()) if (use.kind === 'customer') waiting += 1
+    return Math.max(0, waiting - this.#opener.openingCount)
+  }
+
   get busy(): number {
     return this.#connections.busy
   }
--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -55,6 +55,7 @@
   readonly #context: HostContext
   readonly #server: BackendServerId
   readonly #slots: ServerSlots<GateRequest>
+  readonly #unsent: () => number
   readonly #waiting = new Set<GateRequest>()
   #wasSilent = false
   /** How long statements occupy a slot, by route. */
@@ -64,9 +65,16 @@
   /** Statements that waited until it was too late. */
   readonly overdue = new CustomerTally()
 
-  constructor(context: HostContext, server: BackendServerId, slots: number) {
+  /** `unsent`: returns how many statements with a slot wait for connections that are in use. */
+  constructor(
+    context: HostContext,
+    server: BackendServerId,
+    slots: number,
+    unsent: () => number = () => 0,
+  ) {
     this.#context = context
     this.#server = server
+    this.#unsent = unsent
     this.#slots = new ServerSlots({
       limit: new ConcurrencyLimit(slots),
       admission: new Admission(),
@@ -171,6 +179,7 @@
       case 'queued':
         gated.queued = submission
         this.#waiting.add(gated)
+        if (gated.isUnderWay) this.#startNext()
         return
       case 'refused': {
         const { retryAfterMilliseconds } = submission
@@ -220,7 +229,8 @@
   #startNext(): void {
     const now = this.#context.clock.now()
     for (const gated of this.#slots.takeExpired(now)) this.#expire(gated)
-    for (const gated of this.#slots.takeStartable(now)) gated.settle(this.#entered(gated))
+    for (const gated of this.#slots.takeStartable(now, this.#unsent()))
+      gated.settle(this.#entered(gated))
   }
 
   /** `isSilent`: the server has owed answers for too long; what waits looks for another server, once. */
--- a/packages/state/src/slots/serverSlots.ts
+++ b/packages/state/src/slots/serverSlots.ts
@@ -168,11 +168,14 @@
     this.#expired.delete(request)
   }
 
-  /** Starts waiting requests in the free slots and returns them. */
-  takeStartable(now: Milliseconds): Request[] {
+  /**
+   * Starts waiting requests in the free slots and returns them. `unsent`: started requests that wait for connections in
+   * use. Those may be of open transactions, so that these may use the slots meanwhile, or neither would go on.
+   */
+  takeStartable(now: Milliseconds, unsent = 0): Request[] {
     this.#removeExpired(now)
     const started: Request[] = []
-    while (this.#hasFreeSlot) {
+    while (this.#hasFreeSlot || this.#mayGoOn(unsent)) {
       const request = this.#startNext(now)
       if (request === null) break
       started.push(request)
@@ -207,6 +210,10 @@
     return this.#inFlight.size < this.#limit.value
   }
 
+  #mayGoOn(unsent: number): boolean {
+    return this.#scheduler.isNextUnderWay && this.#inFlight.size - unsent < this.#limit.value
+  }
+
   #enqueue(request: Request, now: Milliseconds): void {
     this.#scheduler.enqueue(request, now)
     this.#expiries.push(request)
--- a/packages/state/src/slots/slotScheduler.ts
+++ b/packages/state/src/slots/slotScheduler.ts
@@ -55,6 +55,11 @@
     return this.#waiting.size
   }
 
+  /** Whether the next request continues a transaction. */
+  get isNextUnderWay(): boolean {
+    return this.#underWay.size > 0
+  }
+
   /** Only classes with waiting requests. */
   get sizeByClass(): ReadonlyMap<number, number> {
     return this.#sizeByClass
