fix(host): a short silence of a server does not abort the transactions that wait at it

What waited for a slot was withdrawn when the server had been silent for its limit, so that it looks for another server. An open transaction has no other: its statement was told as not sent and the transaction rolled back. Its statements now wait until their deadlines, or until the server is gone or loses its role. The new test failed with 'withdrawn' before.

--- a/packages/host/__tests__/slotGate.spec.ts
+++ b/packages/host/__tests__/slotGate.spec.ts
@@ -23,7 +23,7 @@
   }
 
   /** `left`: milliseconds until its latest start. */
-  async enter(id: string, left: number): Promise<string> {
+  async enter(id: string, left: number, isUnderWay = false): Promise<string> {
     const now = this.clock.now()
     const request = {
       customer: CUSTOMER,
@@ -36,7 +36,7 @@
       customerWeight: 1,
       targetAt: addMilliseconds(now, 2 * LONG_MILLISECONDS),
       latestStart: addMilliseconds(now, left),
-      isUnderWay: false,
+      isUnderWay,
     }
     const { kind } = await this.gate.enter(request, terms)
     return kind
@@ -102,6 +102,26 @@
     ])
   })
 
+  // Guards against transactions that are aborted by a short silence, after which they could have gone on.
+  it('keeps statements of open transactions waiting at a silent server, which no other server can run', async () => {
+    const fixture = new GateFixture()
+    await fixture.enter('running', LONG_MILLISECONDS)
+    const waiting = fixture.enter('commit', 500, true)
+    fixture.gate.tick(true)
+    fixture.gate.tick(false)
+    fixture.clock.advance(501)
+    fixture.gate.tick(false)
+    expect(await waiting).toEqual('overdue')
+  })
+
+  it('withdraws statements of open transactions from a server that is gone', async () => {
+    const fixture = new GateFixture()
+    await fixture.enter('running', LONG_MILLISECONDS)
+    const waiting = fixture.enter('commit', 500, true)
+    fixture.gate.withdrawWaiting()
+    expect(await waiting).toEqual('withdrawn')
+  })
+
   it('logs and counts a statement that is refused at once', async () => {
     const fixture = new GateFixture()
     await fixture.enter('running', LONG_MILLISECONDS)
--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -66,12 +66,7 @@
   readonly overdue = new CustomerTally()
 
   /** `unsent`: returns how many statements with a slot wait for connections that are in use. */
-  constructor(
-    context: HostContext,
-    server: BackendServerId,
-    slots: number,
-    unsent: () => number = () => 0,
-  ) {
+  constructor(context: HostContext, server: BackendServerId, slots: number, unsent = () => 0) {
     this.#context = context
     this.#server = server
     this.#unsent = unsent
@@ -233,16 +228,19 @@
       gated.settle(this.#entered(gated))
   }
 
-  /** `isSilent`: the server has owed answers for too long; what waits looks for another server, once. */
+  /**
+   * `isSilent`: the server has owed answers for too long; new work that waits looks for another server, once. Open
+   * transactions would be aborted, and can go on if the server answers again.
+   */
   tick(isSilent: boolean): void {
     if (this.#waiting.size > 0) this.#startNext()
-    if (isSilent && !this.#wasSilent) this.withdrawWaiting()
+    if (isSilent && !this.#wasSilent) this.withdrawWaiting(({ isUnderWay }) => !isUnderWay)
     this.#wasSilent = isSilent
   }
 
-  /** Fails all waiting requests, which then look for another server. */
-  withdrawWaiting(): void {
-    for (const gated of [...this.#waiting]) {
+  /** Fails waiting requests, by default all; new work then looks for another server. */
+  withdrawWaiting(isMeant: (request: SlotRequest) => boolean = () => true): void {
+    for (const gated of [...this.#waiting].filter(isMeant)) {
       this.#slots.withdraw(gated)
       gated.settle({ kind: 'withdrawn' })
     }
