fix(host): a changed number of slots reaches the limit of the server

The directory takes up a changed number of slots, and reads are spread by it, but the limit of statements in flight kept the number of the server's first entry, so that it stayed below twice that plus two. It now starts again from the new number.

--- a/packages/host/__tests__/slotScheduling.spec.ts
+++ b/packages/host/__tests__/slotScheduling.spec.ts
@@ -5,6 +5,7 @@
 import { freePorts } from '@nutmegcourse/stand-ins'
 import {
   CONFIGURATION,
+  P,
   withHostFixture,
   type FixtureHost,
   type HostFixture,
@@ -110,6 +111,17 @@
     })
   })
 
+  // Guards against a server that was given more slots, of which most stay unused.
+  it('uses the slots of a server of which the directory says that it has more now', async () => {
+    await withScheduledHost(async (fixture, { host }) => {
+      const limit = (): number | undefined =>
+        host.slotStatus?.servers.find(({ server }) => server === P)?.limit
+      expect(limit()).toEqual(SLOTS)
+      fixture.listServer(P, { slots: 4 * SLOTS })
+      await fixture.until(() => limit() === 4 * SLOTS, 'the slots are known')
+    })
+  })
+
   // Guards against a standstill: new work holds all slots and waits for the connections of transactions, and these wait
   // for a slot, until the statements have run out of time.
   it('lets transactions go on while new work waits for their connections', async () => {
--- a/packages/host/__tests__/support/hostFixture.ts
+++ b/packages/host/__tests__/support/hostFixture.ts
@@ -200,14 +200,17 @@
     this.store.configure({ ...CONFIGURATION, services, ...given })
   }
 
-  listServer(server: BackendServerId, given: { isLeaving?: boolean; bornAt?: number } = {}): void {
+  listServer(
+    server: BackendServerId,
+    given: { isLeaving?: boolean; bornAt?: number; slots?: number } = {},
+  ): void {
     this.store.listServer({
       server,
       service: SERVICE,
       host: '127.0.0.1',
       port: 1,
       zone: availabilityZoneId(this.#serverZones[[P, A, B].indexOf(server)] ?? ONLY_ZONE),
-      slots: 3,
+      slots: given.slots ?? 3,
       isLeaving: given.isLeaving ?? false,
       role: this.group.server(server).role,
       startedAtUnixMilliseconds: given.bornAt ?? 1,
--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -72,6 +72,7 @@
 
   set entry(entry: BackendServerEntry) {
     this.#entry = entry
+    this.gate?.resize(entry.slots)
   }
 
   get address(): BackendAddress {
--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -54,6 +54,7 @@
 export class SlotGate {
   readonly #context: HostContext
   readonly #server: BackendServerId
+  readonly #limit: ConcurrencyLimit
   readonly #slots: ServerSlots<GateRequest>
   readonly #unsent: () => number
   readonly #waiting = new Set<GateRequest>()
@@ -70,10 +71,13 @@
     this.#context = context
     this.#server = server
     this.#unsent = unsent
-    this.#slots = new ServerSlots({
-      limit: new ConcurrencyLimit(slots),
-      admission: new Admission(),
-    })
+    this.#limit = new ConcurrencyLimit(slots)
+    this.#slots = new ServerSlots({ limit: this.#limit, admission: new Admission() })
+  }
+
+  /** The server's entry says that it has this many slots. */
+  resize(slots: number): void {
+    this.#limit.resize(slots, this.#context.clock.now())
   }
 
   /** Statements that run at the server or wait for a slot. */
@@ -140,11 +144,10 @@
   ): Promise<SlotAccess> {
     return new Promise(resolve => {
       const { clock } = this.#context
-      const { customer, arrivedAt } = request
       const gated: GateRequest = {
         ...terms,
-        customer,
-        arrivedAt,
+        customer: request.customer,
+        arrivedAt: request.arrivedAt,
         expectedMilliseconds: this.#slotTimesOf(request.route.name).at(clock.now()),
         id: request.statement.id,
         route: request.route.name,
@@ -177,11 +180,10 @@
         if (gated.isUnderWay) this.#startNext()
         return
       case 'refused': {
-        const { retryAfterMilliseconds } = submission
         const now = this.#context.clock.now()
         this.refused.count(gated.customer, now)
         reportSlotRefused(this.#context, this.#state, gated, submission, now)
-        gated.settle({ kind: 'overloaded', waitMilliseconds: retryAfterMilliseconds })
+        gated.settle({ kind: 'overloaded', waitMilliseconds: submission.retryAfterMilliseconds })
       }
     }
   }
--- a/packages/state/src/slots/concurrencyLimit.ts
+++ b/packages/state/src/slots/concurrencyLimit.ts
@@ -57,8 +57,7 @@
 const NO_TRIAL: Trial = { kind: 'none' }
 
 export class ConcurrencyLimit {
-  readonly #slots: number
-  readonly #maximum: number
+  #slots: number
   readonly #unloaded = new UnloadedLatency()
   #exact: number
   #changedAt = milliseconds(Number.NEGATIVE_INFINITY)
@@ -78,7 +77,6 @@
   /** `slots`: the number of statements that the server's entry says it processes concurrently. */
   constructor(slots: number) {
     this.#slots = Math.max(1, slots)
-    this.#maximum = 2 * this.#slots + 2
     this.#exact = this.#slots
   }
 
@@ -86,6 +84,19 @@
     return Math.floor(this.#exact)
   }
 
+  get #maximum(): number {
+    return 2 * this.#slots + 2
+  }
+
+  /** The server's entry was changed: what was learned with another number of slots does not hold. */
+  resize(slots: number, now: Milliseconds): void {
+    if (Math.max(1, slots) === this.#slots) return
+    this.#slots = Math.max(1, slots)
+    this.#trial = NO_TRIAL
+    this.#recoversTo = 0
+    this.#change(this.#slots, now)
+  }
+
   /**
    * `slotMilliseconds`: from when the statement was sent until its answer came. `inFlight`: statements in flight when it
    * was sent, itself included.
