fix(host): a statement that ran and failed counts as use of its slot

Its slot time was counted as unknown, which is none: a customer whose statements fail was served ahead of others as if it had used nothing, and neither the limit nor the expected slot time learned from them.

--- a/packages/host/src/statementSlots.ts
+++ b/packages/host/src/statementSlots.ts
@@ -49,6 +49,8 @@
 export function slotResultOf(outcome: AttemptOutcome, slotMilliseconds: number): SlotResult {
   if (outcome.kind === 'answered') return { kind: 'answered', slotMilliseconds }
   const { mishap } = outcome
-  const isBusy = mishap.kind === 'refused' && mishap.refusal === 'busy'
-  return isBusy ? { kind: 'busy' } : { kind: 'unknown' }
+  if (mishap.kind !== 'refused') return { kind: 'unknown' }
+  // It ran.
+  if (mishap.refusal === 'failed') return { kind: 'answered', slotMilliseconds }
+  return mishap.refusal === 'busy' ? { kind: 'busy' } : { kind: 'unknown' }
 }
