fix(host): writes that waited for a slot are not sent to a primary that confirms none

Whether writes are likely to be confirmed was checked before the wait for a slot only, which may last until the statement's timeout. Writes that waited behind unconfirmed ones were sent as slots became free, and their callers left with an unknown outcome; commits likewise. It is checked again once the turn has come, where slots are scheduled.

Three writes unanswered, three waiting: the outcome of all three that waited was unknown, now of at most one, which probes the primary; the others are told that they were not run.

--- a/packages/host/__tests__/slotScheduling.spec.ts
+++ b/packages/host/__tests__/slotScheduling.spec.ts
@@ -111,6 +111,26 @@
     })
   })
 
+  // Guards against writes that were sent, one after the other as slots became free, to a primary that had stopped
+  // confirming writes while they waited: each caller was left with an unknown outcome.
+  it('does not send writes that waited while it became doubtful that they would be confirmed', async () => {
+    await withScheduledHost(async (fixture, host) => {
+      const write = async (): Promise<string> =>
+        (await fixture.caller(host, 'latest', 'key-of-alfa')).outcomeOf('write 1')
+      const writes = (): Promise<string>[] => Array.from({ length: SLOTS }, write)
+      expect(await write()).toEqual('done')
+      fixture.dialer.hooks.onCommand = (server, { kind }) =>
+        server === P && kind === 'forward' ? 'lostBefore' : 'none'
+      const sent = writes()
+      await new Promise(resolve => setTimeout(resolve, 5 * WORK_MILLISECONDS))
+      const waiting = writes()
+      expect(new Set(await Promise.all(sent))).toEqual(new Set(['outcomeUnknown']))
+      const outcomes = await Promise.all(waiting)
+      // One may be sent, to learn whether writes are confirmed again.
+      expect(outcomes.filter(outcome => outcome === 'notRun').length >= SLOTS - 1).toEqual(true)
+    })
+  })
+
   // Guards against a server that was given more slots, of which most stay unused.
   it('uses the slots of a server of which the directory says that it has more now', async () => {
     await withScheduledHost(async (fixture, { host }) => {
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -92,6 +92,12 @@
         return result
       }
       const sentAt = this.#context.clock.now()
+      // Where slots are scheduled, it may have waited for long.
+      if (server.gate !== null && !server.mayWrite(sentAt)) {
+        server.pool.release(access.link)
+        access.slot.end({ kind: 'unknown' })
+        return refused(request, 'notRun', UNCONFIRMED)
+      }
       const outcome = await this.#access.trackConfirmation(server, () =>
         this.#access.attemptSingle(request, server, access, null, false),
       )
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -105,14 +105,17 @@
     const isCommit = request.statement.body.kind === 'commit'
     const place: StatementPlace = isCommit ? 'commit' : 'withinTransaction'
     const commitsWrites = isCommit && transaction.hasWritten
-    if (commitsWrites && !transaction.server.mayWrite(this.#context.clock.now())) {
-      // The commit is unlikely to be confirmed: a rollback has a certain outcome, the commit would not.
-      this.end(transaction, 'open')
-      return { result: refused(request, 'aborted', UNCONFIRMED), transaction: null }
+    const { server } = transaction
+    if (commitsWrites && !server.mayWrite(this.#context.clock.now())) {
+      return this.#unconfirmed(request, transaction)
     }
     for (;;) {
-      const access = await continueInSlot(request, transaction.server)
+      const access = await continueInSlot(request, server)
       const sentAt = this.#context.clock.now()
+      if (commitsWrites && server.gate !== null && !server.mayWrite(sentAt)) {
+        if (access.kind === 'entered') access.slot.end({ kind: 'unknown' })
+        return this.#unconfirmed(request, transaction)
+      }
       const run = (slot: SlotUse): Promise<AttemptOutcome> =>
         this.#attemptInside(request, transaction, slot)
       const outcome = await this.#runInSlot(access, commitsWrites, transaction, run)
@@ -132,6 +135,15 @@
     }
   }
 
+  /** The commit is unlikely to be confirmed: a rollback has a certain outcome, the commit would not. */
+  #unconfirmed(
+    request: StatementRequest,
+    transaction: LocalTransaction,
+  ): TransactionStep<LocalTransaction> {
+    this.end(transaction, 'open')
+    return { result: refused(request, 'aborted', UNCONFIRMED), transaction: null }
+  }
+
   /**
    * Ends the transaction and returns its connection to the pool, after a rollback if it is still open. `status` is the
    * connection's last known session status. Does nothing for one that was ended while it was idle.
