--- a/packages/host/src/slotGate.ts
+++ b/packages/host/src/slotGate.ts
@@ -54,7 +54,9 @@
 export class SlotGate {
   readonly #context: HostContext
   readonly #server: BackendServerId
+  readonly #limit: ConcurrencyLimit
   readonly #slots: ServerSlots<GateRequest>
+  readonly #unsent: () => number
   readonly #waiting = new Set<GateRequest>()
   #wasSilent = false
   /** How long statements occupy a slot, by route. */
@@ -64,13 +66,18 @@
   /** Statements that waited until it was too late. */
   readonly overdue = new CustomerTally()
 
-  constructor(context: HostContext, server: BackendServerId, slots: number) {
+  /** `unsent`: returns how many statements with a slot wait for connections that are in use. */
+  constructor(context: HostContext, server: BackendServerId, slots: number, unsent = () => 0) {
     this.#context = context
     this.#server = server
-    this.#slots = new ServerSlots({
-      limit: new ConcurrencyLimit(slots),
-      admission: new Admission(),
-    })
+    this.#unsent = unsent
+    this.#limit = new ConcurrencyLimit(slots)
+    this.#slots = new ServerSlots({ limit: this.#limit, admission: new Admission() })
+  }
+
+  /** The server's entry says that it has this many slots. */
+  resize(slots: number): void {
+    this.#limit.resize(slots, this.#context.clock.now())
   }
 
   /** Statements that run at the server or wait for a slot. */
@@ -137,11 +144,10 @@
   ): Promise<SlotAccess> {
     return new Promise(resolve => {
       const { clock } = this.#context
-      const { customer, arrivedAt } = request
       const gated: GateRequest = {
         ...terms,
-        customer,
-        arrivedAt,
+        customer: request.customer,
+        arrivedAt: request.arrivedAt,
         expectedMilliseconds: this.#slotTimesOf(request.route.name).at(clock.now()),
         id: request.statement.id,
         route: request.route.name,
@@ -171,13 +177,13 @@
       case 'queued':
         gated.queued = submission
         this.#waiting.add(gated)
+        if (gated.isUnderWay) this.#startNext()
         return
       case 'refused': {
-        const { retryAfterMilliseconds } = submission
         const now = this.#context.clock.now()
         this.refused.count(gated.customer, now)
         reportSlotRefused(this.#context, this.#state, gated, submission, now)
-        gated.settle({ kind: 'overloaded', waitMilliseconds: retryAfterMilliseconds })
+        gated.settle({ kind: 'overloaded', waitMilliseconds: submission.retryAfterMilliseconds })
       }
     }
   }
@@ -220,19 +226,23 @@
   #startNext(): void {
     const now = this.#context.clock.now()
     for (const gated of this.#slots.takeExpired(now)) this.#expire(gated)
-    for (const gated of this.#slots.takeStartable(now)) gated.settle(this.#entered(gated))
+    for (const gated of this.#slots.takeStartable(now, this.#unsent()))
+      gated.settle(this.#entered(gated))
   }
 
-  /** `isSilent`: the server has owed answers for too long; what waits looks for another server, once. */
+  /**
+   * `isSilent`: the server has owed answers for too long; new work that waits looks for another server, once. Open
+   * transactions would be aborted, and can go on if the server answers again.
+   */
   tick(isSilent: boolean): void {
     if (this.#waiting.size > 0) this.#startNext()
-    if (isSilent && !this.#wasSilent) this.withdrawWaiting()
+    if (isSilent && !this.#wasSilent) this.withdrawWaiting(({ isUnderWay }) => !isUnderWay)
     this.#wasSilent = isSilent
   }
 
-  /** Fails all waiting requests, which then look for another server. */
-  withdrawWaiting(): void {
-    for (const gated of [...this.#waiting]) {
+  /** Fails waiting requests, by default all; new work then looks for another server. */
+  withdrawWaiting(isMeant: (request: SlotRequest) => boolean = () => true): void {
+    for (const gated of [...this.#waiting].filter(isMeant)) {
       this.#slots.withdraw(gated)
       gated.settle({ kind: 'withdrawn' })
     }
