Leave out servers that fail while they are listed as ready

Cause: reads went on being sent to a server that failed, hung or reset a part of them. Change: each host that holds connections passes the outcomes of its statements to OutlierDetection, where the service's connection limit is below the number of hosts; an ejected server is a last resort for reads, and single reads test it. The choice of readers moves out of ServiceState. New log events server_ejected and server_admitted, counted by reason, and the gauge servers_ejected.

--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -107,6 +107,30 @@
     fields: SERVER_FIELDS,
   },
   server_removed: { when: 'A backend server is no longer used.', fields: SERVER_FIELDS },
+  server_ejected: {
+    when: 'A backend server fails more than the others of its service, or is much slower, while it is listed as ready. This host gives it reads only as a last resort, and writes as before.',
+    fields: {
+      server: 'id of the backend server',
+      service: 'its service',
+      reason: 'consecutiveFailures, failureShare, busyShare (refusals for its load) or latency',
+      forMilliseconds: 'earliest time after which one read tests it',
+      consecutiveFailures: 'failures since its last answer',
+      statements: 'its statements of the last two seconds',
+      failureShare:
+        'of them, the share that failed; refusals for its load count unless others refuse as well',
+      othersFailureShare: 'the same share of the other servers that are in use',
+      latencyMilliseconds: 'median latency of its last reads; null where too few are known',
+      othersLatencyMilliseconds: 'that of the others in the same time',
+    },
+  },
+  server_admitted: {
+    when: 'A backend server that had been ejected answered a read, and gets its work again.',
+    fields: {
+      server: 'id of the backend server',
+      service: 'its service',
+      afterMilliseconds: 'since it was ejected',
+    },
+  },
   owners_planned: {
     when: 'This host planned another set of hosts to hold the connections to a service.',
     fields: {
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -142,6 +142,11 @@
     return this.#services.isChanging
   }
 
+  /** Number of servers that this host leaves out because they fail. */
+  get ejectedServers(): number {
+    return this.#services.ejectedServers
+  }
+
   get longestStatementMilliseconds(): number {
     return this.#services.longestStatementMilliseconds
   }
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -147,6 +147,9 @@
       service.holderCount = service.isOwned ? holders : Math.max(holders, this.#substituteCount)
       service.holderCountByRegion = countByRegion(plan)
       service.isObserver = service.isOwned || observers.includes(entryHost)
+      // Only then the answers of each server come in at few hosts, and in numbers that tell one from the others.
+      service.outliers.isCalledFor =
+        Number.isFinite(connectionLimit) && connectionLimit < this.#hosts.size
       this.#logOwners(service, plan.owners)
     }
   }
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -54,6 +54,7 @@
     new SystemRandom(),
   )
   metrics.gauge('sessions', () => host.sessions.size)
+  metrics.gauge('servers_ejected', () => host.ejectedServers)
   const notListening = (what: string, isRequired: boolean) => (error: Error) => {
     log.write('not_listening', { what, detail: error.message })
     if (isRequired) process.exit(EXIT_NOT_LISTENING)
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -11,7 +11,7 @@
   type LogPosition,
   type Milliseconds,
 } from '@nutmegcourse/shared'
-import type { StatementFailure, WriteOutcome } from '@nutmegcourse/state'
+import type { SentWork, StatementFailure, WriteOutcome } from '@nutmegcourse/state'
 import { attempt, type AttemptOutcome } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
@@ -94,13 +94,30 @@
     const need = service.need(route.guarantee, session.ownPosition, now)
     if (need.kind === 'primary') return this.awaitPrimary(request)
     const reader =
-      need.kind === 'unknown' ? null : service.chooseReader(need.position, excluded, now, customer)
+      need.kind === 'unknown'
+        ? null
+        : service.readers.best({ need: need.position, excluded, customer }, now)
     if (reader !== null) return reader
     excluded.clear()
     await this.#awaitChange(request)
     return null
   }
 
+  /**
+   * A server that was left out, if this read is to test whether it is well again. Only for reads outside transactions:
+   * they are sent to a second server if the tested one does not answer.
+   */
+  testedReader(
+    request: StatementRequest,
+    excluded: ReadonlySet<BackendServerId>,
+  ): BackendServerState | null {
+    const { service, route, session, customer } = request
+    const now = this.#context.clock.now()
+    const need = service.need(route.guarantee, session.ownPosition, now)
+    if (need.kind !== 'position') return null
+    return service.readers.tested({ need: need.position, excluded, customer }, now)
+  }
+
   /** Acquires a connection to the server before `acquireBy`, or tells why there is none. */
   async acquire(
     request: StatementRequest,
@@ -130,6 +147,9 @@
     request.timing.connectionMilliseconds += this.#context.clock.now() - startedAt
     if ('link' in acquired) return { kind: 'connected', link: acquired.link, slot }
     slot.end({ kind: 'unknown' })
+    if (acquired.failure === 'unreachable') {
+      request.service.outliers.recordNotOpened(server.entry.server)
+    }
     if (acquired.failure === 'overloaded') {
       return { kind: 'overloaded', waitMilliseconds: this.jitter(acquired.waitMilliseconds) }
     }
@@ -201,7 +221,7 @@
     const need = service.need(route.guarantee, session.ownPosition, now)
     if (need.kind !== 'position') return null
     const others = new Set([...excluded, server.entry.server])
-    return service.chooseReadyReader(need.position, others, now, customer)
+    return service.readers.ready({ need: need.position, excluded: others, customer }, now)
   }
 
   /** Runs a write, or a commit of writes, and records whether the server confirmed it. */
@@ -228,7 +248,7 @@
     excluded.add(server.entry.server)
     const { service, customer } = request
     const now = this.#context.clock.now()
-    if (service.chooseReader(null, excluded, now, customer) !== null) return
+    if (service.readers.best({ need: null, excluded, customer }, now) !== null) return
     excluded.clear()
     await this.backOffAfter({ kind: 'refused', refusal: 'busy' })
   }
@@ -284,14 +304,19 @@
     const { clock } = this.#context
     const sentAt = clock.now()
     request.timing.tries += 1
-    const outcome = await attempt(this.#context, link, {
+    const plan = {
       session: request.session.values,
       statement: request.statement,
       after,
       isInTransaction: false,
       verifiesPrimary,
       deadline: request.deadline,
-    })
+    }
+    const outcome = await request.service.outliers.track(
+      server.entry.server,
+      workOf(request, server, false),
+      () => attempt(this.#context, link, plan),
+    )
     if (outcome.status === 'idle') server.pool.release(link)
     else server.pool.discard(link)
     slot.end(slotResultOf(outcome, clock.now() - sentAt))
@@ -320,6 +345,17 @@
   }
 }
 
+/** What the statement does, as far as the outcome tells of its server. */
+export function workOf(
+  { isWrite, service }: StatementRequest,
+  server: BackendServerState,
+  isInTransaction: boolean,
+): SentWork {
+  if (isWrite) return 'other'
+  if (server !== service.primary) return 'replicaRead'
+  return isInTransaction ? 'other' : 'primaryRead'
+}
+
 function writeOutcomeOf(outcome: AttemptOutcome): WriteOutcome {
   if (outcome.kind === 'answered') return 'confirmed'
   const { mishap } = outcome
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -114,6 +114,11 @@
     )
   }
 
+  /** Number of servers that this host leaves out because they fail. */
+  get ejectedServers(): number {
+    return this.#services().reduce((sum, { outliers }) => sum + outliers.ejectedCount, 0)
+  }
+
   get isListed(): boolean {
     return this.#isListed
   }
@@ -165,6 +170,7 @@
       this.#applyServerChange(serverChange, now)
     for (const { service, probe, failover } of this.#components.values()) {
       const isActive = service.isActive(now)
+      service.outliers.tick(now, wasStalled)
       for (const server of service.servers) {
         // Answers to requests from before a stall arrived while the process could not read them.
         if (wasStalled) server.discardProbes()
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -1,6 +1,5 @@
 /**
- * One service as this host knows it: its servers, the believed primary, the freshness bounds of reads, and the choice
- * of a server for each statement.
+ * One service as this host knows it: its servers, the believed primary, and the freshness bounds of reads.
  *
  * @internal
  */
@@ -24,14 +23,13 @@
   Leadership,
   SILENCE_LIMIT_MILLISECONDS,
   connectionDivisor,
-  isReadyForRead,
-  rankForRead,
-  type ReadCandidate,
   type ReadRequirement,
   type ServerDirectory,
 } from '@nutmegcourse/state'
 import { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
+import { ReaderChoice } from './readerChoice.js'
+import { ServiceOutliers } from './serviceOutliers.js'
 import { Signal } from './waiting.js'
 
 /** How long a host stays active for a service that it does not own after it last served it in place of an owner. */
@@ -43,6 +41,8 @@
 export class ServiceState {
   readonly name: string
   readonly bounds = new FreshnessBounds()
+  readonly outliers: ServiceOutliers
+  readonly readers: ReaderChoice
   /** Raised on every change that a waiting request may depend on. */
   readonly changed = new Signal()
   readonly #context: HostContext
@@ -76,6 +76,10 @@
     this.#directory = directory
     this.#configuration = configuration
     this.name = configuration.name
+    this.outliers = new ServiceOutliers(context, this.name, now =>
+      [...this.#servers.keys()].filter(server => directory.mayTakeWork(server, now)),
+    )
+    this.readers = new ReaderChoice(this, directory, this.outliers)
   }
 
   /** Whether this host uses the service's servers: it owns the service, or serves in place of an owner. */
@@ -143,6 +147,7 @@
 
   addServer(entry: BackendServerEntry, now: Milliseconds): void {
     this.#servers.get(entry.server)?.close()
+    this.outliers.forget(entry.server)
     this.#leadership.forget(entry.server)
     const limit = this.#configuration.connectionLimit
     const holdingHosts = (): number => this.#holdersOf(entry.server)
@@ -171,6 +176,7 @@
   removeServer(id: BackendServerId): void {
     this.#servers.get(id)?.close()
     this.#servers.delete(id)
+    this.outliers.forget(id)
     this.#leadership.forget(id)
     this.changed.raise()
   }
@@ -235,58 +241,6 @@
     })
   }
 
-  /** The best server for a read that needs the log up to `need`; null if all are excluded or may not take work. */
-  chooseReader(
-    need: LogPosition | null,
-    excluded: ReadonlySet<BackendServerId>,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): BackendServerState | null {
-    return this.#best(this.#candidates(need, excluded, now, customer))
-  }
-
-  /** The best server that is expected to serve such a read now; null if there is none. */
-  chooseReadyReader(
-    need: LogPosition | null,
-    excluded: ReadonlySet<BackendServerId>,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): BackendServerState | null {
-    return this.#best(this.#candidates(need, excluded, now, customer).filter(isReadyForRead))
-  }
-
-  #best(candidates: readonly ReadCandidate[]): BackendServerState | null {
-    const [best] = rankForRead(candidates)
-    return best === undefined ? null : (this.#servers.get(best) ?? null)
-  }
-
-  #candidates(
-    need: LogPosition | null,
-    excluded: ReadonlySet<BackendServerId>,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): ReadCandidate[] {
-    const candidates: ReadCandidate[] = []
-    const { primary } = this
-    for (const server of this.#servers.values()) {
-      const { entry, pool } = server
-      if (excluded.has(entry.server)) continue
-      const known = this.#directory.get(entry.server)
-      if (known === undefined || !this.#directory.mayTakeWork(entry.server, now)) continue
-      candidates.push({
-        server: entry.server,
-        isPrimary: server === primary,
-        stays: known.leavingSince === null && known.goneSince === null && pool.refusals === 0,
-        isBehind: need !== null && server.progress.isLikelyBehind(need, now),
-        silentMilliseconds: server.silentMilliseconds(now),
-        expectedMilliseconds: server.expectedMilliseconds(customer, now),
-        inFlight: server.load,
-        slots: entry.slots,
-      })
-    }
-    return candidates
-  }
-
   close(): void {
     for (const server of this.#servers.values()) server.close()
   }
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -130,7 +130,9 @@
     request: StatementRequest,
     excluded: Set<BackendServerId>,
   ): Promise<ReadOutcome | null> {
-    const server = await this.#access.awaitReader(request, excluded)
+    const server =
+      this.#access.testedReader(request, excluded) ??
+      (await this.#access.awaitReader(request, excluded))
     if (server === null) return null
     const first = this.#tryRead(request, server)
     if (request.route.guarantee.kind === 'latest') return first
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -12,6 +12,7 @@
 import type { HostContext } from './hostContext.js'
 import {
   READ_ACQUIRE_MILLISECONDS,
+  workOf,
   type Connected,
   type FailedAttempt,
   type ServerAccess,
@@ -203,11 +204,12 @@
     const after = need?.kind === 'position' ? need.position : null
     if (after !== null) server.progress.noteReadSent(after, sentAt)
     // The statement is sent only after this answer: after a refused BEGIN it would run outside a transaction.
-    const begun = await runCommand(
-      this.#context,
-      link,
-      { kind: 'begin', readOnly: !atPrimary, after },
-      request.deadline,
+    const { deadline } = request
+    const begin = { kind: 'begin', readOnly: !atPrimary, after } as const
+    const begun = await service.outliers.trackBegin(
+      server.entry.server,
+      { work: workOf(request, server, true), deadline },
+      () => runCommand(this.#context, link, begin, deadline),
     )
     if (begun === null) {
       server.pool.discard(link)
@@ -275,14 +277,20 @@
     request.timing.tries += 1
     const { clock } = this.#context
     const sentAt = clock.now()
-    const outcome = await attempt(this.#context, transaction.link, {
+    const plan = {
       session: request.session.values,
       statement: request.statement,
       after: null,
       isInTransaction: true,
       verifiesPrimary: false,
       deadline: request.deadline,
-    })
+    }
+    const { server, service } = transaction
+    const outcome = await service.outliers.track(
+      server.entry.server,
+      workOf(request, server, true),
+      () => attempt(this.#context, transaction.link, plan),
+    )
     slot.end(slotResultOf(outcome, clock.now() - sentAt))
     return outcome
   }
--- a/packages/stand-ins/src/hostPlatform/memoryLink.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryLink.ts
@@ -89,7 +89,7 @@
     }
     const fault = this.#hooks.onCommand?.(this.#server.id, command) ?? 'none'
     if (fault === 'lostBefore') return neverSettles()
-    const reply = this.#run(command)
+    const reply = fault === 'failed' ? this.#refused('failed') : this.#run(command)
     await this.#simulateWork()
     if (this.#isUnresponsive()) return neverSettles()
     if (fault === 'lostAfter') return neverSettles()
@@ -236,9 +236,9 @@
 
 /**
  * Fault of one command: `lostBefore` neither runs nor answers it, `lostAfter` runs it without an
- * answer, and `cutAfter` runs it and closes the connection instead of answering.
+ * answer, `cutAfter` runs it and closes the connection instead of answering, and `failed` answers that it failed.
  */
-export type CommandFault = 'none' | 'lostBefore' | 'lostAfter' | 'cutAfter'
+export type CommandFault = 'none' | 'lostBefore' | 'lostAfter' | 'cutAfter' | 'failed'
 
 export interface MemoryDialerHooks {
   onCommand?: (server: BackendServerId, command: BackendCommand) => CommandFault
--- a/packages/state/__tests__/synchronous/placement.spec.ts
+++ b/packages/state/__tests__/synchronous/placement.spec.ts
@@ -16,6 +16,7 @@
   isPrimary: false,
   stays: true,
   isBehind: false,
+  isEjected: false,
   silentMilliseconds: 0,
   expectedMilliseconds: 30,
   inFlight: 0,
@@ -60,6 +61,16 @@
       [candidate('silent', { silentMilliseconds: 400 }), candidate('l', { stays: false })],
       'l',
     ],
+    [
+      'ranks a server that fails its statements last',
+      [candidate('ejected', { isEjected: true }), candidate('l', { stays: false })],
+      'l',
+    ],
+    [
+      'uses a server that fails its statements if no other is left',
+      [candidate('ejected', { isEjected: true })],
+      'ejected',
+    ],
   ]
   for (const [name, candidates, first] of cases) {
     it(name, () => {
--- a/packages/state/src/synchronous/outlierDetection.ts
+++ b/packages/state/src/synchronous/outlierDetection.ts
@@ -60,7 +60,8 @@
 interface ObservedServer {
   outcomes: RecentOutcomes
   readonly term: EjectionTerm
-  answeredAt: number
+  /** When it last answered anything, a refusal included. */
+  heardAt: number
 }
 
 export class OutlierDetection {
@@ -107,9 +108,9 @@
   }
 
   recordAnswer(sent: SentStatement, now: Milliseconds): void {
-    const observed = this.#observe(sent.server)
-    observed.answeredAt = now
-    if (!this.#close(sent) || sent.sentAt < observed.term.countsFrom) return
+    const observed = this.#noteHeard(sent, now)
+    if (!this.#close(sent) || observed === undefined) return
+    if (sent.sentAt < observed.term.countsFrom) return
     const latency = sent.work === 'replicaRead' ? now - sent.sentAt : null
     if (observed.term.isEjected) {
       const usual = usualLatency(this.#others(sent.server, now)) ?? Number.POSITIVE_INFINITY
@@ -125,8 +126,7 @@
   }
 
   recordFailure(sent: SentStatement, kind: ServerFailure, now: Milliseconds): void {
-    const isAnswer = kind === 'failed' || kind === 'busy'
-    if (isAnswer) this.#observe(sent.server).answeredAt = now
+    if (kind === 'failed' || kind === 'busy') this.#noteHeard(sent, now)
     if (!this.#close(sent)) return
     // A statement that was sent late has too little time left for a well server.
     if (kind === 'overdue' && now - sent.sentAt < HANGING_MILLISECONDS) return
@@ -135,7 +135,7 @@
 
   /** The statement ended in a way that tells nothing, as when a replica lacks the log position that it needs. */
   recordNeither(sent: SentStatement, now: Milliseconds): void {
-    this.#observe(sent.server).answeredAt = now
+    this.#noteHeard(sent, now)
     this.#close(sent)
   }
 
@@ -155,7 +155,7 @@
   }
 
   #hangs({ server, sentAt, work }: SentStatement, now: Milliseconds): boolean {
-    if (work === 'other' || this.#observe(server).answeredAt >= sentAt) return false
+    if (work === 'other' || this.#observe(server).heardAt >= sentAt) return false
     const least = work === 'replicaRead' ? HANGING_MILLISECONDS : HANGING_PRIMARY_MILLISECONDS
     const usual = usualLatency(this.#others(server, now)) ?? 0
     return now - sentAt >= Math.max(least, usual * HANGING_FACTOR)
@@ -171,6 +171,13 @@
     this.#servers.delete(server)
   }
 
+  /** Undefined if the server was forgotten meanwhile. */
+  #noteHeard({ server }: SentStatement, now: Milliseconds): ObservedServer | undefined {
+    const observed = this.#servers.get(server)
+    if (observed !== undefined) observed.heardAt = now
+    return observed
+  }
+
   /** False if it was closed before. */
   #close(sent: SentStatement): boolean {
     const isTest = this.#open.get(sent)?.isTest === true
@@ -228,7 +235,7 @@
     const added = {
       outcomes: new RecentOutcomes(),
       term: new EjectionTerm(),
-      answeredAt: Number.NEGATIVE_INFINITY,
+      heardAt: Number.NEGATIVE_INFINITY,
     }
     this.#servers.set(server, added)
     return added
--- a/packages/state/src/synchronous/serverChoice.ts
+++ b/packages/state/src/synchronous/serverChoice.ts
@@ -8,6 +8,8 @@
   readonly stays: boolean
   /** It probably lacks the log position that the read needs. */
   readonly isBehind: boolean
+  /** It fails or delays more than the others, and gets work as a last resort. */
+  readonly isEjected: boolean
   /** How long open requests have gone without any answer; 0 while the server answers. */
   readonly silentMilliseconds: number
   /** Expected duration of a statement there, including the network round trip. */
@@ -42,6 +44,7 @@
 export const isReadyForRead = (candidate: ReadCandidate): boolean =>
   candidate.stays &&
   !candidate.isBehind &&
+  !candidate.isEjected &&
   candidate.silentMilliseconds <= SILENCE_LIMIT_MILLISECONDS
 
 const LAST_RESORT_COST = 1e6
@@ -50,8 +53,9 @@
   const { expectedMilliseconds, inFlight, slots } = candidate
   const queueFactor = 1 + inFlight / Math.max(slots, 1)
   const primaryFactor = candidate.isPrimary ? PRIMARY_COST_FACTOR : 1
+  const isSilent = candidate.silentMilliseconds > SILENCE_LIMIT_MILLISECONDS
   let total = expectedMilliseconds * queueFactor * primaryFactor
-  if (candidate.silentMilliseconds > SILENCE_LIMIT_MILLISECONDS) total += LAST_RESORT_COST
+  if (isSilent || candidate.isEjected) total += LAST_RESORT_COST
   if (!candidate.stays) total += LAST_RESORT_COST / 2
   if (candidate.isBehind) total += LAST_RESORT_COST / 4
   return total
