Use a server that is left out when no other is ready

Cause: reads that the replicas are too far behind for would have been refused by both of them before they were sent to a primary that is left out. Change: while no other server is ready, a server that is left out ranks as usual. BEGIN is covered by a test, and the limit of one half by a property test.

--- a/packages/host/__tests__/failingServers.spec.ts
+++ b/packages/host/__tests__/failingServers.spec.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { hostKey } from '@nutmegcourse/coordination'
+import type { BackendCommand } from '@nutmegcourse/protocol'
 import type { CommandFault } from '@nutmegcourse/stand-ins'
 import { A, withHostFixture, type FixtureHost, type HostFixture } from './support/hostFixture.js'
 
@@ -22,13 +23,19 @@
   fixture.store.change({ expected: [], puts, removes: [] })
 }
 
-/** Reads of several callers, one after the other each, until `end`. */
-function keepReading(fixture: HostFixture, host: FixtureHost): { end: () => Promise<string[]> } {
+/** Statements of several callers, one after the other each, until `end`. */
+function keepAsking(
+  fixture: HostFixture,
+  host: FixtureHost,
+  texts: readonly string[] = ['read 1'],
+): { end: () => Promise<string[]> } {
   let isOver = false
   const outcomes: string[] = []
   const work = Array.from({ length: CALLERS }, async () => {
     const caller = await fixture.caller(host, 'bounded')
-    while (!isOver) outcomes.push(await caller.outcomeOf('read 1'))
+    while (!isOver) {
+      for (const text of texts) outcomes.push(await caller.outcomeOf(text))
+    }
   })
   return {
     end: async () => {
@@ -44,10 +51,10 @@
   reads = 0
   fault: (index: number) => CommandFault = () => 'none'
 
-  constructor(fixture: HostFixture) {
+  constructor(fixture: HostFixture, faulty: BackendCommand['kind'] = 'forward') {
     fixture.dialer.hooks.workMilliseconds = WORK_MILLISECONDS
     fixture.dialer.hooks.onCommand = (server, { kind }) => {
-      if (server !== A || kind !== 'forward') return 'none'
+      if (server !== A || kind !== faulty) return 'none'
       this.reads += 1
       return this.fault(this.reads)
     }
@@ -79,7 +86,7 @@
           if (host === undefined) return
           registerHosts(fixture, CONNECTION_LIMIT)
           const server = new FaultyServer(fixture)
-          const reading = keepReading(fixture, host)
+          const reading = keepAsking(fixture, host)
           await fixture.until(() => server.reads > 20, 'the server gets reads')
           server.fault = fault
           await fixture.until(
@@ -100,6 +107,23 @@
     })
   }
 
+  // Guards against a server that is judged by its reads alone and loses every transaction.
+  it('and fails to begin transactions is left out', async () => {
+    await withHostFixture(
+      1,
+      async (fixture, [host]) => {
+        if (host === undefined) return
+        registerHosts(fixture, CONNECTION_LIMIT)
+        const server = new FaultyServer(fixture, 'begin')
+        server.fault = () => 'failed'
+        const reading = keepAsking(fixture, host, ['begin read', 'read 1', 'commit', 'read 1'])
+        await fixture.until(() => has(host, 'server_ejected'), 'it is left out', LIMIT_MILLISECONDS)
+        await reading.end()
+      },
+      { connectionLimit: CONNECTION_LIMIT },
+    )
+  })
+
   // Guards against servers judged by hosts that see too little of them.
   it('is not judged where the connection limit is not below the number of hosts', async () => {
     await withHostFixture(
@@ -109,7 +133,7 @@
         registerHosts(fixture, CONNECTION_LIMIT - 1)
         const server = new FaultyServer(fixture)
         server.fault = () => 'failed'
-        const reading = keepReading(fixture, host)
+        const reading = keepAsking(fixture, host)
         await pause(1500)
         await reading.end()
         expect(server.reads > 20).toEqual(true)
--- a/packages/host/src/readerChoice.ts
+++ b/packages/host/src/readerChoice.ts
@@ -39,9 +39,14 @@
     this.#outliers = outliers
   }
 
-  /** The best server for the read; null if all are excluded or may not take work. */
+  /**
+   * The best server for the read; null if all are excluded or may not take work. A server that is left out counts like
+   * the others if none of these is ready: one that is behind would only refuse the read.
+   */
   best(terms: ReadTerms, now: Milliseconds): BackendServerState | null {
-    return this.#best(this.#candidates(terms, now))
+    const candidates = this.#candidates(terms, now)
+    if (candidates.some(isReadyForRead)) return this.#best(candidates)
+    return this.#best(candidates.map(each => ({ ...each, isEjected: false })))
   }
 
   /** The best server that is expected to serve the read now; null if there is none. */
@@ -51,7 +56,6 @@
 
   /** A server that was left out and that this read is to test, alone; null if there is none. */
   tested(terms: ReadTerms, now: Milliseconds): BackendServerState | null {
-    if (this.#outliers.ejectedCount === 0) return null
     const due = this.#candidates(terms, now).filter(
       candidate =>
         this.#outliers.mayTest(candidate.server, now) &&
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -112,6 +112,7 @@
     excluded: ReadonlySet<BackendServerId>,
   ): BackendServerState | null {
     const { service, route, session, customer } = request
+    if (service.outliers.ejectedCount === 0) return null
     const now = this.#context.clock.now()
     const need = service.need(route.guarantee, session.ownPosition, now)
     if (need.kind !== 'position') return null
--- a/packages/host/src/serviceOutliers.ts
+++ b/packages/host/src/serviceOutliers.ts
@@ -70,6 +70,7 @@
     work: SentWork,
     run: () => Promise<AttemptOutcome>,
   ): Promise<AttemptOutcome> {
+    if (this.#detection === null) return run()
     const sent = this.#noteSent(server, work)
     const outcome = await run()
     this.#observe(sent, outcome.kind === 'answered' ? 'answered' : failureOf(outcome.mishap, work))
@@ -82,6 +83,7 @@
     { work, deadline }: { readonly work: SentWork; readonly deadline: Milliseconds },
     run: () => Promise<BackendReply | null>,
   ): Promise<BackendReply | null> {
+    if (this.#detection === null) return run()
     const sent = this.#noteSent(server, work)
     const reply = await run()
     const isOverdue = this.#context.clock.now() >= deadline
--- a/packages/state/__tests__/synchronous/outlierDetection.spec.ts
+++ b/packages/state/__tests__/synchronous/outlierDetection.spec.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import fc from 'fast-check'
 import { VirtualClock, backendServerId, type BackendServerId } from '@nutmegcourse/shared'
 import { OutlierDetection, type OutlierChange, type ServerFailure } from '../../src/index.js'
 
@@ -206,6 +207,43 @@
     })
   }
 
+  it('never leaves out more than half of the servers, whatever they do', () => {
+    const result = fc.constantFrom<Reaction['result']>(
+      'answered',
+      'failed',
+      'busy',
+      'lost',
+      'behind',
+    )
+    const reaction = fc.record({ result, after: fc.integer({ min: 0, max: 800 }) })
+    const run = fc.tuple(fc.integer({ min: 100, max: 2000 }), fc.array(reaction, { maxLength: 5 }))
+    const property = fc.property(fc.integer({ min: 1, max: 5 }), fc.array(run), (count, runs) => {
+      const servers = Array.from({ length: count }, (_, index) => backendServerId(String(index)))
+      const fleet = new FakeFleet(servers)
+      for (const [span, reactions] of runs) {
+        const behaviours = servers.map((each, index) => [each, () => reactions[index] ?? well(0)])
+        fleet.run(span, Object.fromEntries(behaviours) as Record<string, Behaviour>)
+        if (fleet.detection.ejectedCount > Math.floor(count / 2)) return false
+      }
+      return true
+    })
+    fc.assert(property, { numRuns: 100 })
+  })
+
+  // Guards against a server that keeps failing a part and gets its work back after each lucky test.
+  it('uses a server that keeps failing a part of its statements less and less', () => {
+    const fleet = new FakeFleet()
+    fleet.run(FAULT_STARTS_AT)
+    let sent = 0
+    const countAndFail = (index: number): Reaction => {
+      sent += 1
+      return every(3, react('failed'))(index)
+    }
+    fleet.run(20_000, { [A]: countAndFail })
+    const all = 20_000 / SEND_INTERVAL_MILLISECONDS
+    expect(sent / all).toEqual(expect.between(0, 0.5))
+  })
+
   // Guards against a server that is down and up by turns and gets its full work each time.
   it('leaves a server that is down and up by turns out for longer each time', () => {
     const fleet = new FakeFleet()
