Give a server that was left out for long back within 2 s of its recovery

Cause: on trial, in virtual time, a server that had failed a third of its statements was given back up to 7.8 s after its recovery, since only the end of a term of up to 8 s brought the next test. Change: reads test the server during the term, too, and five successes in a row end it early.

--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -113,7 +113,8 @@
       server: 'id of the backend server',
       service: 'its service',
       reason: 'consecutiveFailures, failureShare, busyShare (refusals for its load) or latency',
-      forMilliseconds: 'earliest time after which one read tests it',
+      forMilliseconds:
+        'after this time one read that it answers ends the ejection; before, five in a row do',
       consecutiveFailures: 'failures since its last answer',
       statements: 'its statements of the last two seconds',
       failureShare:
@@ -124,7 +125,7 @@
     },
   },
   server_admitted: {
-    when: 'A backend server that had been ejected answered a read, and gets its work again.',
+    when: 'A backend server that had been ejected answered the reads that tested it, and gets its work again.',
     fields: {
       server: 'id of the backend server',
       service: 'its service',
--- a/packages/state/__tests__/synchronous/outlierDetection.spec.ts
+++ b/packages/state/__tests__/synchronous/outlierDetection.spec.ts
@@ -99,6 +99,8 @@
 
 const FAULT_STARTS_AT = 5000
 const LIMIT_MILLISECONDS = 2000
+/** A server that fails in part is left out again and again meanwhile, for up to 8 s in the longest one. */
+const FAULTS_MILLISECONDS = [4000, 13_100, 21_700]
 
 describe('OutlierDetection', () => {
   /** The failure, the server, what it does meanwhile, and the reasons for which it may be left out. */
@@ -122,13 +124,15 @@
     ['accepts no connections', A, react('notOpened'), 'consecutiveFailures'],
     ['answers eight times slower', A, react('answered', 240), 'latency'],
   ]
-  for (const [name, server, behaviour, reason] of failures) {
+  for (const [name, server, behaviour, reason, faultMilliseconds] of failures.flatMap(each =>
+    FAULTS_MILLISECONDS.map(span => [...each, span] as const),
+  )) {
     // Guards against a server that reports itself ready and keeps getting statements while it fails them.
-    it(`leaves out a server that ${name}, and gives it back after its recovery`, () => {
+    it(`leaves out a server that ${name} for ${String(faultMilliseconds)} ms, and gives it back`, () => {
       const fleet = new FakeFleet()
       fleet.run(FAULT_STARTS_AT)
       expect(fleet.changes).toEqual([])
-      fleet.run(4000, { [server]: behaviour })
+      fleet.run(faultMilliseconds, { [server]: behaviour })
       const recoveredAt = fleet.clock.now()
       const noticedAfter = fleet.firstChange('ejected', 0) - FAULT_STARTS_AT
       fleet.run(LIMIT_MILLISECONDS)
--- a/packages/state/src/synchronous/outlierDetection.ts
+++ b/packages/state/src/synchronous/outlierDetection.ts
@@ -115,8 +115,8 @@
     if (observed.term.isEjected) {
       const usual = usualLatency(this.#others(sent.server, now)) ?? Number.POSITIVE_INFINITY
       const isWell = latency === null || !isSlow(latency, usual)
-      if (isWell) this.#admit(sent.server, observed, now)
-      else observed.term.testFailed(now)
+      if (!isWell) observed.term.testFailed(now)
+      else if (observed.term.testSucceeded(now)) this.#admit(sent.server, observed, now)
       return
     }
     observed.outcomes.recordAnswer(latency, now)
