--- a/packages/host/src/serviceRegions.ts
+++ b/packages/host/src/serviceRegions.ts
@@ -4,8 +4,9 @@
  * @internal
  */
 import type { HostSettings } from '@nutmegcourse/protocol'
-import type { CustomerName, LogPosition, Milliseconds, RegionId } from '@nutmegcourse/shared'
+import type { CustomerName, LogPosition, RegionId } from '@nutmegcourse/shared'
 import type { BackendServerState } from './backendServerState.js'
+import type { ReadTerms } from './readerChoice.js'
 import type { ServiceState } from './serviceState.js'
 
 type Places = Pick<HostSettings, 'region' | 'regions'>
@@ -21,15 +22,13 @@
   return primary === null ? null : regionOf(primary, places)
 }
 
-/** Whether a server of this host's region is expected to serve a read that needs the log up to `need` now. */
-export function canServeNear(
+/** What a read asks of a server of this host's region. */
+export function nearTerms(
   service: ServiceState,
   places: Places,
   need: LogPosition | null,
   customer: CustomerName | null,
-  now: Milliseconds,
-): boolean {
+): ReadTerms {
   const far = service.servers.filter(server => regionOf(server, places) !== places.region)
-  const excluded = new Set(far.map(({ entry }) => entry.server))
-  return service.chooseReadyReader(need, excluded, now, customer) !== null
+  return { need, excluded: new Set(far.map(({ entry }) => entry.server)), customer }
 }
