--- a/packages/host/__tests__/dispatchers.spec.ts
+++ b/packages/host/__tests__/dispatchers.spec.ts
@@ -31,6 +31,7 @@
 async function withFleet(
   scenario: (fleet: Fleet) => Promise<void>,
   serverZones = ['east-1', 'east-2', 'west-1'],
+  connectionLimit = 25,
 ): Promise<void> {
   const options = {
     relayPorts: await freePorts(ZONES.length),
@@ -38,6 +39,7 @@
     regionOfZone: REGION_OF_ZONE,
     serverZones,
     schedulesSlots: true,
+    connectionLimit,
   }
   const records = ZONES.map((zone, index) => {
     const region = zone.startsWith('east') ? 'east' : 'west'
@@ -276,6 +278,34 @@
       expect(servedByPrimaryRegion >= 14).toEqual(true)
     })
   })
+
+  // Reads that leave the region of a server that is left out would never show that it has recovered.
+  it('the only replica of a region is left out: once it has recovered it gets reads again', async () => {
+    await withFleet(
+      async ({ fixture, west }) => {
+        const [dispatcher, standby] = west
+        if (!dispatcher || !standby) throw new Error('no dispatchers')
+        const caller = await fixture.caller(standby, 'bounded')
+        await fixture.until(() => hasBound(dispatcher), 'the dispatcher knows a bound')
+        const readUntil = async (event: string): Promise<void> => {
+          const limit = performance.now() + 4000
+          while (!dispatcher.lines.some(line => line.event === event)) {
+            if (performance.now() > limit) throw new Error(`no ${event} in 4 s`)
+            expect(await caller.outcomeOf('read 1')).toEqual('done')
+            await new Promise(resolve => setTimeout(resolve, 10))
+          }
+        }
+        dispatcher.dialer.hooks.onCommand = (server, { kind }) =>
+          server === B && kind === 'forward' ? 'failed' : 'none'
+        await readUntil('server_ejected')
+        const counts = countStatements(dispatcher)
+        await readUntil('server_admitted')
+        expect((counts.get(B) ?? 0) > 0).toEqual(true)
+      },
+      undefined,
+      ZONES.length - 1,
+    )
+  })
 })
 
 const hasBound = ({ host }: FixtureHost): boolean =>
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -29,7 +29,7 @@
   type StatementRequest,
 } from './statements.js'
 import type { StatementRunner } from './statementRunner.js'
-import { isBetterAtPrimary } from './readRegion.js'
+import { isBetterAtPrimary, type ReadWork } from './readRegion.js'
 
 /** Added to the idle timeout of transactions, so that the host of the caller ends an idle transaction first. */
 const IDLE_MARGIN_MILLISECONDS = 1000
@@ -168,7 +168,8 @@
   async #single(message: RequestMessage): Promise<AnswerMessage> {
     const request = this.#read(message)
     if (request === null) return { kind: 'declined' }
-    const refusal = message.isFinal === true ? null : this.#refusalOf(request, !request.isWrite)
+    const refusal =
+      message.isFinal === true ? null : this.#refusalOf(request, !request.isWrite, 'single')
     if (refusal !== null) return refusal
     this.#accepted(request)
     this.#running += 1
@@ -181,7 +182,7 @@
     const request = this.#read(message.request)
     if (request === null) return { kind: 'declined' }
     const isFinal = message.request.isFinal === true
-    const refusal = isFinal ? null : this.#refusalOf(request, message.readOnly)
+    const refusal = isFinal ? null : this.#refusalOf(request, message.readOnly, 'transaction')
     if (refusal !== null) return refusal
     this.#accepted(request)
     this.#running += 1
@@ -215,10 +216,10 @@
   }
 
   /** Why another host is to be asked; null if this one runs the request. */
-  #refusalOf(request: StatementRequest, readOnly: boolean): AnswerMessage | null {
+  #refusalOf(request: StatementRequest, readOnly: boolean, work: ReadWork): AnswerMessage | null {
     if (this.#isPrimaryOutOfReach(request, readOnly)) return { kind: 'declined' }
     const now = this.#context.clock.now()
-    return isBetterAtPrimary(request, readOnly, this.#context.settings, now)
+    return isBetterAtPrimary(request, { readOnly, work }, this.#context.settings, now)
       ? { kind: 'declined', isRedirected: true }
       : null
   }
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -149,10 +149,12 @@
 
   /** Passes the request on to an owner; null if this host serves it itself. */
   async #relay(relayed: RelayedRequest): Promise<RelayedCall | null> {
-    const { request, readOnly } = relayed
+    const { request, readOnly, place } = relayed
     const { settings, clock } = this.#context
+    const work = place === 'singleRead' ? 'single' : 'transaction'
     const atPrimary =
-      needsPrimary(request, readOnly) || isBetterAtPrimary(request, readOnly, settings, clock.now())
+      needsPrimary(request, readOnly) ||
+      isBetterAtPrimary(request, { readOnly, work }, settings, clock.now())
     const peers = this.#peersFor(request, atPrimary)
     if (peers === null) return null
     const called = await this.#callOwners(relayed, peers)
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -11,7 +11,7 @@
   type LogPosition,
   type Milliseconds,
 } from '@nutmegcourse/shared'
-import type { StatementFailure, WriteOutcome } from '@nutmegcourse/state'
+import type { SentWork, StatementFailure, WriteOutcome } from '@nutmegcourse/state'
 import { attempt, type AttemptOutcome } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
@@ -110,10 +110,27 @@
     excluded: ReadonlySet<BackendServerId>,
   ): BackendServerState | null {
     const { clock, settings } = this.#context
-    const now = clock.now()
+    const { readers } = service
+    const terms = { need, excluded, customer }
     return settings.schedulesSlots
-      ? service.chooseCurrentReader(need, excluded, now, customer)
-      : service.chooseReader(need, excluded, now, customer)
+      ? readers.current(terms, clock.now())
+      : readers.best(terms, clock.now())
+  }
+
+  /**
+   * A server that was left out, if this read is to test whether it is well again. Only for reads outside transactions:
+   * they are sent to a second server if the tested one does not answer.
+   */
+  testedReader(
+    request: StatementRequest,
+    excluded: ReadonlySet<BackendServerId>,
+  ): BackendServerState | null {
+    const { service, route, session, customer } = request
+    if (service.outliers.ejectedCount === 0) return null
+    const now = this.#context.clock.now()
+    const need = service.need(route.guarantee, session.ownPosition, now)
+    if (need.kind !== 'position') return null
+    return service.readers.tested({ need: need.position, excluded, customer }, now)
   }
 
   /** Acquires a connection to the server before `acquireBy`, or tells why there is none. */
@@ -140,6 +157,9 @@
     request.timing.connectionMilliseconds += this.#context.clock.now() - startedAt
     if ('link' in acquired) return { kind: 'connected', link: acquired.link, slot }
     slot.end({ kind: 'unknown' })
+    if (acquired.failure === 'unreachable') {
+      request.service.outliers.recordNotOpened(server.entry.server)
+    }
     if (acquired.failure === 'overloaded') {
       return { kind: 'overloaded', waitMilliseconds: this.jitter(acquired.waitMilliseconds) }
     }
@@ -213,7 +233,7 @@
     const need = service.need(route.guarantee, session.ownPosition, now)
     if (need.kind !== 'position') return null
     const others = new Set([...excluded, server.entry.server])
-    return service.chooseReadyReader(need.position, others, now, customer)
+    return service.readers.ready({ need: need.position, excluded: others, customer }, now)
   }
 
   /** Runs a write, or a commit of writes, and records whether the server confirmed it. */
@@ -240,7 +260,7 @@
     excluded.add(server.entry.server)
     const { service, customer } = request
     const now = this.#context.clock.now()
-    if (service.chooseReader(null, excluded, now, customer) !== null) return
+    if (service.readers.best({ need: null, excluded, customer }, now) !== null) return
     excluded.clear()
     if (this.#isOnlyBehind(request, server)) {
       excluded.add(server.entry.server)
@@ -310,14 +330,19 @@
     const { clock } = this.#context
     const sentAt = clock.now()
     request.timing.tries += 1
-    const outcome = await attempt(this.#context, link, {
+    const plan = {
       session: request.session.values,
       statement: request.statement,
       after,
       isInTransaction: false,
       verifiesPrimary,
       deadline: request.deadline,
-    })
+    }
+    const outcome = await request.service.outliers.track(
+      server.entry.server,
+      workOf(request, server, false),
+      () => attempt(this.#context, link, plan),
+    )
     if (outcome.status === 'idle') server.pool.release(link)
     else server.pool.discard(link)
     slot.end(slotResultOf(outcome, clock.now() - sentAt))
@@ -346,6 +371,17 @@
   }
 }
 
+/** What the statement does, as far as the outcome tells of its server. */
+export function workOf(
+  { isWrite, service }: StatementRequest,
+  server: BackendServerState,
+  isInTransaction: boolean,
+): SentWork {
+  if (isWrite) return 'other'
+  if (server !== service.primary) return 'replicaRead'
+  return isInTransaction ? 'other' : 'primaryRead'
+}
+
 function writeOutcomeOf(outcome: AttemptOutcome): WriteOutcome {
   if (outcome.kind === 'answered') return 'confirmed'
   const { mishap } = outcome
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -1,6 +1,5 @@
 /**
- * One service as this host knows it: its servers, the believed primary, the freshness bounds of reads, and the choice
- * of a server for each statement.
+ * One service as this host knows it: its servers, the believed primary, and the freshness bounds of reads.
  *
  * @internal
  */
@@ -24,15 +23,14 @@
   Leadership,
   SILENCE_LIMIT_MILLISECONDS,
   connectionDivisor,
-  isReadyForRead,
-  rankForRead,
   type ConnectionPart,
-  type ReadCandidate,
   type ReadRequirement,
   type ServerDirectory,
 } from '@nutmegcourse/state'
 import { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
+import { ReaderChoice } from './readerChoice.js'
+import { ServiceOutliers } from './serviceOutliers.js'
 import { regionOf } from './serviceRegions.js'
 import { Signal } from './waiting.js'
 
@@ -45,6 +43,8 @@
 export class ServiceState {
   readonly name: string
   readonly bounds = new FreshnessBounds()
+  readonly outliers: ServiceOutliers
+  readonly readers: ReaderChoice
   /** Raised on every change that a waiting request may depend on. */
   readonly changed = new Signal()
   readonly #context: HostContext
@@ -82,6 +82,15 @@
     this.#directory = directory
     this.#configuration = configuration
     this.name = configuration.name
+    this.outliers = new ServiceOutliers(
+      context,
+      this.name,
+      now => [...this.#servers.keys()].filter(server => directory.mayTakeWork(server, now)),
+      server => {
+        this.#withdrawReads(server)
+      },
+    )
+    this.readers = new ReaderChoice(this, directory, this.outliers)
   }
 
   /** Whether this host uses the service's servers: it owns the service, or serves in place of an owner. */
@@ -154,6 +163,7 @@
 
   addServer(entry: BackendServerEntry, now: Milliseconds): void {
     this.#servers.get(entry.server)?.close()
+    this.outliers.forget(entry.server)
     this.#leadership.forget(entry.server)
     const limit = this.#configuration.connectionLimit
     const part = (): ConnectionPart => this.#partOf(entry.server)
@@ -179,6 +189,7 @@
   removeServer(id: BackendServerId): void {
     this.#servers.get(id)?.close()
     this.#servers.delete(id)
+    this.outliers.forget(id)
     this.#leadership.forget(id)
     this.changed.raise()
   }
@@ -225,6 +236,11 @@
     return this.bounds.requirementFor(guarantee, own, now)
   }
 
+  /** What waits for a slot of a replica that is left out looks for another server; the primary keeps its work. */
+  #withdrawReads(id: BackendServerId): void {
+    if (id !== this.#leadership.primary) this.#servers.get(id)?.gate?.withdrawWaiting()
+  }
+
   #partOf(id: BackendServerId): ConnectionPart {
     const server = this.#servers.get(id)
     const region = server === undefined ? null : regionOf(server, this.#context.settings)
@@ -252,81 +268,6 @@
     })
   }
 
-  /** The best server for a read that needs the log up to `need`; null if all are excluded or may not take work. */
-  chooseReader(
-    need: LogPosition | null,
-    excluded: ReadonlySet<BackendServerId>,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): BackendServerState | null {
-    return this.#best(this.#candidates(need, excluded, now, customer))
-  }
-
-  /**
-   * The best server that may have the log up to `need`; null if there is none. A server that was found behind is chosen
-   * for one read at a time, which shows whether it has caught up.
-   */
-  chooseCurrentReader(
-    need: LogPosition,
-    excluded: ReadonlySet<BackendServerId>,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): BackendServerState | null {
-    const candidates = this.#candidates(need, excluded, now, customer)
-    const best = this.#best(candidates.filter(({ isBehind }) => !isBehind))
-    best?.progress.noteReadSent(need, now)
-    return best
-  }
-
-  /** The best server that is expected to serve such a read now; null if there is none. */
-  chooseReadyReader(
-    need: LogPosition | null,
-    excluded: ReadonlySet<BackendServerId>,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): BackendServerState | null {
-    const ready = this.#candidates(need, excluded, now, customer).filter(isReadyForRead)
-    return this.#best(ready.filter(({ server }) => !this.#isKnownBehind(server, need)))
-  }
-
-  /** Where slots are scheduled, a read does not give up its place for a server that may still be behind. */
-  #isKnownBehind(id: BackendServerId, need: LogPosition | null): boolean {
-    if (need === null || !this.schedulesSlots) return false
-    return this.#servers.get(id)?.progress.isKnownBehind(need) ?? false
-  }
-
-  #best(candidates: readonly ReadCandidate[]): BackendServerState | null {
-    const [best] = rankForRead(candidates)
-    return best === undefined ? null : (this.#servers.get(best) ?? null)
-  }
-
-  #candidates(
-    need: LogPosition | null,
-    excluded: ReadonlySet<BackendServerId>,
-    now: Milliseconds,
-    customer: CustomerName | null,
-  ): ReadCandidate[] {
-    const candidates: ReadCandidate[] = []
-    const { primary } = this
-    for (const server of this.#servers.values()) {
-      const { entry, pool } = server
-      if (excluded.has(entry.server)) continue
-      const known = this.#directory.get(entry.server)
-      if (known === undefined || !this.#directory.mayTakeWork(entry.server, now)) continue
-      candidates.push({
-        server: entry.server,
-        isPrimary: server === primary,
-        stays: known.leavingSince === null && known.goneSince === null && pool.refusals === 0,
-        isBehind: need !== null && server.progress.isLikelyBehind(need, now),
-        silentMilliseconds: server.silentMilliseconds(now),
-        expectedMilliseconds: server.expectedMilliseconds(customer, now),
-        inFlight: server.load,
-        slots: entry.slots,
-      })
-    }
-    return candidates
-  }
-
   close(): void {
     for (const server of this.#servers.values()) server.close()
   }
