feat(host): a host that starts again reads the list through its zone; long lists are sent compressed

After a loss of power every host read the whole store over the link between the regions (400 KB each where a configuration has 1,400 routes), and the link stayed full for seconds. A host now reads the hosts' records first, and asks the first hosts of its zone, which read the list themselves, for up to a second; its own list is the fallback.

--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -30,12 +30,13 @@
 
 const CHANGE_PREFIX = 'change/'
 const SUSPICION_PREFIX = 'suspicion/'
-const HOST_PREFIX = 'host/'
+/** Keys of all hosts' records begin with it. */
+export const HOST_RECORDS_PREFIX = 'host/'
 
 export const changeKey = (service: string): string => CHANGE_PREFIX + service
 export const suspicionKey = (service: string, host: string): string =>
   `${SUSPICION_PREFIX}${service}/${host}`
-export const hostKey = (host: string): string => HOST_PREFIX + host
+export const hostKey = (host: string): string => HOST_RECORDS_PREFIX + host
 
 export type RecordName =
   | { readonly kind: 'change'; readonly service: string }
@@ -46,7 +47,8 @@
   if (key.startsWith(CHANGE_PREFIX)) {
     return { kind: 'change', service: key.slice(CHANGE_PREFIX.length) }
   }
-  if (key.startsWith(HOST_PREFIX)) return { kind: 'host', host: key.slice(HOST_PREFIX.length) }
+  if (key.startsWith(HOST_RECORDS_PREFIX))
+    return { kind: 'host', host: key.slice(HOST_RECORDS_PREFIX.length) }
   const [service, host] = key.slice(SUSPICION_PREFIX.length).split('/')
   if (!key.startsWith(SUSPICION_PREFIX) || service === undefined || host === undefined) return null
   return { kind: 'suspicion', service, host }
--- a/packages/host/__tests__/fleetStart.spec.ts
+++ b/packages/host/__tests__/fleetStart.spec.ts
@@ -44,6 +44,24 @@
     )
   })
 
+  // Guards against a return from a loss of power in which every host reads the whole list over one slow link, so that none
+  // has it for seconds.
+  it('reads the list once for a zone when all hosts start again at the same time', async () => {
+    const ports = await freePorts(HOSTS)
+    await withHostFixture(
+      HOSTS,
+      async (scene, hosts) => {
+        await wait(SETTLE_MILLISECONDS)
+        for (const { host } of hosts) host.close()
+        const listsBefore = callsOf(scene, 'list')
+        const started = hosts.map(({ host }) => scene.add(host.name))
+        await scene.until(() => started.every(({ host }) => host.isReady), 'all hosts are ready')
+        expect(callsOf(scene, 'list') - listsBefore < HOSTS / 2).toEqual(true)
+      },
+      { relayPorts: [...ports, ...ports] },
+    )
+  })
+
   // Guards against a simultaneous restart of all hosts in which each writes its record again although it is unchanged.
   it('only renews the lease of a host that starts again while its record is still stored', async () => {
     const [port = 0] = await freePorts(1)
--- a/packages/host/__tests__/storeFollower.spec.ts
+++ b/packages/host/__tests__/storeFollower.spec.ts
@@ -99,7 +99,9 @@
     return Promise.resolve(step.answer)
   }
   const store = {
-    list: async () => {
+    list: async (_after: unknown, _limit: unknown, recordPrefix?: string) => {
+      // The fleet has no hosts beside this one.
+      if (recordPrefix !== undefined) return ok({ ...EMPTY, next: null })
       const answer = await next('list')
       return 'kind' in answer ? err(answer) : ok({ ...answer, next: null })
     },
--- a/packages/host/src/changeFeedMessages.ts
+++ b/packages/host/src/changeFeedMessages.ts
@@ -4,6 +4,7 @@
  * @internal
  */
 import type { FleetConfiguration, RevisedChange } from '@nutmegcourse/protocol'
+import type { SentChanges } from './packedChanges.js'
 
 /** Requests the changes after a revision, waiting for the first one. */
 export interface ChangeFeedRequest {
@@ -12,13 +13,15 @@
   readonly wait: number
   /** Whether callers' requests at the reading host wait for the next change. */
   readonly isAwaited: boolean
+  /** Whether long lists may be packed; absent at hosts of an earlier release. */
+  readonly acceptsPacked?: boolean
 }
 
 export interface ChangeFeedUpdate {
   readonly kind: 'news'
   /** The requested revision is older than the retained history, so this is a complete list. */
   readonly isWhole: boolean
-  readonly changes: readonly RevisedChange[]
+  readonly changes: SentChanges
   readonly revision: number
   /** Age in milliseconds of the oldest change; an age rather than a time, since clocks of hosts are never compared. */
   readonly madeAgo: number
--- a/packages/host/src/changeFeedReader.ts
+++ b/packages/host/src/changeFeedReader.ts
@@ -14,6 +14,8 @@
   type ChangeFeedUpdate,
 } from './changeFeedMessages.js'
 import { Backoffs } from './backoffs.js'
+import { unpackChanges } from './packedChanges.js'
+import { sleep } from './waiting.js'
 
 /** A host of the zone that can forward changes of the store. */
 export interface ChangeFeedSource {
@@ -39,6 +41,17 @@
 /** How long a host is skipped after it declined, timed out or sent an outdated response. */
 const SKIP_MILLISECONDS = 2000
 
+/** Interval at which hosts of the zone are asked for a list until one of them has it. */
+const LIST_RETRY_MILLISECONDS = 50
+
+/** No store has a revision below 1, so the answer is a complete list. */
+const WHOLE_LIST: ChangeFeedRequest = {
+  after: 0,
+  wait: 0,
+  isAwaited: true,
+  acceptsPacked: true,
+}
+
 export class ChangeFeedReader {
   readonly #context: HostContext
   readonly #sources: ChangeFeedSources
@@ -62,7 +75,7 @@
       if (source === undefined) return null
       const askedAt = this.#context.clock.now()
       const limit = request.wait + ANSWER_ALLOWANCE_MILLISECONDS
-      const answer = await source.requestChanges(request, limit)
+      const answer = await source.requestChanges({ ...request, acceptsPacked: true }, limit)
       if (answer?.kind === 'news' && answer.revision >= request.after) return read(answer, askedAt)
       this.#skip(source.name, reasonOf(answer))
       // The wait is usually used up by then, so no other host is tried.
@@ -70,6 +83,24 @@
     }
   }
 
+  /**
+   * Everything that the store holds, as a host of the zone knows it by `until`; null if there is no other host to ask.
+   * A host that starts at the same time declines until it has read the list itself, so it is asked again.
+   */
+  async list(until: Milliseconds): Promise<ReceivedChanges | null> {
+    const { clock } = this.#context
+    for (;;) {
+      for (const source of this.#sources.changeFeedSources()) {
+        const askedAt = clock.now()
+        const answer = await source.requestChanges(WHOLE_LIST, ANSWER_ALLOWANCE_MILLISECONDS)
+        if (answer?.kind === 'news' && answer.isWhole) return read(answer, askedAt)
+      }
+      const isOver = clock.now() >= until || this.#sources.changeFeedSources().length === 0
+      if (isOver) return null
+      await sleep(LIST_RETRY_MILLISECONDS)
+    }
+  }
+
   #nextSource(): ChangeFeedSource | undefined {
     return this.#sources
       .changeFeedSources()
@@ -87,7 +118,7 @@
   const sentAt = addMilliseconds(askedAt, waited)
   return {
     isWhole,
-    events: { changes: answer.changes.map(readFeedChange), revision },
+    events: { changes: unpackChanges(answer.changes).map(readFeedChange), revision },
     madeSince: addMilliseconds(sentAt, -madeAgo),
     knownAt: addMilliseconds(sentAt, -knownAgo),
   }
--- a/packages/host/src/changeFeedServer.ts
+++ b/packages/host/src/changeFeedServer.ts
@@ -6,9 +6,10 @@
  */
 import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { DirectoryEvents } from '@nutmegcourse/protocol'
-import { DirectoryHistory } from '@nutmegcourse/state'
+import { DirectoryHistory, type DatedChanges } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
 import type { ChangeFeedResponse, ChangeFeedRequest } from './changeFeedMessages.js'
+import { ChangePacker, type SentChanges } from './packedChanges.js'
 import { Signal } from './waiting.js'
 
 /** How long a host counts as a reader after its last request; longer than any interval between two of its requests. */
@@ -30,6 +31,7 @@
   readonly #context: HostContext
   readonly #history = new DirectoryHistory()
   readonly #changed = new Signal()
+  readonly #packer = new ChangePacker()
   #knownAt = milliseconds(0)
   /** This host watches the store itself, and its last call succeeded. */
   #isServing = false
@@ -81,7 +83,8 @@
     this.#changed.raise()
   }
 
-  async answer({ after, wait, isAwaited }: ChangeFeedRequest): Promise<ChangeFeedResponse> {
+  async answer(request: ChangeFeedRequest): Promise<ChangeFeedResponse> {
+    const { after, wait, isAwaited } = request
     const { clock } = this.#context
     const askedAt = clock.now()
     this.#lastReadAt = askedAt
@@ -95,7 +98,7 @@
         return {
           kind: 'news',
           isWhole: found.isWhole,
-          changes: found.changes,
+          changes: this.#sent(request, found),
           revision: this.#history.revision,
           madeAgo: now - (found.madeSince ?? now),
           knownAgo: now - this.#knownAt,
@@ -106,6 +109,12 @@
     }
   }
 
+  #sent({ after, acceptsPacked }: ChangeFeedRequest, found: DatedChanges): SentChanges {
+    if (acceptsPacked !== true) return found.changes
+    const question = found.isWhole ? 'whole' : String(after)
+    return this.#packer.pack(found.changes, this.#history.revision, question)
+  }
+
   #serve(knownAt: Milliseconds): void {
     this.#knownAt = knownAt
     this.#isServing = !this.#isStopped
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -13,7 +13,8 @@
   type StoreFailure,
   type StoreLink,
 } from '@nutmegcourse/protocol'
-import { jittered, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
+import { HOST_RECORDS_PREFIX } from '@nutmegcourse/coordination'
+import { addMilliseconds, jittered, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
 import { changeDelayBudget, type ChangeDelayBudget } from './changeDelayBudget.js'
 import type { ChangeAge, ChangeFeedServer } from './changeFeedServer.js'
@@ -47,6 +48,12 @@
 const PAUSE_LIMIT_MILLISECONDS = 1500
 const LIST_LIMIT = { begin: PAUSE_LIMIT_MILLISECONDS, pause: PAUSE_LIMIT_MILLISECONDS }
 
+/** In a smaller fleet each host reads the list itself. */
+const FEWEST_HOSTS = 6
+
+/** How long a host that starts waits for another host of its zone to have the list. */
+const ZONE_LIST_MILLISECONDS = 1000
+
 /**
  * Consecutive failures after which requests of other hosts are declined. A store that compacts its history cuts
  * every watch once; declining at the first failure would send all hosts of the zone to the store.
@@ -108,7 +115,7 @@
     if (this.#context.settings.isFirstStart) await sleep(this.#budget.batch)
     while (!this.#isStopped) {
       const failure =
-        this.#revision === null ? await this.#list() : await this.#watch(this.#revision)
+        this.#revision === null ? await this.#start() : await this.#watch(this.#revision)
       if (failure === null) this.#succeeded()
       else await this.#failed(failure)
     }
@@ -125,6 +132,33 @@
     this.#store.close()
   }
 
+  async #start(): Promise<StoreFailure | null> {
+    const received = this.#mayListThroughZone ? await this.#listThroughZone() : null
+    return received === null ? this.#list() : this.#takeFromHost(received)
+  }
+
+  /**
+   * Only for the first list: a list after compacted history or a restored store has to come from the store itself. A
+   * fleet that starts for the first time has no records of hosts yet.
+   */
+  get #mayListThroughZone(): boolean {
+    return this.#knownAt === null && !this.#context.settings.isFirstStart
+  }
+
+  /**
+   * Reads the list through another host of the zone. When all hosts of a region start at once behind a slow link, each
+   * one's own list takes a part of the link, and none was complete for seconds.
+   */
+  async #listThroughZone(): Promise<ReceivedChanges | null> {
+    const { clock } = this.#context
+    const askedAt = clock.now()
+    const hosts = await this.#store.list(null, LIST_LIMIT, HOST_RECORDS_PREFIX)
+    if (hosts.isErr() || hosts.value.next !== null) return null
+    if (hosts.value.changes.length < FEWEST_HOSTS) return null
+    this.#listener.takeChanges(hosts.value.changes, askedAt)
+    return this.#changeFeed.reader.list(addMilliseconds(clock.now(), ZONE_LIST_MILLISECONDS))
+  }
+
   async #list(): Promise<StoreFailure | null> {
     const askedAt = this.#context.clock.now()
     const changes: RevisedChange[] = []
--- a/packages/protocol/src/host/storeLink.ts
+++ b/packages/protocol/src/host/storeLink.ts
@@ -62,8 +62,15 @@
 
 /** Every call has its own time limit in milliseconds, after which its connection is closed. */
 export interface StoreLink {
-  /** Returns one page of all items, beginning after a key. */
-  list(after: string | null, limit: LongAnswerLimit): Promise<Result<DirectoryPage, StoreFailure>>
+  /**
+   * Returns one page of all items, beginning after a key; with `recordPrefix` only of the fleet's own records whose keys
+   * begin with it.
+   */
+  list(
+    after: string | null,
+    limit: LongAnswerLimit,
+    recordPrefix?: string,
+  ): Promise<Result<DirectoryPage, StoreFailure>>
   /** Waits for changes after a revision. */
   watch(
     revision: number,
--- a/packages/stand-ins/src/hostPlatform/memoryStore.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryStore.ts
@@ -156,6 +156,14 @@
     return { changes, revision, next: null }
   }
 
+  /** Only records whose keys begin with the prefix. */
+  recordPage(prefix: string): DirectoryPage {
+    const { changes, ...page } = this.page()
+    const isWanted = (change: RevisedChange): boolean =>
+      change.kind === 'record' && change.key.startsWith(prefix)
+    return { ...page, changes: changes.filter(isWanted) }
+  }
+
   eventsAfter(revision: number): Result<DirectoryEvents, StoreFailure> {
     this.#expire()
     if (eraOf(revision) < eraOf(this.#revision)) return err({ kind: 'historyGone' })
@@ -258,8 +266,12 @@
   list(
     _after: string | null,
     limit: LongAnswerLimit,
+    recordPrefix?: string,
   ): Promise<Result<DirectoryPage, StoreFailure>> {
-    return this.#call('list', limit.begin, () => ok(this.#store.page()))
+    if (recordPrefix === undefined) {
+      return this.#call('list', limit.begin, () => ok(this.#store.page()))
+    }
+    return this.#call('listRecords', limit.begin, () => ok(this.#store.recordPage(recordPrefix)))
   }
 
   async watch(
