--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -140,7 +140,7 @@
     acquireBy: Milliseconds,
   ): Promise<Access> {
     const { priority, latencyTargetMilliseconds } = request.route
-    const latestStart = this.#latestStart(request, server)
+    const latestStart = this.latestStart(request, server)
     const slot = await this.#enterGate(request, server, latestStart)
     if ('kind' in slot) return slot
     const isScheduled = server.gate !== null
@@ -193,7 +193,7 @@
    * The latest time at which the statement may start at the server. A statement that starts later times out there: its
    * slot is wasted, and its connection is closed and reopened (an overloaded primary lost 0.8 of its 3 slots this way).
    */
-  #latestStart(request: StatementRequest, server: BackendServerState): Milliseconds {
+  latestStart(request: StatementRequest, server: BackendServerState): Milliseconds {
     const { arrivedAt, deadline } = request
     const usual = server.latency.at(this.#context.clock.now())
     // Those that wait for a slot start as late as this, so a statement slower than usual must still be answered.
--- a/packages/host/src/statementSlots.ts
+++ b/packages/host/src/statementSlots.ts
@@ -22,10 +22,11 @@
 /** Waits for the turn of a later statement of a transaction, ahead of new work. */
 export function continueInSlot(
   request: StatementRequest,
-  { gate }: BackendServerState,
+  { gate }: Pick<BackendServerState, 'gate'>,
+  latestStart: Milliseconds,
 ): Promise<SlotAccess> {
   if (gate === null) return Promise.resolve({ kind: 'entered', slot: UNSCHEDULED_SLOT })
-  return enter(request, gate, request.deadline, true)
+  return enter(request, gate, latestStart, true)
 }
 
 function enter(
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -111,7 +111,11 @@
       return this.#unconfirmed(request, transaction)
     }
     for (;;) {
-      const access = await continueInSlot(request, server)
+      const access = await continueInSlot(
+        request,
+        server,
+        this.#access.latestStart(request, server),
+      )
       const sentAt = this.#context.clock.now()
       if (commitsWrites && server.gate !== null && !server.mayWrite(sentAt)) {
         if (access.kind === 'entered') access.slot.end({ kind: 'unknown' })
