--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -177,9 +177,10 @@
     if (server.gate === null) return UNSCHEDULED_SLOT
     const startedAt = this.#context.clock.now()
     const access = await enterSlot(request, server.gate, latestStart)
-    if (access.kind === 'entered') return access.slot
     request.timing.connectionMilliseconds += this.#context.clock.now() - startedAt
     switch (access.kind) {
+      case 'entered':
+        return access.slot
       case 'overloaded':
         return { kind: 'overloaded', waitMilliseconds: access.waitMilliseconds }
       case 'overdue':
