--- a/packages/host/src/slotStatus.ts
+++ b/packages/host/src/slotStatus.ts
@@ -17,7 +17,7 @@
 import type { ServiceState } from './serviceState.js'
 import type { SlotGate } from './slotGate.js'
 
-/** So many customers are told apart, so that the number of metrics is bounded. */
+/** Customers that have metrics of their own; the others are counted together. */
 const NAMED_CUSTOMERS = 10
 
 export interface SlotStatusSources {
--- a/packages/protocol/src/host/slotStatus.ts
+++ b/packages/protocol/src/host/slotStatus.ts
@@ -36,7 +36,7 @@
   refusedPerSecond: z.looseObject({
     /** At once, because their turns would come too late; another server may have run them. */
     slots: z.number(),
-    /** After having waited for a slot in vain. */
+    /** Their deadline passed while they waited for a slot. */
     overdue: z.number(),
     /** The limit was used up. */
     limit: z.number(),
--- a/packages/state/src/slots/concurrencyLimit.ts
+++ b/packages/state/src/slots/concurrencyLimit.ts
@@ -66,7 +66,7 @@
   #roundTrip = 0
   #trial: Trial = NO_TRIAL
   #roundsToSkip = 0
-  /** The smallest latency of each round in a row that showed waiting, or that belongs to a trial. */
+  /** The smallest latency of each consecutive round that showed queueing, or that is part of a trial of another limit. */
   #minima: number[] = []
   #answers = 0
   #total = 0
--- a/packages/state/src/slots/returnReservations.ts
+++ b/packages/state/src/slots/returnReservations.ts
@@ -19,7 +19,7 @@
 /** Over all classes and customers; statements refused beyond it return without a place. */
 const MAX_RESERVATIONS = 20_000
 
-/** How much each kept place that is claimed or given up changes the expected share of claimed ones. */
+/** Weight of the newest reservation, claimed or expired, in the moving average of claimed ones. */
 const CLAIM_WEIGHT = 0.02
 
 export interface Reservation {
@@ -52,7 +52,7 @@
 export class ReturnReservations {
   readonly #classes = new Map<number, ClassLines>()
   #size = 0
-  /** The share of callers that return when told; some give up, or return at times of their own. */
+  /** Moving average of reservations that were claimed before they expired; callers may ignore their retry delay. */
   #claimedShare = 1
   #sweptAt = Number.NEGATIVE_INFINITY
 
