test(host): a dispatcher's primary crashes only once every host's list is complete

Callers see nothing of this.

Cause: a host that has just started replaces no silent primary for 3 s, since its list may still lack live servers (change_waits, incompleteList). The test crashed the primary as soon as the fleet had planned its dispatchers, and its writes end 2.5 s after the crash, so the outcome depended on how long that planning took. What the test checks is a fleet that runs; it now waits until every list counts as complete. The crash, the span and the expected values are unchanged.

--- a/packages/host/__tests__/dispatchers.spec.ts
+++ b/packages/host/__tests__/dispatchers.spec.ts
@@ -72,6 +72,14 @@
 const primaryOf = ({ host }: FixtureHost): string | undefined =>
   host.find('own')?.service.primary?.entry.server
 
+/** A host that has just started replaces no silent primary, since its list may still lack live servers. */
+const LIST_COMPLETE_AFTER_MILLISECONDS = 3000
+
+const hasCompleteList = ({ host }: FixtureHost): boolean => {
+  const listedAt = host.find('own')?.service.listing.firstListAt ?? Number.POSITIVE_INFINITY
+  return performance.now() >= listedAt + LIST_COMPLETE_AFTER_MILLISECONDS
+}
+
 /** The connections to servers that a host has open or is opening. */
 const held = ({ host }: FixtureHost): number =>
   host.find('own')?.service.servers.reduce((sum, { pool }) => sum + pool.size, 0) ?? 0
@@ -228,6 +236,7 @@
     await withFleet(async ({ fixture, other }) => {
       const caller = await fixture.caller(other, 'own')
       await fixture.until(() => held(other) === 0, 'the connections of the start are closed')
+      await fixture.until(() => fixture.hosts.every(hasCompleteList), 'all servers are known')
       fixture.crash(P)
       let most = 0
       const watch = setInterval(() => (most = Math.max(most, held(other))), 5)
