fix(state): a leaving replica that has ended still counts for what it acknowledged

Cause: a replica that is leaving counts towards synchronous replication until it ends. Once the hosts dropped its entry it counted as holding nothing, whatever it had acknowledged. If the other replicas had received nothing meanwhile and the primary was silent, the group looked as if one member were missing, where both holders of the last writes were, and a replica without these was promoted. The same happened to any two servers whose entries had been dropped: they counted as one after some seven seconds, although a crashed primary returns with its log.

Evidence: change_waits unknownReplica (the leaver) until server_removed of it, then primary_chosen with only the primary missing, two seconds before that returned with its log. Forced in acknowledgedWrites.spec.ts: 55 and 56 of the writes lost before, in both forms.

Change: a server that is gone keeps counting until another one is known to hold what it acknowledged. It acknowledges nothing after its end, so any position of the primary from after that bounds what it held, and a member that answers with that position or a later one holds all of it. Gone is a leaving server whose entry was removed, a server whose address another one has taken, and one that stayed away for 20 s after it was dropped. A dropped server that is not gone may return with its log and is waited for; of those that are gone only one counts, so that a group that lost several is not stuck. The log tells the address of a server, and which servers a change waits for and up to which position they may hold writes.

Where the others hold what the leaver had, its end delays no change any more: a dead primary was replaced after 4 s and more, now within 2 s (changeReviewed.spec.ts, failed before).

--- a/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
+++ b/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
@@ -134,6 +134,8 @@
   isLeaving: false,
   isListed: true,
   mayHoldWrites: true,
+  holdsUpTo: null,
+  mayReturn: true,
   hasRestarted: false,
   isAwaited: true,
   distance: 0,
--- a/packages/coordination/__tests__/synchronous/claimCases.ts
+++ b/packages/coordination/__tests__/synchronous/claimCases.ts
@@ -304,6 +304,8 @@
       isLeaving: leaving.includes(server),
       isListed: true,
       mayHoldWrites: true,
+      holdsUpTo: null,
+      mayReturn: true,
       hasRestarted: false,
       isAwaited: true,
       distance: 0,
--- a/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
@@ -101,6 +101,8 @@
   isLeaving: false,
   isListed: true,
   mayHoldWrites: true,
+  holdsUpTo: null,
+  mayReturn: true,
   hasRestarted: false,
   isAwaited: true,
   distance: 0,
@@ -115,9 +117,13 @@
   ...given,
 })
 
+/** It has ended and is no longer listed. */
+const GONE = { isLeaving: true, isListed: false, isAwaited: false, mayReturn: false }
+
 interface Case {
   readonly name: string
   readonly positions: Readonly<Record<string, number>>
+  readonly primary?: Partial<GroupMember>
   readonly members?: readonly GroupMember[]
   readonly plan?: Partial<ChangePlan>
   readonly arrange?: (group: FakeGroup) => void
@@ -184,6 +190,47 @@
     },
     chosen: 'unknownReplica',
   },
+  // Guards against the loss of writes that only the silent primary and a replica that ended meanwhile acknowledged.
+  {
+    name: 'chooses none when the primary is dead and a replica that is gone may hold more',
+    positions: { p: 100, a: 90, b: 100 },
+    members: [member(A), member(B, GONE)],
+    arrange: group => group.unreachable.add(P).add(B),
+    chosen: 'unknownReplica',
+  },
+  {
+    name: 'chooses none when the primary is dead and a replica that is gone held more',
+    positions: { p: 100, a: 90, b: 100 },
+    members: [member(A), member(B, { ...GONE, holdsUpTo: logPosition(1, 91) })],
+    arrange: group => group.unreachable.add(P).add(B),
+    chosen: 'unknownReplica',
+  },
+  // Guards against a group that waits for a replica that is gone although another one holds what it acknowledged.
+  {
+    name: 'does not wait for a replica that is gone and held no more than another one',
+    positions: { p: 100, a: 100, b: 100 },
+    members: [member(A), member(B, { ...GONE, holdsUpTo: logPosition(1, 100) })],
+    arrange: group => group.unreachable.add(P).add(B),
+    chosen: A,
+  },
+  // Guards against a group that stays without a primary since two of its servers were lost for good.
+  {
+    name: 'chooses the last replica when the primary and the other replica are gone',
+    positions: { p: 100, a: 100, b: 100 },
+    primary: GONE,
+    members: [member(A), member(B, GONE)],
+    arrange: group => group.unreachable.add(P).add(B),
+    chosen: A,
+  },
+  // Guards against a crashed primary that stops counting as missing while it may return with its log.
+  {
+    name: 'chooses none when the dropped primary may return and a replica is gone',
+    positions: { p: 100, a: 100, b: 100 },
+    primary: { ...GONE, mayReturn: true },
+    members: [member(A), member(B, GONE)],
+    arrange: group => group.unreachable.add(P).add(B),
+    chosen: 'unknownReplica',
+  },
   {
     name: 'lets the old primary step down and report its last position when one replica is unreachable',
     positions: { p: 100, a: 90, b: 100 },
@@ -218,11 +265,11 @@
 ]
 
 describe('PrimaryChoice', () => {
-  for (const { name, positions, members, plan: given, arrange, chosen } of CASES) {
+  for (const { name, positions, primary, members, plan: given, arrange, chosen } of CASES) {
     it(name, async () => {
       const group = new FakeGroup(positions)
       arrange?.(group)
-      const plan = planOf([member(P), ...(members ?? [member(A), member(B)])], given)
+      const plan = planOf([member(P, primary), ...(members ?? [member(A), member(B)])], given)
       const result = await new PrimaryChoice(plan, group).choose()
       expect(result.isOk() ? result.value.server : result.error.kind).toEqual(chosen)
       if (result.isErr()) return
--- a/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
@@ -145,6 +145,8 @@
   isLeaving: false,
   isListed: true,
   mayHoldWrites: true,
+  holdsUpTo: null,
+  mayReturn: true,
   hasRestarted: false,
   isAwaited: true,
   distance: 0,
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -8,8 +8,9 @@
  * 2. A primary that reports that it leads steps down, which ends its writes, and the candidate must reach its last
  *    position. Until then it serves writes, which the candidate receives.
  * 3. Without such a report the primary may go on unseen. Each write acknowledged earlier is in the logs of two members,
- *    so at most one of them may be missing, and the candidate must hold what the paused ones hold. Writes acknowledged
- *    later need a replica that receives, which is the candidate.
+ *    so at most one of them may be missing, and the candidate must hold what the paused ones hold. A member that is
+ *    gone is not missing if what it acknowledged is known to be in another log. Writes acknowledged later need a
+ *    replica that receives, which is the candidate.
  * 4. If the candidate stays behind, it is paused as well, and the server furthest ahead is chosen.
  */
 import { err, ok, type Result } from 'neverthrow'
@@ -31,6 +32,10 @@
   readonly isListed: boolean
   /** Whether it may hold acknowledged writes that no other member has if it gives no answer. */
   readonly mayHoldWrites: boolean
+  /** The position up to which it may hold such writes if it is gone; null if that is unknown. */
+  readonly holdsUpTo: LogPosition | null
+  /** False if it has ended for good. */
+  readonly mayReturn: boolean
   /** Whether it has restarted since the last change of primary, perhaps without its log. */
   readonly hasRestarted: boolean
   /** False for a server whose report is awaited only briefly, and only if it is needed. */
@@ -83,11 +88,18 @@
   readonly how: 'candidateHoldsAll' | 'furthestOfFrozen' | 'primaryStopped' | 'primaryKept'
 }
 
+/** A server that gave no answer, as far as it matters. */
+export type MissingServer = Pick<GroupMember, 'server' | 'holdsUpTo' | 'mayReturn'>
+
 export type ChoiceFailure =
   /** No replica answers. */
   | { readonly kind: 'noReplica' }
   /** A server that may hold more writes could be neither paused nor made to step down. */
-  | { readonly kind: 'unknownReplica'; readonly server: BackendServerId }
+  | {
+      readonly kind: 'unknownReplica'
+      readonly server: BackendServerId
+      readonly missing: readonly MissingServer[]
+    }
   /** The list of the group may lack a server, and no primary answers that could tell the last position. */
   | { readonly kind: 'incompleteList' }
   /** The primary did not confirm that it stepped down. */
@@ -245,13 +257,14 @@
         (!isAnyLogWritten || report.received.offset > 0),
     )
     const known = new Set(frozen.map(({ server }) => server))
+    const holders = [candidate, ...frozen]
     const missing = [...others, ...unheard].filter(
-      ({ server, mayHoldWrites }) => mayHoldWrites && !known.has(server),
+      member => member.mayHoldWrites && !known.has(member.server) && !isCovered(member, holders),
     )
-    // Servers that stay unlisted are taken as gone, and a lost log does not return, so that a group which lost several
-    // of them is not stuck; but one of them may have been the primary.
+    // A lost log does not return, so that a group which lost several is not stuck; but one of them may have been that of
+    // the primary.
     const answering = new Set(answered.map(({ server }) => server))
-    const isAwaited = ({ server, isListed }: GroupMember) => isListed && !answering.has(server)
+    const isAwaited = ({ server, mayReturn }: GroupMember) => mayReturn && !answering.has(server)
     const lost = missing.filter(member => !isAwaited(member)).slice(0, 1)
     const counted = [...missing.filter(isAwaited), ...lost]
     return { nextTerm, pausedFor, frozen, missing: counted }
@@ -281,7 +294,7 @@
   ): Promise<Result<ChosenPrimary, ChoiceFailure>> {
     const { candidate } = replies
     const last = await this.#pause(candidate, group.pausedFor)
-    if (last === null) return err({ kind: 'unknownReplica', server: candidate.server })
+    if (last === null) return err(unknownReplica(candidate.server, group.missing))
     if (newestTerm(last.report) > replies.newestTerm) {
       return err({ kind: 'newerTerm', server: last.server })
     }
@@ -295,7 +308,7 @@
   ): Promise<Result<ChosenPrimary, ChoiceFailure>> {
     const [missing] = group.missing
     if (missing !== undefined && group.missing.length > MAXIMUM_MISSING) {
-      return err({ kind: 'unknownReplica', server: missing.server })
+      return err(unknownReplica(missing.server, group.missing))
     }
     if (!this.#plan.isComplete) return err({ kind: 'incompleteList' })
     return this.#chooseAmong(replies, group, null, UNSEEN_PRIMARY_ATTEMPTS)
@@ -331,7 +344,7 @@
       return ok(describe(replies, complete, caughtUp, how))
     }
     const last = await this.#pause(candidate, group.pausedFor)
-    if (last === null) return err({ kind: 'unknownReplica', server: candidate.server })
+    if (last === null) return err(unknownReplica(candidate.server, group.missing))
     if (newestTerm(last.report) > replies.newestTerm) {
       return err({ kind: 'newerTerm', server: last.server })
     }
@@ -404,6 +417,25 @@
   Number(left.isLeaving) - Number(right.isLeaving) ||
   left.distance - right.distance
 
+/** Whether one of the servers holds all acknowledged writes that the member may hold. */
+function isCovered({ holdsUpTo }: GroupMember, holders: readonly Reporter[]): boolean {
+  if (holdsUpTo === null) return false
+  return holders.some(({ report }) => isAtOrPast(report.received, holdsUpTo))
+}
+
+const unknownReplica = (
+  server: BackendServerId,
+  missing: readonly GroupMember[],
+): ChoiceFailure => ({
+  kind: 'unknownReplica',
+  server,
+  missing: missing.map(({ server: each, holdsUpTo, mayReturn }) => ({
+    server: each,
+    holdsUpTo,
+    mayReturn,
+  })),
+})
+
 const asFrozen = (member: GroupMember, report: ServerReport | null): Reporter | null =>
   report?.role === 'replica' && report.pausedFor !== 0 ? { ...member, report } : null
 
--- a/packages/host/__tests__/acknowledgedWrites.spec.ts
+++ b/packages/host/__tests__/acknowledgedWrites.spec.ts
@@ -61,6 +61,29 @@
     ? 'no acknowledged write is lost'
     : `${String(violations.length)} losses: ${violations[0] ?? ''}`
 
+/** A server ends, and its log with it. */
+function endServer(scene: HostFixture, server: BackendServerId): void {
+  scene.crash(server)
+  scene.store.unlistServer(server)
+}
+
+/** Three heartbeats without an answer, after which the store removes an entry. */
+const ENTRY_LIFETIME_MILLISECONDS = 3000
+
+/** Longer than the life of an entry and the time for which the hosts keep a server without one. */
+const SILENT_PRIMARY_MILLISECONDS = 8000
+
+/** The primary is down for a while and comes back with its log; meanwhile all replicas receive again. */
+async function silencePrimary(scene: HostFixture, span: number): Promise<void> {
+  scene.crash(P)
+  for (const server of scene.group.servers.keys()) receivesNothing(scene, server, false)
+  await pause(ENTRY_LIFETIME_MILLISECONDS)
+  scene.store.unlistServer(P)
+  await pause(span - ENTRY_LIFETIME_MILLISECONDS)
+  scene.group.recover(scene.group.server(P))
+  scene.listServer(P)
+}
+
 /** The same orders of events as the group sees them, for the evidence of a failure. */
 const stateOf = (scene: HostFixture): string =>
   [...scene.group.servers.values()]
@@ -499,6 +522,31 @@
       await pause(SETTLE_MILLISECONDS)
     },
   },
+  // Guards against a leaving replica that is forgotten once it has ended, although only it and the silent primary held
+  // the last writes.
+  {
+    name: 'a leaving replica that alone acknowledged ends, and the primary is silent until its entry is dropped',
+    hosts: 2,
+    play: async scene => {
+      receivesNothing(scene, A)
+      scene.listServer(B, { isLeaving: true })
+      await pause(300)
+      endServer(scene, B)
+      await pause(500)
+      await silencePrimary(scene, SILENT_PRIMARY_MILLISECONDS)
+    },
+  },
+  // Guards against the same where that replica crashed together with the primary.
+  {
+    name: 'the primary and the replica that alone acknowledged are down until their entries are dropped',
+    hosts: 2,
+    play: async scene => {
+      receivesNothing(scene, A)
+      await pause(300)
+      endServer(scene, B)
+      await silencePrimary(scene, SILENT_PRIMARY_MILLISECONDS)
+    },
+  },
   // Guards against a choice that ignores a live replica whose entry has lapsed.
   {
     name: 'a live replica has lost its entry and the primary crashes',
--- a/packages/host/__tests__/changeReviewed.spec.ts
+++ b/packages/host/__tests__/changeReviewed.spec.ts
@@ -9,6 +9,9 @@
 const linesOf = ({ hosts }: HostFixture, event: string) =>
   hosts.flatMap(({ lines }) => lines.filter(line => line.event === event))
 
+/** A host that has just started replaces no silent primary, since its list may still lack live servers. */
+const LIST_COMPLETE_MILLISECONDS = 3000
+
 /** Longer than a lease, a host's rank, and the time after which a claim is made again. */
 const NEXT_CHANGE_MILLISECONDS = 12_000
 
@@ -84,3 +87,23 @@
     })
   })
 })
+
+describe('a leaving replica that has ended', () => {
+  // Guards against a group that waits for a replica that does not return, although the others hold its writes.
+  it('does not delay the replacement of a dead primary', async () => {
+    await withHostFixture(2, async (scene, hosts) => {
+      const [host] = hosts
+      if (host === undefined) return
+      scene.listServer(B, { isLeaving: true })
+      await wait(LIST_COMPLETE_MILLISECONDS)
+      scene.crash(B)
+      scene.store.unlistServer(B)
+      const isUnlisted = (): boolean => linesOf(scene, 'server_unlisted').length === hosts.length
+      await scene.until(isUnlisted, 'the hosts know that the entry is gone')
+      for (const each of hosts) await (await scene.caller(each, 'latest')).outcomeOf('write 1')
+      scene.crash(P)
+      const leads = (): boolean => scene.group.server(A).role === 'primary'
+      await scene.until(leads, 'the other replica leads', 2000)
+    })
+  })
+})
--- a/packages/host/__tests__/support/hostFixture.ts
+++ b/packages/host/__tests__/support/hostFixture.ts
@@ -182,6 +182,7 @@
   promotionFault: PromotionFault = () => 'none'
   promotionHooks: PromotionHooks = {}
   readonly #heldPromotions: (() => boolean)[] = []
+  readonly #ports = new Map<BackendServerId, number>()
 
   constructor(options: HostFixtureOptions = {}) {
     const { promotionMilliseconds = 50, connectionLimit = 25 } = options
@@ -227,7 +228,7 @@
       server,
       service: SERVICE,
       host: '127.0.0.1',
-      port: 1,
+      port: this.#portOf(server),
       zone: availabilityZoneId(this.#serverZones[[P, A, B].indexOf(server)] ?? ONLY_ZONE),
       slots: given.slots ?? 3,
       isLeaving: given.isLeaving ?? false,
@@ -236,6 +237,14 @@
     })
   }
 
+  /** Each server has an address of its own. */
+  #portOf(server: BackendServerId): number {
+    const known = this.#ports.get(server)
+    if (known !== undefined) return known
+    this.#ports.set(server, this.#ports.size + 1)
+    return this.#ports.size
+  }
+
   add(name: string, grace = 1000, store = new StoreConnection(this.store)): FixtureHost {
     const lines: FixtureHost['lines'] = []
     const metrics = new HostMetrics()
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -14,6 +14,7 @@
   role: 'the role in its entry: primary or replica',
   zone: 'its availability zone',
   isLeaving: 'whether it is about to stop',
+  address: 'its host and port; a server that starts there has taken its place',
 }
 
 const ORDER_FIELDS = {
@@ -212,6 +213,8 @@
       token: 'the fencing token',
       kind: 'noReplica, unknownReplica (it may hold more), incompleteList, primaryNotStopped or newerTerm (another promotion took effect)',
       server: 'the server that prevents it',
+      missing:
+        'for unknownReplica: the servers that may hold acknowledged writes and did not answer, with the position up to which they may hold them (null: unknown) and whether they may return with their log',
     },
   },
   primary_chosen: {
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -345,10 +345,12 @@
       role: entry.role,
       zone: entry.zone,
       isLeaving: entry.isLeaving,
+      address: `${entry.host}:${String(entry.port)}`,
     })
     const service = this.#components.get(entry.service)?.service
     switch (serverChange.kind) {
       case 'appeared':
+        this.#directory.noteAppeared(entry, now)
         service?.addServer(entry, now)
         this.#fleet.serversChanged()
         return
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -216,6 +216,7 @@
     this.#acceptPrimary(id, askedAt, 'answer')
     if (position === null) return
     this.#comparePositions(id, position)
+    this.#directory.notePrimaryPosition(this.name, position, askedAt)
     this.bounds.add(askedAt, position)
     this.changed.raise()
   }
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -80,6 +80,123 @@
   })
 })
 
+interface GoneCase {
+  readonly name: string
+  readonly arrange: (directory: ServerDirectory) => void
+  /** At 10 s. */
+  readonly isGone: boolean
+  readonly heldUpTo: number | null
+}
+
+const SUCCESSOR_ENTRY = entry({ server: B, startedAtUnixMilliseconds: 2 })
+
+const notePosition = (directory: ServerDirectory, offset: number, askedAt: number): void => {
+  directory.notePrimaryPosition('s', logPosition(1, offset), at(askedAt))
+}
+
+const endLeaving = (directory: ServerDirectory, now: number): void => {
+  directory.upsert(entry({ isLeaving: true }), at(0))
+  directory.unlist(A, at(now))
+}
+
+const crash = (directory: ServerDirectory, now: number): void => {
+  directory.unlist(A, at(now))
+  directory.expire(at(now + 4000))
+}
+
+const goneCases: readonly GoneCase[] = [
+  {
+    name: 'a leaving server whose entry is gone has ended',
+    arrange: directory => {
+      endLeaving(directory, 1000)
+    },
+    isGone: true,
+    heldUpTo: null,
+  },
+  {
+    name: 'it holds nothing after a position that the primary had later',
+    arrange: directory => {
+      endLeaving(directory, 1000)
+      notePosition(directory, 7, 1001)
+      notePosition(directory, 9, 2000)
+    },
+    isGone: true,
+    heldUpTo: 7,
+  },
+  // Guards against a bound from before the end of the server, which acknowledged more.
+  {
+    name: 'a position that the primary had earlier says nothing',
+    arrange: directory => {
+      endLeaving(directory, 1000)
+      notePosition(directory, 7, 999)
+    },
+    isGone: true,
+    heldUpTo: null,
+  },
+  {
+    name: 'a server that crashed may return with its log',
+    arrange: directory => {
+      crash(directory, 1000)
+      notePosition(directory, 7, 6000)
+    },
+    isGone: false,
+    heldUpTo: null,
+  },
+  {
+    name: 'a server that crashed long ago does not return',
+    arrange: directory => {
+      crash(directory, -20_000)
+      notePosition(directory, 7, 6000)
+    },
+    isGone: true,
+    heldUpTo: 7,
+  },
+  {
+    name: 'a server whose address another one took has ended',
+    arrange: directory => {
+      crash(directory, 1000)
+      directory.upsert(SUCCESSOR_ENTRY, at(6000))
+      directory.noteAppeared(SUCCESSOR_ENTRY, at(6000))
+      notePosition(directory, 7, 6000)
+    },
+    isGone: true,
+    heldUpTo: 7,
+  },
+  // Guards against an old entry, read late, that makes a live server count as gone.
+  {
+    name: 'a server stays when the entry of its predecessor is read late',
+    arrange: directory => {
+      const predecessor = entry({ server: B, startedAtUnixMilliseconds: 0 })
+      directory.noteAppeared(predecessor, at(6000))
+    },
+    isGone: false,
+    heldUpTo: null,
+  },
+  {
+    name: 'a server that is listed again has not ended',
+    arrange: directory => {
+      endLeaving(directory, 1000)
+      notePosition(directory, 7, 2000)
+      directory.upsert(entry({ isLeaving: true }), at(3000))
+    },
+    isGone: false,
+    heldUpTo: null,
+  },
+]
+
+describe('ServerDirectory: servers that are gone', () => {
+  for (const { name, arrange, isGone, heldUpTo } of goneCases) {
+    it(name, () => {
+      const directory = new ServerDirectory(DRAIN)
+      directory.upsert(entry(), at(0))
+      directory.noteAppeared(entry(), at(0))
+      arrange(directory)
+      expect(directory.isGone(A, at(10_000))).toEqual(isGone)
+      expect(directory.heldUpTo(A)).toEqual(heldUpTo === null ? null : logPosition(1, heldUpTo))
+    })
+  }
+})
+
 describe('Leadership', () => {
   // A delayed answer of the old primary arrives after the evidence for the new one. Writes
   // must not go back to the old one.
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -1,6 +1,12 @@
 /** The backend servers of the fleet as listed in the store, and which of them may take new work. */
-import { addMilliseconds, type BackendServerId, type Milliseconds } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  type BackendServerId,
+  type LogPosition,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { BackendServerEntry } from '@nutmegcourse/protocol'
+import { GoneServers } from './goneServers.js'
 
 /**
  * While the store is unavailable, entries of live servers may expire; they are listed again within about
@@ -23,6 +29,9 @@
 /** A server that was dropped may still live, cut off from the store only; for this long it counts if it answers. */
 const DROPPED_MEMORY_MILLISECONDS = 60_000
 
+/** A server that crashed starts again with its log; one that was dropped for longer is taken as gone for good. */
+const RESTART_MILLISECONDS = 20_000
+
 export interface KnownServer {
   readonly entry: BackendServerEntry
   /** The earliest time at which the server may have started to leave; null while it is not leaving. */
@@ -46,7 +55,7 @@
 export interface DroppedServer {
   readonly entry: BackendServerEntry
   readonly at: Milliseconds
-  /** False if it was about to stop, or if a primary was promoted since: that one holds what it acknowledged. */
+  /** False if a primary was promoted since: that one holds what it acknowledged. */
   readonly mayHoldWrites: boolean
 }
 
@@ -55,6 +64,7 @@
   readonly #dropped = new Map<BackendServerId, DroppedServer>()
   /** Servers that started again under the same id since the last promotion of their service. */
   readonly #restarted = new Set<BackendServerId>()
+  readonly #gone = new GoneServers()
   readonly #drainMilliseconds: number
   readonly #isFirstStart: boolean
   #firstListedAt: Milliseconds | null = null
@@ -91,6 +101,26 @@
     }
   }
 
+  /** Records the end of the log of the service's primary, which was asked at `askedAt`. */
+  notePrimaryPosition(service: string, position: LogPosition, askedAt: Milliseconds): void {
+    this.#gone.recordPrimaryPosition(service, position, askedAt)
+  }
+
+  /** The position up to which a server that is gone may hold acknowledged writes; null if that is unknown. */
+  heldUpTo(server: BackendServerId): LogPosition | null {
+    return this.#gone.heldUpTo(server)
+  }
+
+  /** Whether the server has ended for good. One that crashed may return with its log for a while. */
+  isGone(server: BackendServerId, now: Milliseconds): boolean {
+    return this.#gone.isGone(server, now)
+  }
+
+  /** Records that a server, or a new incarnation of one, was listed. */
+  noteAppeared(entry: BackendServerEntry, now: Milliseconds): void {
+    this.#gone.recordAppeared(entry, now)
+  }
+
   /** The entry of a server that is listed or was dropped some time ago. */
   lastEntry(server: BackendServerId): BackendServerEntry | null {
     return (this.#servers.get(server) ?? this.#dropped.get(server))?.entry ?? null
@@ -111,6 +141,7 @@
     this.#dropped.delete(entry.server)
     const known = this.#servers.get(entry.server)
     const isKnownIncarnation = known !== undefined && isSameIncarnation(known.entry, entry)
+    if (!isKnownIncarnation || known.goneSince !== null) this.#gone.recordReturned(entry.server)
     const leavingSince = entry.isLeaving
       ? ((isKnownIncarnation ? known.leavingSince : null) ?? since)
       : null
@@ -133,6 +164,7 @@
     if (known === undefined || !isSameIncarnation(known.entry, entry))
       return this.upsert(entry, since)
     this.#servers.set(entry.server, { ...known, goneSince: null })
+    if (known.goneSince !== null) this.#gone.recordReturned(entry.server)
     return null
   }
 
@@ -141,6 +173,8 @@
     const known = this.#servers.get(server)
     if (known?.goneSince !== null) return null
     this.#servers.set(server, { ...known, goneSince: now })
+    // A leaving server ends for good; the entry of another one may merely have expired.
+    if (known.leavingSince !== null) this.#gone.add(server, known.entry.service, now)
     return { kind: 'unlisted', entry: known.entry }
   }
 
@@ -158,14 +192,17 @@
 
   /** Removes servers whose entry has been missing for longer than the grace period. */
   expire(now: Milliseconds): ServerChange[] {
-    for (const [server, { at }] of this.#dropped) {
-      if (now >= addMilliseconds(at, DROPPED_MEMORY_MILLISECONDS)) this.#dropped.delete(server)
+    for (const [server, { entry, at }] of this.#dropped) {
+      if (now < addMilliseconds(at, DROPPED_MEMORY_MILLISECONDS)) continue
+      this.#dropped.delete(server)
+      this.#gone.forget(entry)
     }
     const changes: ServerChange[] = []
-    for (const [server, { entry, goneSince, leavingSince }] of this.#servers) {
+    for (const [server, { entry, goneSince }] of this.#servers) {
       if (goneSince === null || now < addMilliseconds(goneSince, GONE_GRACE_MILLISECONDS)) continue
       this.#servers.delete(server)
-      this.#dropped.set(server, { entry, at: now, mayHoldWrites: leavingSince === null })
+      this.#dropped.set(server, { entry, at: now, mayHoldWrites: true })
+      this.#gone.add(server, entry.service, addMilliseconds(now, RESTART_MILLISECONDS))
       changes.push({ kind: 'removed', entry })
     }
     return changes
