--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -18,6 +18,7 @@
   runSoak,
   readMemberReference,
   type FaultKind,
+  type PlannedFault,
 } from '../src/index.js'
 
 const PROGRAM = fileURLToPath(new URL('../../../host/dist/src/main.js', import.meta.url))
@@ -120,6 +121,8 @@
   readonly paceMilliseconds: number
   readonly isHardLoad: boolean
   readonly hasChangeSeries: boolean
+  /** Instead of faults drawn from the seed. */
+  readonly plan?: readonly PlannedFault[]
 }
 
 const USUAL = {
@@ -142,6 +145,25 @@
   hasChangeSeries: true,
 }
 
+/** The servers of service-1 are -1, the primary, to -3; -4 is the successor of -2. */
+const LEAVER_ENDS_PLAN: readonly PlannedFault[] = [
+  {
+    fault: { kind: 'leaverEnds', server: 'service-1-2', successorAfterMilliseconds: 500 },
+    startsAtMilliseconds: 500,
+    durationMilliseconds: 4500,
+  },
+  ...['service-1-3', 'service-1-4'].map(server => ({
+    fault: { kind: 'replicaDeaf', server } as const,
+    startsAtMilliseconds: 3500,
+    durationMilliseconds: 4500,
+  })),
+  {
+    fault: { kind: 'serverRestarts', server: 'service-1-1', keepsLog: true },
+    startsAtMilliseconds: 6000,
+    durationMilliseconds: 9000,
+  },
+]
+
 const RUNS: readonly Run[] = [
   { ...USUAL, name: 'every kind of fault', seed: 11, kinds: DEFAULT_FAULT_KINDS },
   {
@@ -197,6 +219,28 @@
       'promotionsLate',
     ],
   },
+  // Guards against a leaving replica that is forgotten once it has ended, although only it and the silent primary held
+  // the last writes.
+  {
+    ...CHANGE_SERIES,
+    name: 'a leaving replica that ends, and then the primary, while the others receive nothing',
+    seed: 5,
+    kinds: SERIES_FAULT_KINDS,
+    services: 1,
+    plan: LEAVER_ENDS_PLAN,
+  },
+  // Guards against a server that loses its log while an order to promote it is under way: the stand-in started it a
+  // second time, without its log, when two of its faults overlapped.
+  {
+    ...CHANGE_SERIES,
+    name: 'a server that is silent while it restarts without its log',
+    seed: 47_006,
+    kinds: SERIES_FAULT_KINDS,
+    hosts: 6,
+    services: 2,
+    seconds: 20,
+    paceMilliseconds: 3000,
+  },
 ]
 
 describe('the load plan of a soak test', () => {
--- a/packages/soak/src/changeFaultInjector.ts
+++ b/packages/soak/src/changeFaultInjector.ts
@@ -23,6 +23,9 @@
 
 const AWAIT_REPLICATION_MILLISECONDS = 1000
 const REPLICATION_POLL_MILLISECONDS = 3
+const LEAVER_POLL_MILLISECONDS = 20
+/** A leaving server that is not replaced as the primary for this long stays. */
+const LEAVER_STAYS_MILLISECONDS = 20_000
 
 type ApplyFault = (planned: PlannedFault) => Promise<void>
 
@@ -32,7 +35,9 @@
   readonly #trace: FaultTrace
   readonly #apply: ApplyFault
   readonly #busyServers = new Set<string>()
-  /** Servers that are down and start again without their log. */
+  /** Servers that are down until the end of the fault that stopped them. */
+  readonly #stopped = new Set<string>()
+  /** Those of them that start again without their log. */
   readonly #withoutLog = new Set<string>()
   /** By service, the primary that was stopped to lose its log. */
   readonly #stoppedPrimaries = new Map<string, string>()
@@ -99,6 +104,7 @@
         await this.#stopServer(this.#serverOf(`${fault.service}/primary`), false)
         return
       case 'serverReplaced':
+      case 'leaverEnds':
         this.#fleet.announceReplacement(fault.server)
         await delay(fault.successorAfterMilliseconds)
         await this.#fleet.startSuccessor(fault.server)
@@ -137,6 +143,9 @@
       case 'serverReplaced':
         this.#fleet.endReplacedServer(fault.server)
         return
+      case 'leaverEnds':
+        await this.#endLeaver(fault.server)
+        return
       case 'replicaDelayed':
         this.#fleet.resetReplicationDelay(fault.server)
         return
@@ -154,11 +163,26 @@
     const losesLog = !keepsLog && (await this.#mayLoseLog(id))
     this.#trace.write('server_stopped', { server: id, losesLog })
     if (losesLog) this.#withoutLog.add(id)
+    this.#stopped.add(id)
     this.#fleet.stopServer(id, losesLog)
   }
 
+  /** A server that runs, since an overlapping fault has ended, keeps what it has received. */
   #startServer(id: string): void {
-    this.#fleet.startServer(id, this.#withoutLog.delete(id))
+    const isEmpty = this.#withoutLog.delete(id)
+    if (this.#stopped.delete(id)) this.#fleet.startServer(id, isEmpty)
+  }
+
+  isStopped(id: string): boolean {
+    return this.#stopped.has(id)
+  }
+
+  /** A primary, or a server that is about to lead, stays: only it may hold the last writes. */
+  async #endLeaver(id: string): Promise<void> {
+    const until = performance.now() + LEAVER_STAYS_MILLISECONDS
+    const mustStay = (): boolean => this.#isPrimary(id) || this.lateOrders.isPromotionPending(id)
+    while (mustStay() && performance.now() < until) await delay(LEAVER_POLL_MILLISECONDS)
+    if (!mustStay()) this.#fleet.endLeaver(id)
   }
 
   #isPrimary(id: string): boolean {
--- a/packages/soak/src/changeFaults.ts
+++ b/packages/soak/src/changeFaults.ts
@@ -35,6 +35,12 @@
       /** From the announcement that it leaves until its successor is listed. */
       readonly successorAfterMilliseconds: number
     }
+  /** The server leaves and ends, and its log with it; its successor, which starts before, receives from the primary. */
+  | {
+      readonly kind: 'leaverEnds'
+      readonly server: string
+      readonly successorAfterMilliseconds: number
+    }
   /** The server receives replicated records with a delay. */
   | {
       readonly kind: 'replicaDelayed'
@@ -72,8 +78,11 @@
 export const isChangeFault = (fault: Fault): fault is ChangeFault =>
   [...CHANGE_FAULT_KINDS, ...NAMED_CHANGE_FAULT_KINDS].some(kind => kind === fault.kind)
 
-/** Only where they are named: hosts do not replace a primary that has become a replica without a promotion. */
-export const NAMED_CHANGE_FAULT_KINDS: readonly ChangeFault['kind'][] = ['primaryLosesLog']
+/** Only where they are named, so that recorded seeds keep their plans. */
+export const NAMED_CHANGE_FAULT_KINDS: readonly ChangeFault['kind'][] = [
+  'primaryLosesLog',
+  'leaverEnds',
+]
 
 /** What makes hosts replace the primary that it hits. */
 const CAUSES: readonly FaultKind[] = [
@@ -155,7 +164,9 @@
   const service = pick(sizes.services, random)
   const ofService = { ...sizes, services: [service] }
   const causes = CAUSES.filter(kind => sizes.kinds.includes(kind))
-  const kinds = COMPANIONS.filter(kind => sizes.kinds.includes(kind))
+  const kinds = [...COMPANIONS, ...NAMED_CHANGE_FAULT_KINDS].filter(kind =>
+    sizes.kinds.includes(kind),
+  )
   const servers = MEMBERS.map(member => memberReference(service, member))
   const primary = [memberReference(service, 'primary')]
   const cause = {
--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -1,6 +1,5 @@
 /** Executes a fault plan: starts each fault at its time and ends it after its duration. Faults may overlap. */
 import { setTimeout as delay } from 'node:timers/promises'
-import { backendServerId } from '@nutmegcourse/shared'
 import type { BackendCommand } from '@nutmegcourse/protocol'
 import type { CommandFault, MemoryServer } from '@nutmegcourse/stand-ins'
 import type { RandomSource } from '@nutmegcourse/shared'
@@ -81,6 +80,12 @@
     )
   }
 
+  /** A server that another fault has stopped is started by the end of that fault. */
+  #recover(server: string): void {
+    if (this.#changes.isStopped(server)) return
+    this.#fleet.recoverServer(server)
+  }
+
   #tracePrimaries(): void {
     for (const group of this.#fleet.groups) {
       const primary = group.currentPrimary
@@ -141,8 +146,7 @@
         relay.silence({ from: [fault.from], to: [fault.host] })
         return
       case 'serverCrashed':
-        this.#fleet.groupOf(fault.server).crash(this.#server(fault.server))
-        this.#fleet.dialer.closeConnections(backendServerId(fault.server))
+        this.#fleet.crashServer(fault.server)
         return
       case 'serverSilent':
         this.#server(fault.server).isSilent = true
@@ -192,14 +196,12 @@
         relay.cut({ from: [fault.from], to: [fault.host], cut: false, oneWay: false })
         return
       case 'serverCrashed':
-        this.#fleet.groupOf(fault.server).recover(this.#server(fault.server))
+        this.#recover(fault.server)
         return
-      case 'serverSilent': {
-        const server = this.#server(fault.server)
-        server.isSilent = false
-        this.#fleet.groupOf(fault.server).recover(server)
+      case 'serverSilent':
+        this.#server(fault.server).isSilent = false
+        this.#recover(fault.server)
         return
-      }
       case 'replicaDeaf':
         this.#server(fault.server).isReplicationBlocked = false
         return
@@ -280,6 +282,7 @@
     case 'entryLapses':
     case 'serverRestarts':
     case 'serverReplaced':
+    case 'leaverEnds':
     case 'replicaDelayed':
       return `${fault.kind} ${fault.server}`
     case 'promotionsLate':
--- a/packages/soak/src/faultPlan.ts
+++ b/packages/soak/src/faultPlan.ts
@@ -162,6 +162,7 @@
     case 'entryLapses':
       return { kind, server: pick(servers, random) }
     case 'serverReplaced':
+    case 'leaverEnds':
       return {
         kind,
         server: pick(servers, random),
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -31,6 +31,8 @@
   readonly hasChangeSeries: boolean
   /** Adds customers, classes and load beyond the slots of the backend servers. */
   readonly isHardLoad: boolean
+  /** The faults; drawn from the seed by default. */
+  readonly plan?: readonly PlannedFault[]
   readonly program: string
   /** The directory for the settings and logs of the hosts. */
   readonly directory: string
@@ -151,8 +153,9 @@
     this.#fleet.close()
   }
 
-  #planFaults(): PlannedFault[] {
-    const { seconds, paceMilliseconds, kinds, hasChangeSeries } = this.#options
+  #planFaults(): readonly PlannedFault[] {
+    const { plan, seconds, paceMilliseconds, kinds, hasChangeSeries } = this.#options
+    if (plan !== undefined) return plan
     const sizes = {
       hosts: this.#fleet.hosts.map(({ plan }) => plan.name),
       servers: this.#fleet.groups.flatMap(group => [...group.servers.keys()]),
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -91,6 +91,7 @@
   readonly #lapseTimers = new Map<string, NodeJS.Timeout>()
   /** Every server that ever ran, with its group. */
   readonly #servers = new Map<string, { group: MemoryGroup; server: MemoryServer }>()
+  readonly #takenPorts = new Set<number>()
   /** The relay ports by which each host reaches the servers. */
   readonly #serverPorts = new Map<string, Map<string, number>>()
 
@@ -119,6 +120,7 @@
     this.publishConfiguration()
     // Allocated together: a port is free until its host listens, so a later call could return it again.
     const ports = await freePorts(this.plan.hosts * PORTS_PER_HOST)
+    for (const port of ports) this.#takenPorts.add(port)
     for (let index = 0; index < this.plan.hosts; index += 1) {
       await this.#addHost(index, ports.slice(index * PORTS_PER_HOST))
     }
@@ -201,15 +203,29 @@
     )
   }
 
-  /** Stops a server; its entry lapses if it stays down. Without its log it doesn't know either that it led. */
-  stopServer(id: string, losesLog: boolean): void {
+  /** Ends a server's process: its connections break, and new ones are refused. */
+  crashServer(id: string): void {
     const { group, server } = this.#known(id)
     group.crash(server)
+    this.dialer.closeConnections(server.id)
+    this.relay.refuse(id, true)
+  }
+
+  /** Starts a server's process with its log, unless it runs. */
+  recoverServer(id: string): void {
+    const { group, server } = this.#known(id)
+    this.relay.refuse(id, false)
+    group.recover(server)
+  }
+
+  /** Stops a server; its entry lapses if it stays down. Without its log it doesn't know either that it led. */
+  stopServer(id: string, losesLog: boolean): void {
+    const { server } = this.#known(id)
+    this.crashServer(id)
     if (losesLog) {
       server.log = []
       server.role = 'replica'
     }
-    this.dialer.closeConnections(server.id)
     clearTimeout(this.#lapseTimers.get(id))
     const lapse = setTimeout(() => {
       this.lapseEntry(id)
@@ -220,6 +236,7 @@
   startServer(id: string, isEmpty: boolean): void {
     const { group, server } = this.#known(id)
     clearTimeout(this.#lapseTimers.get(id))
+    this.relay.refuse(id, false)
     if (isEmpty) group.restartEmpty(server)
     else group.recover(server)
     const entry = this.#entries.get(server.id)
@@ -258,9 +275,22 @@
     }
     if (successor === undefined || !group.servers.has(server.id)) return
     group.replaceServer(server, successor)
-    this.dialer.closeConnections(server.id)
-    this.#entries.delete(server.id)
-    this.store.unlistServer(server.id)
+    this.#removeServer(server)
+  }
+
+  /** Ends a leaving server, and its log with it, if its successor has started. */
+  endLeaver(leaving: string): void {
+    const { group, server } = this.#known(leaving)
+    if (!this.#successors.has(leaving) || !group.servers.has(server.id)) return
+    group.removeServer(server)
+    this.#removeServer(server)
+  }
+
+  #removeServer({ id }: MemoryServer): void {
+    this.relay.refuse(id, true)
+    this.dialer.closeConnections(id)
+    this.#entries.delete(id)
+    this.store.unlistServer(id)
   }
 
   setReplicationDelay(id: string, milliseconds: number): void {
@@ -335,6 +365,16 @@
     })
   }
 
+  /** A port that nothing of this fleet uses, also not a host or a server that is down. */
+  async #takePort(): Promise<number> {
+    for (;;) {
+      const [port = 0] = await freePorts(1)
+      if (this.#takenPorts.has(port)) continue
+      this.#takenPorts.add(port)
+      return port
+    }
+  }
+
   async #addHost(index: number, ports: readonly number[]): Promise<void> {
     const name = `host-${String(index + 1)}`
     const zone = ZONES[index % ZONES.length] ?? ZONES[0]
@@ -387,6 +427,6 @@
   /** Opens a separate relay port for each server, so that this host's link to it can fail independently. */
   async #openServerLink(host: string, server: string): Promise<void> {
     const link = { sourceZone: host, targetZone: server, target: server }
-    this.#serverPorts.get(host)?.set(server, await this.relay.addLink(link))
+    this.#serverPorts.get(host)?.set(server, await this.relay.addLink(link, await this.#takePort()))
   }
 }
--- a/packages/stand-ins/src/hostPlatform/memoryGroup.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryGroup.ts
@@ -264,6 +264,12 @@
     return successor
   }
 
+  /** Ends a server, and its log with it. */
+  removeServer(server: MemoryServer): void {
+    server.isDown = true
+    this.servers.delete(server.id)
+  }
+
   #isDuplicate(server: MemoryServer, id: string): boolean {
     return server.log.filter(write => write.id === id).length > 1
   }
--- a/packages/stand-ins/src/relay/relay.ts
+++ b/packages/stand-ins/src/relay/relay.ts
@@ -53,12 +53,19 @@
   isSilenced: boolean
 }
 
+interface Listener {
+  readonly server: Server
+  readonly port: number
+}
+
 const zonePair = (from: string, to: string): string => `${from} ${to}`
 
 export class Relay {
   readonly #settings: RelaySettings
   readonly #targets = new Map<string, number>()
   readonly #servers: Server[] = []
+  /** By target, the listeners of its links with their ports. */
+  readonly #listeners = new Map<string, Listener[]>()
   readonly #flows = new Set<Flow>()
   readonly #controlSockets = new Set<Socket>()
   readonly #cuts = new Set<string>()
@@ -102,15 +109,32 @@
     for (const flow of this.#flows) for (const socket of flow.sockets) socket.destroy()
   }
 
-  /** Opens a port by which a zone reaches a target. */
-  async addLink(link: Link): Promise<number> {
+  /** Opens a port by which a zone reaches a target; any free one by default. */
+  async addLink(link: Link, wantedPort = 0): Promise<number> {
     const server = createServer({ noDelay: true, allowHalfOpen: true }, socket => {
       this.#accept(link, socket)
     })
     this.#servers.push(server)
-    server.listen({ host: this.#settings.address, port: 0 })
+    server.listen({ host: this.#settings.address, port: wantedPort })
     await once(server, 'listening')
-    return (server.address() as AddressInfo).port
+    const { port } = server.address() as AddressInfo
+    this.#listeners.set(link.target, [...this.#listenersOf(link.target), { server, port }])
+    return port
+  }
+
+  #listenersOf(target: string): readonly Listener[] {
+    return this.#listeners.get(target) ?? []
+  }
+
+  /**
+   * Refuses new connections to a target, as its machine does when no process listens, or accepts them again. The ports
+   * of its links must not be ones that the operating system uses for outgoing connections.
+   */
+  refuse(target: string, isRefused: boolean): void {
+    for (const { server, port } of this.#listenersOf(target)) {
+      if (isRefused) server.close()
+      else if (!server.listening) server.listen({ host: this.#settings.address, port })
+    }
   }
 
   /** Sets the port on which a target listens. */
