fix(coordination): a group stays paused while an order to promote has no answer

Callers saw writes lost that had been acknowledged within the second before a promotion took effect.

Cause: the paused members were only kept paused once the order to promote was answered. An order waits up to a second for its answer, and is repeated after that, while it may long be carried out. In that time nobody stopped a dead primary that came back, or paused a server that joined or restarted; the two acknowledged what the chosen server lacked. A primary that came back under another id was not told to step down later either, since it counted as a server that joined, and a pause does not stop a primary.

The three tests of this commit failed before it.

Change: the guard begins with the choice, and works while an order is awaited; a member that joined and leads steps down, in the old term. In the exploration a wait beside an order that is under way adds no order of events, as before; otherwise each answer would count as late.

--- a/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
+++ b/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
@@ -37,6 +37,9 @@
   now = 0
   onReport: (server: BackendServerId, role: string) => boolean = () => true
   onPromoted: () => void = () => undefined
+  readonly joined: BackendServerId[] = []
+  /** What happens before the order to promote is answered. */
+  whileOrdered: (() => Promise<void>) | null = null
   #effectAt = Number.POSITIVE_INFINITY
   #promoted: BackendServerId | null = null
 
@@ -61,7 +64,23 @@
     return server
   }
 
-  plan = (): ChangePlan => this.given
+  plan = (): ChangePlan => ({
+    ...this.given,
+    members: [...this.given.members, ...this.joined.map(server => member(server))],
+  })
+
+  join(id: BackendServerId, role: FakeServer['role']): void {
+    this.joined.push(id)
+    const server = { role, offset: 100, pausedFor: term(0), term: term(1), isReachable: true }
+    this.servers.set(id, server)
+  }
+
+  /** The servers that lead, or receive what a primary writes. */
+  receiving(): BackendServerId[] {
+    return [...this.servers]
+      .filter(([, { isReachable, pausedFor }]) => isReachable && pausedFor === 0)
+      .map(([id]) => id)
+  }
 
   async report(id: BackendServerId): Promise<ServerReport | null> {
     await Promise.resolve()
@@ -99,13 +118,14 @@
   hasLedSince = (): boolean => false
   record = (): void => undefined
 
-  promote(id: BackendServerId): Promise<'accepted'> {
+  async promote(id: BackendServerId): Promise<'accepted'> {
+    await this.whileOrdered?.()
     if (this.at(id).role !== 'primary') {
       this.#promoted = id
       this.#effectAt = this.now + 1000
     }
     this.onPromoted()
-    return Promise.resolve('accepted')
+    return 'accepted'
   }
 
   #takeEffect(id: BackendServerId): void {
@@ -221,6 +241,39 @@
     expect({ isOrdered, pausedAgain }).toEqual({ isOrdered: true, pausedAgain: true })
   })
 
+  // Guards against a dead primary that comes back, or a server that joins, while the order to promote has no answer: the
+  // two acknowledge writes that the chosen server lacks.
+  const untilAnswered: readonly (readonly [string, (group: FakeServers) => void])[] = [
+    ['the primary', group => (group.at(P).isReachable = true)],
+    [
+      'the primary under another id',
+      group => {
+        group.join(C, 'primary')
+      },
+    ],
+    [
+      'a replica',
+      group => {
+        group.join(C, 'replica')
+      },
+    ],
+  ]
+  for (const [name, comeBack] of untilAnswered) {
+    it(`lets ${name} acknowledge nothing that joins while the order to promote has no answer`, async () => {
+      const plan = planOf([member(P), member(A), member(B)])
+      const group = new FakeServers(plan, { p: null, a: 100, b: 100 })
+      group.whileOrdered = async () => {
+        comeBack(group)
+        for (let wait = 0; wait < 10; wait += 1) await group.waitBeforeRetry()
+        group.whileOrdered = null
+      }
+      const receiving: BackendServerId[][] = []
+      group.onPromoted = () => receiving.push(group.receiving())
+      await new PrimaryChangeRun(group, clockOf(group)).run()
+      expect(receiving).toEqual([[A]])
+    })
+  }
+
   // Guards against replicas that stay paused because they were busy when the primary was kept: no write would be
   // acknowledged any more.
   it('does not end a change while a replica that gave no answer is paused beyond the term', async () => {
--- a/packages/coordination/__tests__/synchronous/claimProgram.ts
+++ b/packages/coordination/__tests__/synchronous/claimProgram.ts
@@ -50,6 +50,7 @@
   #now = milliseconds(0)
   #rounds = 0
   #isChoosing = true
+  #promoting: Promise<unknown> | null = null
   #last: { server: number; count: number; report: ServerReport | null } | null = null
   /** The answers that a faulty variant made up. */
   #invented = 0
@@ -93,9 +94,16 @@
     return this.#order({ kind: 'resume', server: indexOf(server) })
   }
 
-  /** Any order may take long, so that a wait during the choice adds no further order of events. */
+  /**
+   * Any order may take long, so that a wait during the choice, or while an order to promote is under way, adds no
+   * further order of events.
+   */
   async waitBeforeRetry(): Promise<void> {
     if (this.#isChoosing) return
+    if (this.#promoting !== null) {
+      await this.#promoting
+      return
+    }
     this.#last = null
     await this.#ports.call({ kind: 'wait' })
     this.#now = addMilliseconds(this.#now, WAIT_MILLISECONDS)
@@ -121,7 +129,10 @@
   async promote(server: BackendServerId): Promise<PromotionAnswerKind> {
     this.#last = null
     const call = { kind: 'promote', server: indexOf(server), token: this.#change.token } as const
-    return (await this.#ports.call(call)) as PromotionAnswerKind
+    this.#promoting = this.#ports.call(call)
+    const answer = await this.#promoting
+    this.#promoting = null
+    return answer as PromotionAnswerKind
   }
 
   record(event: ChangeEvent): void {
--- a/packages/coordination/src/synchronous/pauseGuard.ts
+++ b/packages/coordination/src/synchronous/pauseGuard.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps a group paused while a promotion is awaited. A replica that restarts, or carries out a late order to resume,
- * receives again, and one that joins the group was never paused; each may acknowledge writes that the chosen server
- * lacks if a primary that could not be stopped goes on. A server that gave no answer may be that primary.
+ * Keeps a group paused from the choice of a server until its promotion takes effect. A replica that restarts, or
+ * carries out a late order to resume, receives again, and one that joins the group was never paused; each may
+ * acknowledge writes that the chosen server lacks if a primary that could not be stopped goes on. A server that gave no
+ * answer, or one that joins, may be that primary.
  *
  * @internal
  */
@@ -20,17 +21,17 @@
 export class PauseGuard {
   readonly #chosen: ChosenPrimary
   readonly #ports: PauseGuardPorts
-  /** Members that were known when the server was chosen. */
+  /** The members among which the server was chosen. */
   readonly #known: ReadonlySet<BackendServerId>
   /** The servers that have been paused. */
   readonly #paused: Set<BackendServerId>
   readonly #pending = new Map<BackendServerId, Promise<void>>()
 
-  constructor(chosen: ChosenPrimary, ports: PauseGuardPorts) {
+  constructor(chosen: ChosenPrimary, known: ReadonlySet<BackendServerId>, ports: PauseGuardPorts) {
     this.#chosen = chosen
     this.#ports = ports
     this.#paused = new Set(chosen.frozen.map(({ server }) => server))
-    this.#known = new Set(ports.members())
+    this.#known = known
   }
 
   /** Repeats each order whose last attempt was answered or timed out. */
@@ -40,7 +41,8 @@
       this.#unlessPending(server, () => this.#pause(server))
     }
     // One of them may be the primary, which goes on as long as a replica receives.
-    for (const server of this.#chosen.missing) {
+    for (const server of this.#known) {
+      if (server === this.#chosen.server || this.#paused.has(server)) continue
       this.#unlessPending(server, () => this.#stop(server))
     }
   }
@@ -65,7 +67,13 @@
 
   async #pause(server: BackendServerId): Promise<void> {
     const report = await this.#ports.pause(server, this.#chosen.pausedFor)
-    if (report === null || this.#paused.has(server) || this.#isOfNewTerm(report)) return
+    if (report === null || this.#isOfNewTerm(report)) return
+    // A dead primary may return, also under another id.
+    if (report.role === 'primary') {
+      await this.#stop(server)
+      return
+    }
+    if (this.#paused.has(server)) return
     this.#paused.add(server)
     this.#ports.onJoined(server, report.received)
   }
--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -109,18 +109,15 @@
       if (round > 0) await this.#ports.waitBeforeRound()
       if (!(await this.#ports.renewClaim())) return { kind: 'claimLost' }
       this.#ports.record({ kind: 'round', round })
-      const choice = await new PrimaryChoice(
-        this.#ports.plan(),
-        this.#ports,
-        this.#withoutLog,
-      ).choose()
+      const plan = this.#ports.plan()
+      const choice = await new PrimaryChoice(plan, this.#ports, this.#withoutLog).choose()
       if (choice.isErr()) {
         this.#ports.record({ kind: 'waiting', failure: choice.error })
         continue
       }
       const chosen = choice.value
       this.#ports.record({ kind: 'chosen', chosen })
-      const ended = await this.#order(chosen)
+      const ended = await this.#order(chosen, this.#guardOf(chosen, plan))
       switch (ended) {
         case 'effective':
           return this.#finish(chosen)
@@ -135,17 +132,28 @@
     return { kind: 'givenUp' }
   }
 
-  async #order(chosen: ChosenPrimary): Promise<OrderEnd> {
+  #guardOf(chosen: ChosenPrimary, { members }: ChangePlan): PauseGuard {
+    return new PauseGuard(chosen, new Set(members.map(({ server }) => server)), {
+      pause: (server, pausedFor) => this.#ports.pause(server, pausedFor),
+      stepDown: (server, nextTerm) => this.#ports.stepDown(server, nextTerm),
+      members: () => this.#ports.plan().members.map(({ server }) => server),
+      onJoined: (server, position) => {
+        this.#ports.record({ kind: 'joined', server, position })
+      },
+    })
+  }
+
+  async #order(chosen: ChosenPrimary, guard: PauseGuard): Promise<OrderEnd> {
     const { server } = chosen
     const orderedAt = this.#clock.now()
     this.#hasUnansweredOrder = false
     for (let attempt = 0; attempt < MAX_PROMOTION_ATTEMPTS; attempt += 1) {
       if (attempt > 0) await this.#ports.waitBeforeRound()
       if (!this.#ports.isClaimHeld()) return 'claimLost'
-      const outcome = await this.#ports.promote(server, attempt)
+      const outcome = await this.#whileGuarded(guard, this.#ports.promote(server, attempt))
       switch (outcome) {
         case 'accepted':
-          return this.#awaitEffect(chosen, orderedAt)
+          return this.#awaitEffect(chosen, guard, orderedAt)
         case 'rejected':
           return this.#hasUnansweredOrder ? 'unresolved' : 'refused'
         case 'unavailable':
@@ -158,15 +166,21 @@
     return this.#hasUnansweredOrder ? 'unresolved' : 'refused'
   }
 
-  async #awaitEffect(chosen: ChosenPrimary, orderedAt: Milliseconds): Promise<OrderEnd> {
-    const guard = new PauseGuard(chosen, {
-      pause: (server, pausedFor) => this.#ports.pause(server, pausedFor),
-      stepDown: (server, nextTerm) => this.#ports.stepDown(server, nextTerm),
-      members: () => this.#ports.plan().members.map(member => member.server),
-      onJoined: (server, position) => {
-        this.#ports.record({ kind: 'joined', server, position })
-      },
-    })
+  /** Keeps the group paused while an order is awaited: it may be carried out although its answer is late or lost. */
+  async #whileGuarded<Outcome>(guard: PauseGuard, outcome: Promise<Outcome>): Promise<Outcome> {
+    const answer = outcome.then(value => ({ value }))
+    for (;;) {
+      const first = await Promise.race([answer, this.#ports.waitBeforeRetry().then(() => null)])
+      if (first !== null) return first.value
+      this.#repeatPauses(guard)
+    }
+  }
+
+  async #awaitEffect(
+    chosen: ChosenPrimary,
+    guard: PauseGuard,
+    orderedAt: Milliseconds,
+  ): Promise<OrderEnd> {
     const isEffective =
       chosen.how === 'primaryKept'
         ? await this.#staysPrimary(chosen, guard)
