fix(coordination): a server that joins during a choice is asked before the order to promote

Callers saw writes lost that had been acknowledged: up to some 90 in the second before a promotion took effect, while another replica had them.

Cause: a round of a choice asks the servers that are known when it begins. It takes one to two seconds when servers are full, since each order is repeated for a second. A server that joined meanwhile, say the successor of a leaving one, was neither asked nor paused: it counted as known once the pauses began to be repeated. A full primary that gave no answer acknowledged through it what the chosen server lacked. The same held for a server that started again in that time, whose pause had ended.

What joins later is paused as before, and so is every member that was asked and gave no answer. Both tests failed before.

--- a/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
+++ b/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
@@ -40,6 +40,7 @@
   readonly joined: BackendServerId[] = []
   /** What happens before the order to promote is answered. */
   whileOrdered: (() => Promise<void>) | null = null
+  readonly #restarts = new Map<BackendServerId, number>()
   #effectAt = Number.POSITIVE_INFINITY
   #promoted: BackendServerId | null = null
 
@@ -66,9 +67,18 @@
 
   plan = (): ChangePlan => ({
     ...this.given,
-    members: [...this.given.members, ...this.joined.map(server => member(server))],
+    members: [...this.given.members, ...this.joined.map(server => member(server))].map(each => ({
+      ...each,
+      startedAtUnixMilliseconds: this.#restarts.get(each.server) ?? 0,
+    })),
   })
 
+  /** Restarts a server with its log, which ends its pause. */
+  restart(id: BackendServerId): void {
+    this.#restarts.set(id, (this.#restarts.get(id) ?? 0) + 1)
+    this.at(id).pausedFor = term(0)
+  }
+
   join(id: BackendServerId, role: FakeServer['role']): void {
     this.joined.push(id)
     const server = { role, offset: 100, pausedFor: term(0), term: term(1), isReachable: true }
@@ -153,6 +163,7 @@
   server,
   isLeaving: false,
   isListed: true,
+  startedAtUnixMilliseconds: null,
   mayHoldWrites: true,
   holdsUpTo: null,
   mayReturn: true,
@@ -241,6 +252,41 @@
     expect({ isOrdered, pausedAgain }).toEqual({ isOrdered: true, pausedAgain: true })
   })
 
+  // Guards against a server that joins while full servers delay the choice: nobody pauses it, and the primary that gives
+  // no answer acknowledges through it what the chosen server lacks.
+  const whileChosen: readonly (readonly [string, (group: FakeServers) => void])[] = [
+    [
+      'joins',
+      group => {
+        group.join(C, 'replica')
+      },
+    ],
+    [
+      'starts again',
+      group => {
+        group.restart(B)
+      },
+    ],
+  ]
+  for (const [name, change] of whileChosen) {
+    it(`asks the group again when a server ${name} before the order to promote`, async () => {
+      const plan = planOf([member(P), member(A), member(B)])
+      const group = new FakeServers(plan, { p: null, a: 100, b: 100 })
+      let isChanged = false
+      group.onReport = server => {
+        if (server === A && !isChanged && group.at(B).pausedFor !== 0) {
+          isChanged = true
+          change(group)
+        }
+        return true
+      }
+      const receiving: BackendServerId[][] = []
+      group.onPromoted = () => receiving.push(group.receiving())
+      await new PrimaryChangeRun(group, clockOf(group)).run()
+      expect({ isChanged, receiving: receiving[0] }).toEqual({ isChanged: true, receiving: [A] })
+    })
+  }
+
   // Guards against a dead primary that comes back, or a server that joins, while the order to promote has no answer: the
   // two acknowledge writes that the chosen server lacks.
   const untilAnswered: readonly (readonly [string, (group: FakeServers) => void])[] = [
--- a/packages/coordination/__tests__/synchronous/claimCases.ts
+++ b/packages/coordination/__tests__/synchronous/claimCases.ts
@@ -303,6 +303,7 @@
       server: nameOf(server),
       isLeaving: leaving.includes(server),
       isListed: true,
+      startedAtUnixMilliseconds: null,
       mayHoldWrites: true,
       holdsUpTo: null,
       mayReturn: true,
--- a/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
@@ -100,6 +100,7 @@
   server,
   isLeaving: false,
   isListed: true,
+  startedAtUnixMilliseconds: null,
   mayHoldWrites: true,
   holdsUpTo: null,
   mayReturn: true,
--- a/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
@@ -144,6 +144,7 @@
   server,
   isLeaving: false,
   isListed: true,
+  startedAtUnixMilliseconds: null,
   mayHoldWrites: true,
   holdsUpTo: null,
   mayReturn: true,
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -27,6 +27,8 @@
 
 export interface GroupMember {
   readonly server: BackendServerId
+  /** When its process started; null if unknown. */
+  readonly startedAtUnixMilliseconds: number | null
   readonly isLeaving: boolean
   /** Whether the store lists it. */
   readonly isListed: boolean
@@ -104,6 +106,8 @@
   | { readonly kind: 'incompleteList' }
   /** The primary did not confirm that it stepped down. */
   | { readonly kind: 'primaryNotStopped'; readonly server: BackendServerId }
+  /** A server joined the group, or started again, after the group was asked. */
+  | { readonly kind: 'groupChanged'; readonly server: BackendServerId }
   /** A server reported a newer term than all had reported before: another promotion took effect. */
   | { readonly kind: 'newerTerm'; readonly server: BackendServerId }
 
--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -115,6 +115,12 @@
         this.#ports.record({ kind: 'waiting', failure: choice.error })
         continue
       }
+      const newcomer = findNewcomer(plan, this.#ports.plan())
+      if (newcomer !== null) {
+        const failure = { kind: 'groupChanged', server: newcomer } as const
+        this.#ports.record({ kind: 'waiting', failure })
+        continue
+      }
       const chosen = choice.value
       this.#ports.record({ kind: 'chosen', chosen })
       const ended = await this.#order(chosen, this.#guardOf(chosen, plan))
@@ -257,3 +263,20 @@
     }
   }
 }
+
+/**
+ * A listed server that was not listed when the group was asked, or not in its present incarnation. It is not paused, and may have
+ * acknowledged writes since they were asked.
+ */
+function findNewcomer(asked: ChangePlan, present: ChangePlan): BackendServerId | null {
+  const startOf = new Map(
+    asked.members
+      .filter(({ isListed }) => isListed)
+      .map(member => [member.server, member.startedAtUnixMilliseconds]),
+  )
+  const newcomer = present.members.find(
+    ({ server, isListed, startedAtUnixMilliseconds }) =>
+      isListed && startOf.get(server) !== startedAtUnixMilliseconds,
+  )
+  return newcomer?.server ?? null
+}
--- a/packages/host/src/claimedChange.ts
+++ b/packages/host/src/claimedChange.ts
@@ -41,8 +41,9 @@
     const now = context.clock.now()
     const listed = directory
       .ofService(service.name)
-      .map(({ entry: { server }, leavingSince, goneSince }) => ({
+      .map(({ entry: { server, startedAtUnixMilliseconds }, leavingSince, goneSince }) => ({
         server,
+        startedAtUnixMilliseconds,
         isLeaving: leavingSince !== null || goneSince !== null,
         isListed: true,
         mayHoldWrites: true,
@@ -54,8 +55,9 @@
       }))
     const dropped = directory
       .recentlyDropped(service.name)
-      .map(({ entry: { server }, mayHoldWrites }) => ({
+      .map(({ entry: { server, startedAtUnixMilliseconds }, mayHoldWrites }) => ({
         server,
+        startedAtUnixMilliseconds,
         isLeaving: true,
         isListed: false,
         mayHoldWrites,
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -211,7 +211,7 @@
     fields: {
       service: 'the service',
       token: 'the fencing token',
-      kind: 'noReplica, unknownReplica (it may hold more), incompleteList, primaryNotStopped or newerTerm (another promotion took effect)',
+      kind: 'noReplica, unknownReplica (it may hold more), incompleteList, primaryNotStopped, groupChanged (it joined or started again after the group was asked) or newerTerm (another promotion took effect)',
       server: 'the server that prevents it',
       missing:
         'for unknownReplica: the servers that may hold acknowledged writes and did not answer, with the position up to which they may hold them (null: unknown) and whether they may return with their log',
