fix(host): a host that knows no primary asks the others before it names one

Cause: a host that has just started does not know a live primary whose entry has lapsed. After two seconds without one it replaced it, although every other host was sending writes there. Nobody could object, as hosts only vote about a primary that a host knows.

Change: a host that has known no primary for 1.5 s publishes that; hosts that reach one answer as they do when a primary is suspected, and then it waits. The test failed before. A primary that all hosts have dropped is still taken as gone.

--- a/packages/coordination/__tests__/synchronous/primarySuspicion.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primarySuspicion.spec.ts
@@ -241,6 +241,8 @@
     const done = { phase: 'done', holder: 'h', primary: P } as const
     expect(readChangeRecord(writeRecord(done))).toEqual(done)
     const denial = { primary: P, reaches: true }
+    const missing = { primary: null, reaches: false }
+    expect(readSuspicionRecord(writeRecord(missing))).toEqual(missing)
     expect(readSuspicionRecord(writeRecord(denial))).toEqual(denial)
     expect(readRecordName('suspicion/s/h')).toEqual({ kind: 'suspicion', service: 's', host: 'h' })
     expect(readRecordName('elsewhere/s')).toEqual(null)
--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -11,9 +11,10 @@
   | { readonly phase: 'claimed'; readonly holder: string; readonly attempt: AttemptId }
   | { readonly phase: 'done'; readonly holder: string; readonly primary: BackendServerId }
 
-/** A host's view of the primary of a service, recorded when some host gets no answer from it. */
+/** A host's view of the primary of a service, recorded when some host gets no answer from it or knows none. */
 export interface SuspicionRecord {
-  readonly primary: BackendServerId
+  /** Null if this host knows no primary. */
+  readonly primary: BackendServerId | null
   /** True if this host reaches the primary, false if it gets no answer either. */
   readonly reaches: boolean
 }
@@ -87,8 +88,10 @@
 export function readSuspicionRecord(text: string): SuspicionRecord | null {
   const fields = parse(text)
   const primary = textOf(fields, 'primary')
-  if (primary === null) return null
-  return { primary: backendServerId(primary), reaches: fields.reaches === true }
+  if (primary !== null) {
+    return { primary: backendServerId(primary), reaches: fields.reaches === true }
+  }
+  return fields.primary === null ? { primary: null, reaches: false } : null
 }
 
 export function readHostRecord(text: string): HostRecord | null {
--- a/packages/coordination/src/synchronous/primarySuspicion.ts
+++ b/packages/coordination/src/synchronous/primarySuspicion.ts
@@ -62,7 +62,7 @@
 export type SuspicionAdvice = 'trust' | 'vote' | 'act'
 
 interface Vote {
-  readonly primary: BackendServerId
+  readonly primary: BackendServerId | null
   readonly at: number
   readonly reaches: boolean
 }
@@ -82,9 +82,19 @@
     this.#votes.set(host, { primary, at: now, reaches: true })
   }
 
-  /** Whether another host has voted against the server within the lifetime of a vote. */
+  /** Records that another host knows no primary. */
+  recordMissing(host: string, now: Milliseconds): void {
+    this.#votes.set(host, { primary: null, at: now, reaches: false })
+  }
+
+  /** Whether another host has voted against the server, or knew no primary, within the lifetime of a vote. */
   isSuspected(primary: BackendServerId, now: Milliseconds): boolean {
-    return this.#count(primary, false, now) > 0
+    return this.#count(primary, false, now) > 0 || this.#count(null, false, now) > 0
+  }
+
+  /** Whether another host reached a primary within the lifetime of a vote. */
+  isReachedByOthers(now: Milliseconds): boolean {
+    return [...this.#votes.values()].some(vote => vote.reaches && isFresh(vote, now))
   }
 
   removeVote(host: string): void {
@@ -120,16 +130,17 @@
     return suspectedFor >= SINGLE_HOST_DELAY_MILLISECONDS ? 'act' : 'vote'
   }
 
-  #count(primary: BackendServerId, reaches: boolean, now: Milliseconds): number {
+  #count(primary: BackendServerId | null, reaches: boolean, now: Milliseconds): number {
     let count = 0
     for (const vote of this.#votes.values()) {
-      const isFresh = now - vote.at < VOTE_LIFETIME_MILLISECONDS
-      if (vote.primary === primary && vote.reaches === reaches && isFresh) count += 1
+      if (vote.primary === primary && vote.reaches === reaches && isFresh(vote, now)) count += 1
     }
     return count
   }
 }
 
+const isFresh = ({ at }: Vote, now: Milliseconds): boolean => now - at < VOTE_LIFETIME_MILLISECONDS
+
 const isSuspicious = (observations: PrimaryObservations): boolean =>
   observations.silentMilliseconds >= SUSPECT_AFTER_MILLISECONDS ||
   observations.refusals >= REFUSALS_TO_SUSPECT
--- a/packages/host/__tests__/changeReviewed.spec.ts
+++ b/packages/host/__tests__/changeReviewed.spec.ts
@@ -12,6 +12,9 @@
 /** A host that has just started replaces no silent primary, since its list may still lack live servers. */
 const LIST_COMPLETE_MILLISECONDS = 3000
 
+/** Hosts keep a server for a little longer after its entry is gone. */
+const ENTRY_GRACE_MILLISECONDS = 3800
+
 /** Longer than a lease, a host's rank, and the time after which a claim is made again. */
 const NEXT_CHANGE_MILLISECONDS = 12_000
 
@@ -107,3 +110,25 @@
     })
   })
 })
+
+describe('a host that has just started', () => {
+  // Guards against a host that replaces a live primary which it does not know, since its entry has lapsed.
+  it('names no primary while another host reaches one', async () => {
+    await withHostFixture(1, async scene => {
+      scene.store.unlistServer(P)
+      scene.add('host-2')
+      await scene.ready()
+      const [first] = scene.hosts
+      if (first === undefined) return
+      const caller = await scene.caller(first, 'latest')
+      const until = performance.now() + ENTRY_GRACE_MILLISECONDS
+      while (performance.now() < until) {
+        await caller.outcomeOf('write 1')
+        await wait(50)
+      }
+      scene.listServer(P)
+      await wait(500)
+      expect(linesOf(scene, 'change_claimed').map(({ fields }) => fields.reason)).toEqual([])
+    })
+  })
+})
--- a/packages/host/src/failoverController.ts
+++ b/packages/host/src/failoverController.ts
@@ -42,6 +42,12 @@
  */
 const MISSING_PRIMARY_MILLISECONDS = 2000
 
+/**
+ * Time without a primary after which the other hosts are asked whether they reach one: longer than most changes, and early
+ * enough for their answers.
+ */
+const ASK_FOR_PRIMARY_MILLISECONDS = 1500
+
 /** An acknowledged write is in the logs of two servers, so this many may be unreachable when a primary is named. */
 const MAXIMUM_UNREACHABLE = 1
 
@@ -133,10 +139,11 @@
 
   receiveSuspicion(host: string, value: string | null): void {
     const suspicion = value === null ? null : readSuspicionRecord(value)
+    const now = this.#context.clock.now()
     if (suspicion === null) this.#suspicion.removeVote(host)
-    else if (suspicion.reaches) {
-      this.#suspicion.recordDenial(host, suspicion.primary, this.#context.clock.now())
-    } else this.#suspicion.recordVote(host, suspicion.primary, this.#context.clock.now())
+    else if (suspicion.primary === null) this.#suspicion.recordMissing(host, now)
+    else if (suspicion.reaches) this.#suspicion.recordDenial(host, suspicion.primary, now)
+    else this.#suspicion.recordVote(host, suspicion.primary, now)
   }
 
   tick(now: Milliseconds): void {
@@ -184,9 +191,20 @@
     return advice === 'act' ? 'silent' : null
   }
 
-  /** A host that cannot reach the servers may merely not see their primary. */
+  /**
+   * A host that cannot reach the servers may merely not see their primary, and one that has just started may not know a
+   * live primary whose entry lapsed, which other hosts reach.
+   */
   #isPrimaryMissing(now: Milliseconds, turnDelay: number): boolean {
+    if (this.#suspicion.isReachedByOthers(now)) {
+      this.#missingSince = null
+      return false
+    }
     this.#missingSince ??= now
+    const isAsked = now >= addMilliseconds(this.#missingSince, ASK_FOR_PRIMARY_MILLISECONDS)
+    if (isAsked && !this.#isClaimedByOther()) {
+      this.#castVote({ primary: null, reaches: false }, now)
+    }
     const { servers } = this.#service
     const unreachable = servers.filter(
       server => server.pool.refusals > 0 || server.silentMilliseconds(now) > 0,
