fix(coordination): the logs of servers that restarted count when no other is as new

Cause: what a server holds that restarted since the last known change of primary was not looked at, as it may have begun its log anew. When every server of a group had restarted, no log was looked at, and the replica that came first by its location was promoted, here one that had received nothing for two terms. All restarted members together counted as one missing server, so nothing stopped it.

The flags were from restarts of earlier terms: a promotion whose effect its holder does not see is not recorded.

Change: the log of a restarted server counts if it has records of a newer term than all that did not restart; it still counts as one that may have lost some.

--- a/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
+++ b/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
@@ -203,6 +203,28 @@
     expect(result.isOk() ? result.value.server : result.error.kind).toEqual(P)
   })
 
+  // Guards against the replica with the shortest log, which is promoted when every server of the group has restarted: the
+  // logs of the others, among them that of the newest term, were not looked at.
+  it('chooses the furthest log when all servers have restarted', async () => {
+    const restarted = { hasRestarted: true }
+    const plan = planOf([member(P, restarted), member(A, restarted), member(B, restarted)])
+    const group = new FakeServers(plan, { p: 100, a: 90, b: 40 })
+    group.at(B).pausedFor = term(0)
+    group.at(A).pausedFor = term(2)
+    const result = await new PrimaryChoice(plan, group).choose()
+    expect(result.isOk() ? result.value.server : result.error.kind).toEqual(P)
+  })
+
+  // Guards against the same for a server that restarted and has records of a term of which the others know nothing.
+  it('counts the log of a restarted server that has records of a newer term', async () => {
+    const gone = member(P, { mayHoldWrites: false })
+    const plan = planOf([gone, member(A), member(B, { hasRestarted: true })])
+    const group = new FakeServers(plan, { p: null, a: 100, b: 100 })
+    group.at(B).term = term(2)
+    const result = await new PrimaryChoice(plan, group).choose()
+    expect(result.isOk() ? result.value.server : result.error.kind).toEqual(B)
+  })
+
   // Guards against a full primary that is taken for one without its log: it is stopped, and its last position is
   // ignored from then on.
   it('does not take an unanswered second report for a lost log', async () => {
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -253,14 +253,16 @@
     const isAnyLogWritten = [candidate, ...answered].some(
       ({ report }) => report.received.offset > 0,
     )
-    // A server that restarted without its log says nothing about what it held before.
     const frozen = answered.filter(
-      ({ server, hasRestarted, report }) =>
-        !this.#withoutLog.has(server) &&
-        !hasRestarted &&
-        (!isAnyLogWritten || report.received.offset > 0),
+      member =>
+        !this.#withoutLog.has(member.server) &&
+        isWitness(member, [candidate, ...answered]) &&
+        (!isAnyLogWritten || member.report.received.offset > 0),
+    )
+    // One that restarted may hold less than before.
+    const known = new Set(
+      frozen.filter(({ hasRestarted }) => !hasRestarted).map(({ server }) => server),
     )
-    const known = new Set(frozen.map(({ server }) => server))
     const holders = [candidate, ...frozen]
     const missing = [...others, ...unheard].filter(
       member => member.mayHoldWrites && !known.has(member.server) && !isCovered(member, holders),
@@ -421,6 +423,16 @@
   Number(left.isLeaving) - Number(right.isLeaving) ||
   left.distance - right.distance
 
+/**
+ * Whether the candidate has to hold what the member holds. The log of one that restarted since the last known change of
+ * primary may be one that it began anew, unless it has records of a newer term than those that did not restart.
+ */
+function isWitness({ hasRestarted, report }: Reporter, all: readonly Reporter[]): boolean {
+  if (!hasRestarted) return true
+  const others = all.filter(other => !other.hasRestarted)
+  return others.every(other => other.report.received.term < report.received.term)
+}
+
 /** Whether one of the servers holds all acknowledged writes that the member may hold. */
 function isCovered({ holdsUpTo }: GroupMember, holders: readonly Reporter[]): boolean {
   if (holdsUpTo === null) return false
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -133,6 +133,16 @@
     isGone: true,
     heldUpTo: null,
   },
+  // Guards against a primary that crashed while it was leaving and is taken for one that has handed over.
+  {
+    name: 'a leaving primary whose entry is gone may return with its log',
+    arrange: directory => {
+      directory.upsert(entry({ isLeaving: true, role: 'primary' }), at(0))
+      directory.unlist(A, at(1000))
+    },
+    isGone: false,
+    heldUpTo: null,
+  },
   {
     name: 'a server that crashed may return with its log',
     arrange: directory => {
