fix(state): a server that has just joined is not one that lost its log

Change: a server that a host has seen join, once its list was complete, holds nothing that was acknowledged while its log is empty. One that returns, or restarts, still counts. A server that moved from its address no longer counts as gone when another one takes that address.

--- a/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
+++ b/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
@@ -164,6 +164,7 @@
   isLeaving: false,
   isListed: true,
   startedAtUnixMilliseconds: null,
+  hasJoined: false,
   mayHoldWrites: true,
   holdsUpTo: null,
   mayReturn: true,
@@ -225,6 +226,14 @@
     expect(result.isOk() ? result.value.server : result.error.kind).toEqual(B)
   })
 
+  // Guards against a group without a primary that waits for a dead one, since a server that has just joined has no log.
+  it('does not take a server that has just joined for one that lost its log', async () => {
+    const plan = planOf([member(P), member(A), member(C, { hasJoined: true })])
+    const group = new FakeServers(plan, { p: null, a: 100, c: 0 })
+    const result = await new PrimaryChoice(plan, group).choose()
+    expect(result.isOk() ? result.value.server : result.error.kind).toEqual(A)
+  })
+
   // Guards against a full primary that is taken for one without its log: it is stopped, and its last position is
   // ignored from then on.
   it('does not take an unanswered second report for a lost log', async () => {
--- a/packages/coordination/__tests__/synchronous/claimCases.ts
+++ b/packages/coordination/__tests__/synchronous/claimCases.ts
@@ -304,6 +304,7 @@
       isLeaving: leaving.includes(server),
       isListed: true,
       startedAtUnixMilliseconds: null,
+      hasJoined: false,
       mayHoldWrites: true,
       holdsUpTo: null,
       mayReturn: true,
--- a/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
@@ -101,6 +101,7 @@
   isLeaving: false,
   isListed: true,
   startedAtUnixMilliseconds: null,
+  hasJoined: false,
   mayHoldWrites: true,
   holdsUpTo: null,
   mayReturn: true,
--- a/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
@@ -145,6 +145,7 @@
   isLeaving: false,
   isListed: true,
   startedAtUnixMilliseconds: null,
+  hasJoined: false,
   mayHoldWrites: true,
   holdsUpTo: null,
   mayReturn: true,
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -38,6 +38,8 @@
   readonly holdsUpTo: LogPosition | null
   /** False if it has ended for good. */
   readonly mayReturn: boolean
+  /** Whether this host has seen it join, so that an empty log means that it has held nothing. */
+  readonly hasJoined: boolean
   /** Whether it has restarted since the last change of primary, perhaps without its log. */
   readonly hasRestarted: boolean
   /** False for a server whose report is awaited only briefly, and only if it is needed. */
@@ -261,7 +263,11 @@
     )
     // One that restarted may hold less than before.
     const known = new Set(
-      frozen.filter(({ hasRestarted }) => !hasRestarted).map(({ server }) => server),
+      answered
+        .filter(
+          member => isEmptyNewcomer(member) || (frozen.includes(member) && !member.hasRestarted),
+        )
+        .map(({ server }) => server),
     )
     const holders = [candidate, ...frozen]
     const missing = [...others, ...unheard].filter(
@@ -433,6 +439,9 @@
   return others.every(other => other.report.received.term < report.received.term)
 }
 
+const isEmptyNewcomer = ({ hasJoined, report }: Reporter): boolean =>
+  hasJoined && report.received.offset === 0
+
 /** Whether one of the servers holds all acknowledged writes that the member may hold. */
 function isCovered({ holdsUpTo }: GroupMember, holders: readonly Reporter[]): boolean {
   if (holdsUpTo === null) return false
--- a/packages/host/src/claimedChange.ts
+++ b/packages/host/src/claimedChange.ts
@@ -41,23 +41,27 @@
     const now = context.clock.now()
     const listed = directory
       .ofService(service.name)
-      .map(({ entry: { server, startedAtUnixMilliseconds }, leavingSince, goneSince }) => ({
-        server,
-        startedAtUnixMilliseconds,
-        isLeaving: leavingSince !== null || goneSince !== null,
-        isListed: true,
-        mayHoldWrites: true,
-        holdsUpTo: directory.heldUpTo(server),
-        mayReturn: !directory.isGone(server, now),
-        hasRestarted: directory.hasRestarted(server),
-        isAwaited: server !== suspect && !this.#isSilent(server, now),
-        distance: service.server(server)?.distance ?? 0,
-      }))
+      .map(
+        ({ entry: { server, startedAtUnixMilliseconds }, leavingSince, goneSince, hasJoined }) => ({
+          server,
+          startedAtUnixMilliseconds,
+          hasJoined,
+          isLeaving: leavingSince !== null || goneSince !== null,
+          isListed: true,
+          mayHoldWrites: true,
+          holdsUpTo: directory.heldUpTo(server),
+          mayReturn: !directory.isGone(server, now),
+          hasRestarted: directory.hasRestarted(server),
+          isAwaited: server !== suspect && !this.#isSilent(server, now),
+          distance: service.server(server)?.distance ?? 0,
+        }),
+      )
     const dropped = directory
       .recentlyDropped(service.name)
       .map(({ entry: { server, startedAtUnixMilliseconds }, mayHoldWrites }) => ({
         server,
         startedAtUnixMilliseconds,
+        hasJoined: false,
         isLeaving: true,
         isListed: false,
         mayHoldWrites,
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -207,6 +207,47 @@
   }
 })
 
+describe('ServerDirectory: servers that join', () => {
+  const SHORTLY_AFTER = 1000
+  const LATER = 5000
+  const cases: readonly (readonly [
+    string,
+    number,
+    (directory: ServerDirectory) => void,
+    boolean,
+  ])[] = [
+    ['is new once every live server is known', LATER, () => undefined, true],
+    ['may have been there before this host started', SHORTLY_AFTER, () => undefined, false],
+    [
+      'is not new when it returns',
+      LATER,
+      directory => {
+        directory.upsert(entry(), at(0))
+        crash(directory, 0)
+      },
+      false,
+    ],
+  ]
+  for (const [name, joinsAt, arrange, hasJoined] of cases) {
+    it(name, () => {
+      const directory = new ServerDirectory(DRAIN)
+      directory.keepOnly(new Set(), at(0))
+      arrange(directory)
+      directory.upsert(entry(), at(joinsAt))
+      expect(directory.get(A)?.hasJoined).toEqual(hasJoined)
+    })
+  }
+
+  // Guards against a live server that counts as gone since another one took the address that it had before.
+  it('does not end one that had moved from its address before', () => {
+    const directory = new ServerDirectory(DRAIN)
+    directory.noteAppeared(entry(), at(0))
+    directory.noteAppeared(entry({ port: 2, startedAtUnixMilliseconds: 2 }), at(1))
+    directory.noteAppeared(entry({ server: B, startedAtUnixMilliseconds: 3 }), at(2))
+    expect(directory.isGone(A, at(3))).toEqual(false)
+  })
+})
+
 describe('Leadership', () => {
   // A delayed answer of the old primary arrives after the evidence for the new one. Writes
   // must not go back to the old one.
--- a/packages/state/src/synchronous/goneServers.ts
+++ b/packages/state/src/synchronous/goneServers.ts
@@ -18,6 +18,7 @@
   readonly #gone = new Map<BackendServerId, GoneServer>()
   /** By address: the entry that was started last. */
   readonly #latestAt = new Map<string, BackendServerEntry>()
+  readonly #addressOf = new Map<BackendServerId, string>()
 
   /** Records that a server ended, or will count as ended from `since` on if it does not return until then. */
   add(server: BackendServerId, service: string, since: Milliseconds): void {
@@ -29,7 +30,8 @@
 
   /** Two processes cannot listen on one address, so of two servers at an address the one started earlier has ended. */
   recordAppeared(entry: BackendServerEntry, now: Milliseconds): void {
-    const address = addressOf(entry)
+    const address = describeAddress(entry)
+    this.#leaveFormerAddress(entry.server, address)
     const other = this.#latestAt.get(address)
     const isLatest = other === undefined || startOf(other) <= startOf(entry)
     if (isLatest) this.#latestAt.set(address, entry)
@@ -47,8 +49,16 @@
   /** Forgets what is known of a server. */
   forget(entry: BackendServerEntry): void {
     this.#gone.delete(entry.server)
-    const address = addressOf(entry)
-    if (this.#latestAt.get(address)?.server === entry.server) this.#latestAt.delete(address)
+    this.#leaveFormerAddress(entry.server, null)
+  }
+
+  #leaveFormerAddress(server: BackendServerId, next: string | null): void {
+    const former = this.#addressOf.get(server)
+    if (former !== undefined && former !== next && this.#latestAt.get(former)?.server === server) {
+      this.#latestAt.delete(former)
+    }
+    if (next === null) this.#addressOf.delete(server)
+    else this.#addressOf.set(server, next)
   }
 
   isGone(server: BackendServerId, now: Milliseconds): boolean {
@@ -74,4 +84,4 @@
 const startOf = ({ startedAtUnixMilliseconds }: BackendServerEntry): number =>
   startedAtUnixMilliseconds ?? Number.POSITIVE_INFINITY
 
-const addressOf = ({ host, port }: BackendServerEntry): string => `${host}:${String(port)}`
+const describeAddress = ({ host, port }: BackendServerEntry): string => `${host}:${String(port)}`
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -38,6 +38,8 @@
   readonly leavingSince: Milliseconds | null
   /** When this host learned that the entry was gone; null while it is listed. */
   readonly goneSince: Milliseconds | null
+  /** Whether this host has seen it join, and not restart since; it then held nothing before. */
+  readonly hasJoined: boolean
 }
 
 export type ServerChange =
@@ -138,14 +140,16 @@
 
   /** Adds or updates a server from its store entry, which was written at `since` at the earliest. */
   upsert(entry: BackendServerEntry, since: Milliseconds): ServerChange | null {
-    this.#dropped.delete(entry.server)
+    const wasDropped = this.#dropped.delete(entry.server)
     const known = this.#servers.get(entry.server)
     const isKnownIncarnation = known !== undefined && isSameIncarnation(known.entry, entry)
     if (!isKnownIncarnation || known.goneSince !== null) this.#gone.recordReturned(entry.server)
     const leavingSince = entry.isLeaving
       ? ((isKnownIncarnation ? known.leavingSince : null) ?? since)
       : null
-    this.#servers.set(entry.server, { entry, leavingSince, goneSince: null })
+    const isNew = known === undefined && !wasDropped && this.isComplete(since)
+    const hasJoined = isKnownIncarnation ? known.hasJoined : isNew
+    this.#servers.set(entry.server, { entry, leavingSince, goneSince: null, hasJoined })
     if (!isKnownIncarnation) {
       if (known !== undefined) this.#restarted.add(entry.server)
       return { kind: 'appeared', entry }
