--- a/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
+++ b/packages/coordination/__tests__/synchronous/changeReviewed.spec.ts
@@ -283,8 +283,7 @@
     expect({ isOrdered, pausedAgain }).toEqual({ isOrdered: true, pausedAgain: true })
   })
 
-  // Guards against a server that joins while full servers delay the choice: nobody pauses it, and the primary that gives
-  // no answer acknowledges through it what the chosen server lacks.
+  // Guards against the loss of writes that a replica acknowledged which joined, unpaused, during a slow choice.
   const whileChosen: readonly (readonly [string, (group: FakeServers) => void])[] = [
     [
       'joins',
@@ -318,8 +317,7 @@
     })
   }
 
-  // Guards against a dead primary that comes back, or a server that joins, while the order to promote has no answer: the
-  // two acknowledge writes that the chosen server lacks.
+  // Guards against the loss of writes that a recovered primary commits while the order to promote is unanswered.
   const untilAnswered: readonly (readonly [string, (group: FakeServers) => void])[] = [
     ['the primary', group => (group.at(P).isReachable = true)],
     [
--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -234,7 +234,7 @@
   {
     ...CHANGE_SERIES,
     name: 'a server that is silent while it restarts without its log',
-    seed: 47_006,
+    seed: 47006,
     kinds: SERIES_FAULT_KINDS,
     hosts: 6,
     services: 2,
