--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -261,25 +261,8 @@
         isWitness(member, [candidate, ...answered]) &&
         (!isAnyLogWritten || member.report.received.offset > 0),
     )
-    // One that restarted may hold less than before.
-    const known = new Set(
-      answered
-        .filter(
-          member => isEmptyNewcomer(member) || (frozen.includes(member) && !member.hasRestarted),
-        )
-        .map(({ server }) => server),
-    )
-    const holders = [candidate, ...frozen]
-    const missing = [...others, ...unheard].filter(
-      member => member.mayHoldWrites && !known.has(member.server) && !isCovered(member, holders),
-    )
-    // A lost log does not return, so that a group which lost several is not stuck; but one of them may have been that of
-    // the primary.
-    const answering = new Set(answered.map(({ server }) => server))
-    const isAwaited = ({ server, mayReturn }: GroupMember) => mayReturn && !answering.has(server)
-    const lost = missing.filter(member => !isAwaited(member)).slice(0, 1)
-    const counted = [...missing.filter(isAwaited), ...lost]
-    return { nextTerm, pausedFor, frozen, missing: counted }
+    const missing = countMissing([...others, ...unheard], answered, frozen, candidate)
+    return { nextTerm, pausedFor, frozen, missing }
   }
 
   /** A server that leads an old term, or did not report, has to step down before it can be paused. */
@@ -448,6 +431,31 @@
   return holders.some(({ report }) => isAtOrPast(report.received, holdsUpTo))
 }
 
+/** The members that may hold acknowledged writes which no answering one is known to hold. */
+function countMissing(
+  members: readonly GroupMember[],
+  answered: readonly Reporter[],
+  frozen: readonly Reporter[],
+  candidate: Reporter,
+): readonly GroupMember[] {
+  // One that restarted may hold less than before.
+  const reliable = [
+    ...answered.filter(isEmptyNewcomer),
+    ...frozen.filter(({ hasRestarted }) => !hasRestarted),
+  ]
+  const known = new Set(reliable.map(({ server }) => server))
+  const holders = [candidate, ...frozen]
+  const missing = members.filter(
+    member => member.mayHoldWrites && !known.has(member.server) && !isCovered(member, holders),
+  )
+  // A lost log does not return, so that a group which lost several is not stuck; but one of them may have been that of
+  // the primary.
+  const answering = new Set(answered.map(({ server }) => server))
+  const isAwaited = ({ server, mayReturn }: GroupMember) => mayReturn && !answering.has(server)
+  const lost = missing.filter(member => !isAwaited(member)).slice(0, 1)
+  return [...missing.filter(isAwaited), ...lost]
+}
+
 const unknownReplica = (
   server: BackendServerId,
   missing: readonly GroupMember[],
