--- a/packages/host/src/claimedChange.ts
+++ b/packages/host/src/claimedChange.ts
@@ -6,7 +6,12 @@
  */
 import type { ChangeEvent, ChangePlan, ChangePorts } from '@nutmegcourse/coordination'
 import type { BackendServerId, Milliseconds, Term } from '@nutmegcourse/shared'
-import type { PromotionOutcome, PromotionPort, ServerReport } from '@nutmegcourse/protocol'
+import type {
+  BackendServerEntry,
+  PromotionOutcome,
+  PromotionPort,
+  ServerReport,
+} from '@nutmegcourse/protocol'
 import { SILENCE_LIMIT_MILLISECONDS, type ServerDirectory } from '@nutmegcourse/state'
 import type { GroupOrderSender } from './groupOrderSender.js'
 import type { HostContext } from './hostContext.js'
@@ -41,36 +46,24 @@
     const now = context.clock.now()
     const listed = directory
       .ofService(service.name)
-      .map(
-        ({ entry: { server, startedAtUnixMilliseconds }, leavingSince, goneSince, hasJoined }) => ({
-          server,
-          startedAtUnixMilliseconds,
-          hasJoined,
-          isLeaving: leavingSince !== null || goneSince !== null,
-          isListed: true,
-          mayHoldWrites: true,
-          holdsUpTo: directory.heldUpTo(server),
-          mayReturn: !directory.isGone(server, now),
-          hasRestarted: directory.hasRestarted(server),
-          isAwaited: server !== suspect && !this.#isSilent(server, now),
-          distance: service.server(server)?.distance ?? 0,
-        }),
-      )
-    const dropped = directory
-      .recentlyDropped(service.name)
-      .map(({ entry: { server, startedAtUnixMilliseconds }, mayHoldWrites }) => ({
-        server,
-        startedAtUnixMilliseconds,
-        hasJoined: false,
-        isLeaving: true,
-        isListed: false,
-        mayHoldWrites,
-        holdsUpTo: directory.heldUpTo(server),
-        mayReturn: !directory.isGone(server, now),
-        hasRestarted: directory.hasRestarted(server),
-        isAwaited: false,
-        distance: 0,
+      .map(({ entry, leavingSince, goneSince, hasJoined }) => ({
+        ...this.#describe(entry, now),
+        hasJoined,
+        isLeaving: leavingSince !== null || goneSince !== null,
+        isListed: true,
+        mayHoldWrites: true,
+        isAwaited: entry.server !== suspect && !this.#isSilent(entry.server, now),
+        distance: service.server(entry.server)?.distance ?? 0,
       }))
+    const dropped = directory.recentlyDropped(service.name).map(({ entry, mayHoldWrites }) => ({
+      ...this.#describe(entry, now),
+      hasJoined: false,
+      isLeaving: true,
+      isListed: false,
+      mayHoldWrites,
+      isAwaited: false,
+      distance: 0,
+    }))
     return {
       members: [...listed, ...dropped],
       isComplete: directory.isComplete(now),
@@ -79,6 +72,18 @@
     }
   }
 
+  /** What is known alike of a server that is listed and of one that was dropped. */
+  #describe({ server, startedAtUnixMilliseconds }: BackendServerEntry, now: Milliseconds) {
+    const { directory } = this.#parts
+    return {
+      server,
+      startedAtUnixMilliseconds,
+      holdsUpTo: directory.heldUpTo(server),
+      mayReturn: !directory.isGone(server, now),
+      hasRestarted: directory.hasRestarted(server),
+    }
+  }
+
   #isSilent(server: BackendServerId, now: Milliseconds): boolean {
     const state = this.#parts.service.server(server)
     if (state === undefined) return false
