--- a/packages/coordination/__tests__/synchronous/claimCases.ts
+++ b/packages/coordination/__tests__/synchronous/claimCases.ts
@@ -2,6 +2,7 @@
 import type { ChangePlan } from '../../src/index.js'
 import { claimProgram, type Fault } from './claimProgram.js'
 import type { ChangeStart, Holder, HolderCall } from './changeExploration.js'
+import { member } from './groupMember.js'
 import {
   nameOf,
   type Budget,
@@ -299,19 +300,7 @@
   const members = [...logs.keys()].filter(server => !unlisted.includes(server))
   const believedName = believed === null ? null : nameOf(believed)
   const group = {
-    members: members.map(server => ({
-      server: nameOf(server),
-      isLeaving: leaving.includes(server),
-      isListed: true,
-      startedAtUnixMilliseconds: null,
-      hasJoined: false,
-      mayHoldWrites: true,
-      holdsUpTo: null,
-      mayReturn: true,
-      hasRestarted: false,
-      isAwaited: true,
-      distance: 0,
-    })),
+    members: members.map(server => member(nameOf(server), { isLeaving: leaving.includes(server) })),
     isComplete: unlisted.length === 0 || fault === 'listCountsAsComplete',
   }
   const make = (hasUnfinishedOrder: boolean): ReplayedProgram<HolderCall> => {
--- a/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChange.spec.ts
@@ -17,6 +17,7 @@
   type GroupMember,
   type GroupOrders,
 } from '../../src/index.js'
+import { member } from './groupMember.js'
 
 const P = backendServerId('p')
 const A = backendServerId('a')
@@ -96,21 +97,6 @@
   }
 }
 
-const member = (server: BackendServerId, given: Partial<GroupMember> = {}): GroupMember => ({
-  server,
-  isLeaving: false,
-  isListed: true,
-  startedAtUnixMilliseconds: null,
-  hasJoined: false,
-  mayHoldWrites: true,
-  holdsUpTo: null,
-  mayReturn: true,
-  hasRestarted: false,
-  isAwaited: true,
-  distance: 0,
-  ...given,
-})
-
 const planOf = (members: readonly GroupMember[], given: Partial<ChangePlan> = {}): ChangePlan => ({
   members,
   isComplete: true,
--- a/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primaryChoiceExplored.spec.ts
@@ -4,6 +4,7 @@
 import type { ServerReport } from '@nutmegcourse/protocol'
 import { PrimaryChoice, type GroupOrders } from '../../src/index.js'
 import { explore, type Choices } from './choiceExplorer.js'
+import { member } from './groupMember.js'
 
 // Guards against the loss of an acknowledged write because the promoted server never received it. The
 // fault depends on a rare order of writes, receipts, a crash and lost commands that hand-written scenarios
@@ -140,24 +141,10 @@
   }
 }
 
-const memberOf = (server: BackendServerId) => ({
-  server,
-  isLeaving: false,
-  isListed: true,
-  startedAtUnixMilliseconds: null,
-  hasJoined: false,
-  mayHoldWrites: true,
-  holdsUpTo: null,
-  mayReturn: true,
-  hasRestarted: false,
-  isAwaited: true,
-  distance: 0,
-})
-
 async function choose(group: ExploredGroup, variant: Variant): Promise<BackendServerId | null> {
   if (variant === 'firstAnswerWins') return (await group.report(A)) === null ? B : A
   const plan = {
-    members: [memberOf(P), memberOf(A), memberOf(B)],
+    members: [member(P), member(A), member(B)],
     isComplete: true,
     hasUnfinishedOrder: false,
     keepsPrimary: false,
