fix(state): the members of a group are recorded in the store for hosts that start

Cause: which servers may hold acknowledged writes was known to the memory of the hosts only. Hosts that all start again take the store's list for the group, and it lacks a live server that is cut off from the store alone.

Evidence: primary_chosen "missing":[C] three seconds after the first list; A, which holds all, is asked by nobody. The test failed before.

Change: a record a service names its members (memberRecord.ts, memberRecorder.ts): written by one of the hosts that watch the primary when the members change, under the era of the store. An unlisted member counts as one that was dropped just now. A list is taken with the configuration first: records in the first list were skipped, since the store lists them before it.

Why it works: the choice already waits for two missing members and asks dropped ones at their address; it only has to know them.

--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -40,12 +40,14 @@
 
 const CHANGE_PREFIX = 'change/'
 const UNFINISHED_PREFIX = 'unfinished/'
+const MEMBERS_PREFIX = 'members/'
 const SUSPICION_PREFIX = 'suspicion/'
 /** Keys of all hosts' records begin with it. */
 export const HOST_RECORDS_PREFIX = 'host/'
 
 export const changeKey = (service: string): string => CHANGE_PREFIX + service
 export const unfinishedKey = (service: string): string => UNFINISHED_PREFIX + service
+export const membersKey = (service: string): string => MEMBERS_PREFIX + service
 export const suspicionKey = (service: string, host: string): string =>
   `${SUSPICION_PREFIX}${service}/${host}`
 export const hostKey = (host: string): string => HOST_RECORDS_PREFIX + host
@@ -53,6 +55,7 @@
 export type RecordName =
   | { readonly kind: 'change'; readonly service: string }
   | { readonly kind: 'unfinished'; readonly service: string }
+  | { readonly kind: 'members'; readonly service: string }
   | { readonly kind: 'suspicion'; readonly service: string; readonly host: string }
   | { readonly kind: 'host'; readonly host: string }
 
@@ -63,6 +66,9 @@
   if (key.startsWith(UNFINISHED_PREFIX)) {
     return { kind: 'unfinished', service: key.slice(UNFINISHED_PREFIX.length) }
   }
+  if (key.startsWith(MEMBERS_PREFIX)) {
+    return { kind: 'members', service: key.slice(MEMBERS_PREFIX.length) }
+  }
   if (key.startsWith(HOST_RECORDS_PREFIX))
     return { kind: 'host', host: key.slice(HOST_RECORDS_PREFIX.length) }
   const [service, host] = key.slice(SUSPICION_PREFIX.length).split('/')
--- a/packages/coordination/src/synchronous/index.ts
+++ b/packages/coordination/src/synchronous/index.ts
@@ -1,6 +1,7 @@
 export * from './changeRecord.js'
 export * from './dispatchers.js'
 export * from './limitHolders.js'
+export * from './memberRecord.js'
 export * from './primaryChange.js'
 export * from './primaryChangeRun.js'
 export * from './primarySuspicion.js'
--- a/packages/host/__tests__/acknowledgedWrites.spec.ts
+++ b/packages/host/__tests__/acknowledgedWrites.spec.ts
@@ -1,11 +1,13 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
+import { membersKey, readMemberRecord } from '@nutmegcourse/coordination'
 import type { BackendCommand } from '@nutmegcourse/protocol'
 import { backendServerId, type BackendServerId } from '@nutmegcourse/shared'
 import {
   A,
   B,
   P,
+  SERVICE,
   withHostFixture,
   type FixtureHost,
   type HostFixture,
@@ -21,6 +23,9 @@
 const NEXT_HOLDER_MILLISECONDS = 9000
 const CHANGE_MILLISECONDS = 9000
 
+/** A host that starts takes its list for complete only after this time. */
+const LIST_COMPLETE_MILLISECONDS = 3000
+
 /** Time for all orders that may still be under way to take effect. */
 const SETTLE_MILLISECONDS = 2 * PROMOTION_MILLISECONDS
 
@@ -143,6 +148,12 @@
   await scene.until(isRemoved, 'the server is no longer used', CHANGE_MILLISECONDS)
 }
 
+const namesMember = (scene: HostFixture, server: BackendServerId): boolean => {
+  const value = scene.store.record(membersKey(SERVICE))?.value ?? ''
+  const members = readMemberRecord(SERVICE, value)?.members ?? []
+  return members.some(({ entry }) => entry.server === server)
+}
+
 /** Makes the candidate of the next choice fall behind the replica that is paused first. */
 function delayCandidate(scene: HostFixture): void {
   let isPaused = false
@@ -573,6 +584,26 @@
       scene.listServer(B)
     },
   },
+  // Guards against hosts that have all started again and do not know a live replica without an entry.
+  {
+    name: 'all hosts start again while a live replica has lost its entry, and the primary crashes',
+    hosts: 2,
+    play: async (scene, hosts) => {
+      await scene.until(() => namesMember(scene, A), 'the store names the members')
+      scene.store.unlistServer(A)
+      receivesNothing(scene, B)
+      await pause(200)
+      for (const { host } of hosts) await host.stop()
+      scene.hosts.splice(0)
+      for (const name of ['host-3', 'host-4']) scene.add(name)
+      await scene.ready()
+      await pause(LIST_COMPLETE_MILLISECONDS)
+      scene.crash(P)
+      receivesNothing(scene, B, false)
+      await pause(CHANGE_MILLISECONDS / 2)
+      scene.listServer(A)
+    },
+  },
   // Guards against a host that takes the list of its start for complete, while entries are still coming back.
   {
     name: 'a host starts while the entry of a live replica has lapsed',
--- a/packages/host/src/changeUrgency.ts
+++ b/packages/host/src/changeUrgency.ts
@@ -34,7 +34,7 @@
     }
     case 'record': {
       const name = readRecordName(change.key)
-      if (name === null || name.kind === 'host') return false
+      if (name === null || name.kind === 'host' || name.kind === 'members') return false
       return interest.worksWith(name.service)
     }
   }
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -206,6 +206,23 @@
       evidenceMilliseconds: 'since that evidence',
     },
   },
+  member_recorded: {
+    when: 'The store names a server that may hold acknowledged writes, and that it does not list.',
+    fields: {
+      service: 'the service',
+      server: 'the server',
+      address: 'its host and port',
+      hasEnded: 'whether it has ended for good',
+    },
+  },
+  members_written: {
+    when: 'The record of the servers that may hold acknowledged writes was written.',
+    fields: { service: 'the service', members: 'the servers' },
+  },
+  members_not_written: {
+    when: 'The record of the members could not be written, and is written again.',
+    fields: { service: 'the service', why: 'how the call failed' },
+  },
   change_waits: {
     when: 'No server can be promoted safely yet; the choice is repeated.',
     fields: {
--- a/packages/host/src/failoverController.ts
+++ b/packages/host/src/failoverController.ts
@@ -158,7 +158,7 @@
   }
 
   #reasonToChange(now: Milliseconds): ChangeReason | null {
-    const rank = this.#rank()
+    const { rank } = this
     const turnDelay = rank * RANK_DELAY_MILLISECONDS
     if (this.#abandonedAt !== null && now >= addMilliseconds(this.#abandonedAt, turnDelay)) {
       return 'abandoned'
@@ -217,7 +217,7 @@
    * This host's rank among the observers of the service. It differs by service, so that failovers are spread
    * over the hosts.
    */
-  #rank(): number {
+  get rank(): number {
     const service = nameHash(this.#service.name)
     const weight = (host: string): number => mixHashes(nameHash(host), service)
     const own = weight(this.#context.settings.entryHost)
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -7,18 +7,20 @@
 import {
   changeKey,
   hostKey,
+  membersKey,
   readHostRecord,
   readRecordName,
   unfinishedKey,
 } from '@nutmegcourse/coordination'
 import type { CustomerName, KeyDigest, Milliseconds } from '@nutmegcourse/shared'
-import type {
-  DirectoryChange,
-  FleetConfiguration,
-  OperationLimit,
-  PromotionPort,
-  Route,
-  StoreLink,
+import {
+  eraOf,
+  type DirectoryChange,
+  type FleetConfiguration,
+  type OperationLimit,
+  type PromotionPort,
+  type Route,
+  type StoreLink,
 } from '@nutmegcourse/protocol'
 import { SILENCE_LIMIT_MILLISECONDS, ServerDirectory, type ServerChange } from '@nutmegcourse/state'
 import type { CallerIdentity, RouteLookup } from './routeLookup.js'
@@ -29,6 +31,7 @@
 import type { OwnRecordReader, StoredRecord } from './hostRegistration.js'
 import type { ChangeFeedServer } from './changeFeedServer.js'
 import { FailoverController } from './failoverController.js'
+import { MemberRecorder } from './memberRecorder.js'
 import { LimitsInForce } from './limitsInForce.js'
 import { PrimaryProbe } from './primaryProbe.js'
 import { ServerListing, type ListingSource } from './serverListing.js'
@@ -40,6 +43,7 @@
   readonly service: ServiceState
   readonly probe: PrimaryProbe
   readonly failover: FailoverController
+  readonly members: MemberRecorder
 }
 
 export interface ServiceRegistryPorts {
@@ -70,6 +74,8 @@
   readonly #listing = new ServerListing()
   /** Called when the store was restored from an older copy. */
   readonly #onRestored: () => void
+  /** The newest era of the store in which a record was received. */
+  #era = 0
   #isListed = false
   #ownRecord: StoredRecord | null = null
 
@@ -186,7 +192,7 @@
     const expired = this.#directory.expire(now)
     for (const serverChange of expired) this.#applyServerChange(serverChange, now)
     if (expired.length > 0) this.planOwners()
-    for (const { service, probe, failover } of this.#components.values()) {
+    for (const { service, probe, failover, members } of this.#components.values()) {
       const isActive = service.isActive(now)
       service.outliers.tick(now, wasStalled)
       for (const server of service.servers) {
@@ -199,7 +205,10 @@
         server.gate?.tick(server.silentMilliseconds(now) > SILENCE_LIMIT_MILLISECONDS)
       }
       if (isActive) probe.tick(now)
-      if (!isStopping && service.isObserver) failover.tick(now)
+      if (isStopping || !service.isObserver) continue
+      failover.tick(now)
+      const isSynchronous = service.configuration.synchronousReplicas > 0
+      if (isSynchronous && this.#directory.isComplete(now)) members.tick(now, this.#era)
     }
   }
 
@@ -221,14 +230,15 @@
       changes.flatMap(change => (change.kind === 'record' ? [change.key] : [])),
     )
     const source = isRestored ? 'restoredList' : 'list'
-    for (const change of changes) this.#applyChange(change, since, source)
+    for (const change of configurationFirst(changes)) this.#applyChange(change, since, source)
     for (const serverChange of this.#directory.keepOnly(listed, now))
       this.#applyServerChange(serverChange, now)
     const isHostListed = (host: string): boolean => records.has(hostKey(host))
     if (isRestored) this.#fleet.awaitReRegistration(isHostListed, now)
     else this.#fleet.keepOnly(isHostListed)
     this.#fleet.plan(this.#services())
-    for (const [name, { failover }] of this.#components) {
+    for (const [name, { failover, members }] of this.#components) {
+      if (!records.has(membersKey(name))) members.receive(null, 0)
       if (!records.has(changeKey(name))) failover.receiveChangeRecord(null, 0)
       if (!records.has(unfinishedKey(name))) failover.receiveUnfinishedRecord(0)
     }
@@ -317,7 +327,14 @@
       () => this.#fleet.observersOf(configuration.name),
     )
     const probe = new PrimaryProbe(this.#context, service)
-    this.#components.set(configuration.name, { service, probe, failover })
+    const members = new MemberRecorder({
+      context: this.#context,
+      service: configuration.name,
+      directory: this.#directory,
+      store,
+      rank: () => failover.rank,
+    })
+    this.#components.set(configuration.name, { service, probe, failover, members })
     const now = this.#context.clock.now()
     for (const { entry } of this.#directory.ofService(configuration.name))
       service.addServer(entry, now)
@@ -368,6 +385,7 @@
   }
 
   #applyRecord(key: string, value: string | null, revision: number): void {
+    this.#era = Math.max(this.#era, eraOf(revision))
     const name = readRecordName(key)
     switch (name?.kind) {
       case 'change':
@@ -378,6 +396,9 @@
         known?.receiveUnfinishedRecord(value === null ? 0 : revision)
         return
       }
+      case 'members':
+        this.#components.get(name.service)?.members.receive(value, value === null ? 0 : revision)
+        return
       case 'suspicion':
         if (name.host === this.#context.settings.entryHost) return
         this.#components.get(name.service)?.failover.receiveSuspicion(name.host, value)
@@ -391,3 +412,9 @@
     }
   }
 }
+
+/** Records of a service can only be taken once it is configured, and a list names them first. */
+const configurationFirst = (changes: readonly DirectoryChange[]): readonly DirectoryChange[] => [
+  ...changes.filter(({ kind }) => kind === 'configuration'),
+  ...changes.filter(({ kind }) => kind !== 'configuration'),
+]
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -248,6 +248,65 @@
   })
 })
 
+describe('ServerDirectory: members that the store names and does not list', () => {
+  const RETURN_MILLISECONDS = 20_000
+  const UNENDED = { hasEnded: false, holdsUpTo: null }
+  const cases: readonly (readonly [
+    string,
+    (directory: ServerDirectory) => void,
+    { readonly members: readonly string[]; readonly isGone: boolean },
+  ])[] = [
+    [
+      'may hold writes and return',
+      directory => directory.noteRecorded({ entry: entry(), ...UNENDED }, at(0)),
+      { members: ['a'], isGone: false },
+    ],
+    [
+      'hold writes, but do not return once they have ended',
+      directory => directory.noteRecorded({ entry: entry(), ...UNENDED, hasEnded: true }, at(0)),
+      { members: ['a'], isGone: true },
+    ],
+    [
+      'do not return if another server has taken their address',
+      directory => {
+        directory.noteAppeared(entry({ server: B, startedAtUnixMilliseconds: 2 }), at(0))
+        directory.noteRecorded({ entry: entry(), ...UNENDED }, at(0))
+      },
+      { members: ['a'], isGone: true },
+    ],
+    [
+      'are known already if they are listed',
+      directory => {
+        directory.upsert(entry(), at(0))
+        directory.noteRecorded({ entry: entry(), ...UNENDED, hasEnded: true }, at(0))
+      },
+      { members: ['a'], isGone: false },
+    ],
+    [
+      'hold nothing of their own once another server was promoted',
+      directory => {
+        directory.noteRecorded({ entry: entry(), ...UNENDED }, at(0))
+        directory.notePromotion('s')
+      },
+      { members: [], isGone: false },
+    ],
+  ]
+  for (const [name, arrange, expected] of cases) {
+    it(name, () => {
+      const directory = new ServerDirectory(DRAIN)
+      arrange(directory)
+      const members = directory.membersOf('s', at(1)).map(({ entry: { server } }) => server)
+      expect({ members, isGone: directory.isGone(A, at(1)) }).toLooseEqual(expected)
+    })
+  }
+
+  it('count as gone if they do not return for some time', () => {
+    const directory = new ServerDirectory(DRAIN)
+    directory.noteRecorded({ entry: entry(), ...UNENDED }, at(0))
+    expect(directory.isGone(A, at(RETURN_MILLISECONDS))).toEqual(true)
+  })
+})
+
 describe('Leadership', () => {
   // A delayed answer of the old primary arrives after the evidence for the new one. Writes
   // must not go back to the old one.
--- a/packages/state/src/synchronous/goneServers.ts
+++ b/packages/state/src/synchronous/goneServers.ts
@@ -74,6 +74,12 @@
     }
   }
 
+  /** Records the position that another host knew for a server that has ended. */
+  recordHeldUpTo(server: BackendServerId, position: LogPosition): void {
+    const known = this.#gone.get(server)
+    if (known !== undefined) this.#gone.set(server, { ...known, heldUpTo: position })
+  }
+
   /** The position up to which a server that is gone may hold acknowledged writes; null if that is unknown. */
   heldUpTo(server: BackendServerId): LogPosition | null {
     return this.#gone.get(server)?.heldUpTo ?? null
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -61,6 +61,15 @@
   readonly mayHoldWrites: boolean
 }
 
+/** A server that may hold acknowledged writes, as hosts leave it for those that start. */
+export interface KnownMember {
+  readonly entry: BackendServerEntry
+  /** Whether it has ended for good. */
+  readonly hasEnded: boolean
+  /** The position up to which it may hold acknowledged writes if it has ended; null if that is unknown. */
+  readonly holdsUpTo: LogPosition | null
+}
+
 export class ServerDirectory {
   readonly #servers = new Map<BackendServerId, KnownServer>()
   readonly #dropped = new Map<BackendServerId, DroppedServer>()
@@ -118,6 +127,30 @@
     return this.#gone.isGone(server, now)
   }
 
+  /** The servers of the service that may hold acknowledged writes. */
+  membersOf(service: string, now: Milliseconds): KnownMember[] {
+    const dropped = this.recentlyDropped(service).filter(({ mayHoldWrites }) => mayHoldWrites)
+    return [...this.ofService(service), ...dropped].map(({ entry }) => ({
+      entry,
+      hasEnded: this.isGone(entry.server, now),
+      holdsUpTo: this.heldUpTo(entry.server),
+    }))
+  }
+
+  /**
+   * Records a member that another host left, and returns false if it is known. Otherwise it counts as one that was
+   * dropped just now: it may live, cut off from the store only.
+   */
+  noteRecorded({ entry, hasEnded, holdsUpTo }: KnownMember, now: Milliseconds): boolean {
+    const { server, service } = entry
+    if (this.#servers.has(server) || this.#dropped.has(server)) return false
+    this.#dropped.set(server, { entry, at: now, mayHoldWrites: true })
+    this.#gone.add(server, service, hasEnded ? now : addMilliseconds(now, RESTART_MILLISECONDS))
+    this.#gone.recordAppeared(entry, now)
+    if (hasEnded && holdsUpTo !== null) this.#gone.recordHeldUpTo(server, holdsUpTo)
+    return true
+  }
+
   /** Records that a server, or a new incarnation of one, was listed. */
   noteAppeared(entry: BackendServerEntry, now: Milliseconds): void {
     this.#gone.recordAppeared(entry, now)
