fix(coordination): an order to promote without an answer is decided anew, under a newer token

Cause: one choice was ordered up to eight times under one token, for seconds, without being checked again. A server that joined, or a paused one that returned, acknowledged meanwhile for a primary that the holder did not reach, while other hosts did and sent it writes. The holder learned of the joined server a second late, as it batched changes of the store.

Change: an order without an answer ends the round. The claim is written anew, and its revision is the newer token, which ends the order once the platform has seen it; the next round asks the group again and allows for the older order. Reports, pauses and step-downs go through other hosts where this one does not reach a server. A host that changes a primary does not batch changes. Each replica is resumed as soon as its own pause is over.

Why it works: nothing is ordered on grounds older than the order before, and the primary is stopped through any host that reaches it, so that a server that returns or joins has nobody to receive from. The exploration checks that no order is sent for a server that lacks what a replica had shown to the holder.

--- a/packages/coordination/__tests__/synchronous/changeExploration.ts
+++ b/packages/coordination/__tests__/synchronous/changeExploration.ts
@@ -12,6 +12,7 @@
   describeOrder,
   describeServer,
   handOver,
+  isShortOf,
   nameOf,
   receive,
   restart,
@@ -56,6 +57,8 @@
   readonly variant: WorldVariant
   /** An earlier holder left the record of an unfinished change. */
   readonly isUnfinished: boolean
+  /** Only the orders to promote are checked, not what is lost once one was sent. */
+  readonly checksOrdersOnly: boolean
   /** Nothing is written before a holder has ended its change. */
   readonly writesOnceEnded: boolean
 }
@@ -142,7 +145,8 @@
     for (const { label, next } of await this.#reachedSteps(state)) {
       this.#transitions += 1
       this.#add(next, index, label)
-      if (next.world.isLost) return this.#origins.length - 1
+      const isLost = next.world.isLost && !this.#start.checksOrdersOnly
+      if (isLost || next.world.isOrderShort) return this.#origins.length - 1
     }
     return null
   }
@@ -338,7 +342,9 @@
   }
 
   #promotionSteps(state: State, call: PromotionOrder, step: StepMaker): Step[] {
-    const { world, isAccepted } = acceptPromotion(state.world, call, this.#ages(state))
+    const isOrderShort = state.world.isOrderShort || isShortOf(state.world, call)
+    const ordered = { ...state.world, isOrderShort }
+    const { world, isAccepted } = acceptPromotion(ordered, call, this.#ages(state))
     const kind: PromotionAnswerKind = isAccepted ? 'accepted' : 'rejected'
     const label = describeOrder(call)
     const steps = [step(`${label}: ${kind}`, { ...state, world }, kind, kind)]
--- a/packages/coordination/__tests__/synchronous/claimCases.ts
+++ b/packages/coordination/__tests__/synchronous/claimCases.ts
@@ -38,6 +38,8 @@
   /** The server that the holder believes to lead. */
   readonly believed?: number | null
   readonly unlisted?: readonly number[]
+  /** Only the orders are checked: what the servers do once one was sent may lose a write. */
+  readonly checksOrdersOnly?: boolean
   readonly holders?: number
   readonly writesOnceEnded?: boolean
   /** What an earlier holder left: orders that may still be carried out, and promotions that will take effect. */
@@ -160,8 +162,16 @@
   },
 ]
 
+/** A claim renews its token fewer times than this. */
+const TOKENS_OF_A_CLAIM = 10
+
 /** The earlier holder had the first token. */
-const ORDERED = (server: number): WorldOrder => ({ kind: 'promote', server, token: 1 })
+const ORDERED = (server: number): WorldOrder => ({
+  kind: 'promote',
+  server,
+  token: TOKENS_OF_A_CLAIM,
+  shown: null,
+})
 
 const EARLIER_CASES: readonly Case[] = [
   {
@@ -258,7 +268,27 @@
   },
 ]
 
-export const CASES: readonly Case[] = [...FIRST_CASES, ...EARLIER_CASES]
+/** The order of a round is not answered. */
+const ROUND_CASES: readonly Case[] = [
+  {
+    name: 'the order is not answered, and a paused replica restarts beside an unreachable primary',
+    logs: ['1', '1', '1'],
+    cutFrom: [P],
+    budget: { writes: 1, unanswered: 1, restarts: 1 },
+    checksOrdersOnly: true,
+    stateLimit: 20_000,
+  },
+  {
+    name: 'the order is not answered, and a paused replica restarts while the primary is dead',
+    logs: ['1', '1', '1'],
+    dead: [P],
+    budget: { writes: 1, unanswered: 1, restarts: 2 },
+    checksOrdersOnly: true,
+    stateLimit: 20_000,
+  },
+]
+
+export const CASES: readonly Case[] = [...FIRST_CASES, ...EARLIER_CASES, ...ROUND_CASES]
 
 const NO_BUDGET: Budget = {
   writes: 0,
@@ -286,11 +316,12 @@
     leader,
     // Two logs hold what was acknowledged; one of them may have been lost since.
     acknowledged: given.acknowledged ?? (emptied.includes(leader) ? longest : second),
-    newestToken: earlier.effects === undefined ? 0 : 1,
+    newestToken: earlier.effects === undefined ? 0 : TOKENS_OF_A_CLAIM,
     effects: (earlier.effects ?? []).map(server => ({ server, ages: [0] })),
     late: earlier.late ?? [],
     handOver: given.handOver ?? null,
     budget: { ...NO_BUDGET, ...budget },
+    isOrderShort: false,
     isLost: false,
   }
 }
@@ -300,7 +331,11 @@
   const members = [...logs.keys()].filter(server => !unlisted.includes(server))
   const believedName = believed === null ? null : nameOf(believed)
   const group = {
-    members: members.map(server => member(nameOf(server), { isLeaving: leaving.includes(server) })),
+    members: members.map(server =>
+      member(nameOf(server), {
+        isLeaving: leaving.includes(server),
+      }),
+    ),
     isComplete: unlisted.length === 0 || fault === 'listCountsAsComplete',
   }
   const make = (hasUnfinishedOrder: boolean): ReplayedProgram<HolderCall> => {
@@ -310,7 +345,7 @@
       keepsPrimary: hasUnfinishedOrder && given.earlier?.isDone !== true,
     }
     const isFirstToken = given.earlier === undefined || fault === 'otherServerUnderSameToken'
-    const token = index + (isFirstToken ? 1 : 2)
+    const token = (index + (isFirstToken ? 1 : 2)) * TOKENS_OF_A_CLAIM
     const change = { plan, believed: believedName, token, fault }
     return new ReplayedProgram(claimProgram(change), ({ kind }) => kind === 'wait')
   }
@@ -332,5 +367,6 @@
     // The record of a change stays while an attempt at its order has no answer.
     isUnfinished: given.earlier !== undefined,
     writesOnceEnded: given.writesOnceEnded ?? false,
+    checksOrdersOnly: given.checksOrdersOnly ?? false,
   }
 }
--- a/packages/coordination/__tests__/synchronous/claimProgram.ts
+++ b/packages/coordination/__tests__/synchronous/claimProgram.ts
@@ -12,12 +12,13 @@
 import type { ServerReport } from '@nutmegcourse/protocol'
 import {
   PrimaryChangeRun,
+  ReceivedBound,
   type ChangeEvent,
   type ChangePlan,
   type ChangePorts,
 } from '../../src/index.js'
 import type { HolderCall, HolderProgram, PromotionAnswerKind } from './changeExploration.js'
-import { indexOf, type ServerOrder } from './groupWorld.js'
+import { indexOf, nameOf, type ServerOrder } from './groupWorld.js'
 import type { ProgramPorts } from './replayedProgram.js'
 
 /** Rounds of one claim; more of them repeat what the others do. */
@@ -54,10 +55,13 @@
   #last: { server: number; count: number; report: ServerReport | null } | null = null
   /** The answers that a faulty variant made up. */
   #invented = 0
+  #token: number
+  readonly received = new ReceivedBound()
 
   constructor(ports: ProgramPorts<HolderCall>, change: ClaimedChange) {
     this.#ports = ports
     this.#change = change
+    this.#token = change.token
   }
 
   now(): Milliseconds {
@@ -122,13 +126,21 @@
     return Promise.resolve(this.#rounds <= ROUNDS && this.isClaimHeld())
   }
 
+  /** The revision of the claim grows, but not beyond that of the next holder's. */
+  renewToken(): Promise<boolean> {
+    if (!this.isClaimHeld()) return Promise.resolve(false)
+    if (this.#change.fault !== 'otherServerUnderSameToken') this.#token += 1
+    return Promise.resolve(true)
+  }
+
   hasLedSince(): boolean {
     return false
   }
 
   async promote(server: BackendServerId): Promise<PromotionAnswerKind> {
     this.#last = null
-    const call = { kind: 'promote', server: indexOf(server), token: this.#change.token } as const
+    const shown = this.received.furthest?.at ?? null
+    const call = { kind: 'promote', server: indexOf(server), token: this.#token, shown } as const
     this.#promoting = this.#ports.call(call)
     const answer = await this.#promoting
     this.#promoting = null
@@ -151,9 +163,15 @@
     return report
   }
 
+  #recordReport(server: BackendServerId, { role, term: led, received }: ServerReport): void {
+    if (role === 'primary') this.received.recordPrimary(server, Math.max(led, received.term))
+    else this.received.recordReplica(server, received)
+  }
+
   async #order(order: ServerOrder): Promise<ServerReport | null> {
     if (order.kind !== 'report') this.#last = null
     const report = (await this.#ports.call(order)) as ServerReport | null
+    if (report !== null) this.#recordReport(nameOf(order.server), report)
     const isEmpty = report?.received.offset === 0
     if (this.#change.fault !== 'emptyServerIsWitness' || !isEmpty) return report
     return { ...report, received: FIRST_RECORD }
--- a/packages/coordination/__tests__/synchronous/fakeServers.ts
+++ b/packages/coordination/__tests__/synchronous/fakeServers.ts
@@ -8,7 +8,12 @@
   type Term,
 } from '@nutmegcourse/shared'
 import type { ServerReport } from '@nutmegcourse/protocol'
-import type { ChangePlan, ChangePorts, GroupMember } from '../../src/index.js'
+import {
+  ReceivedBound,
+  type ChangePlan,
+  type ChangePorts,
+  type GroupMember,
+} from '../../src/index.js'
 import { member } from './groupMember.js'
 
 export const P = backendServerId('p')
@@ -32,6 +37,7 @@
   onReport: (server: BackendServerId, role: string) => boolean = () => true
   onPromoted: () => void = () => undefined
   readonly joined: BackendServerId[] = []
+  readonly received = new ReceivedBound()
   /** What happens before the order to promote is answered. */
   whileOrdered: (() => Promise<void>) | null = null
   readonly #restarts = new Map<BackendServerId, number>()
@@ -119,6 +125,7 @@
   waitBeforeRound = (): Promise<void> => this.waitBeforeRetry()
   isClaimHeld = (): boolean => true
   renewClaim = (): Promise<boolean> => Promise.resolve(true)
+  renewToken = (): Promise<boolean> => Promise.resolve(true)
   hasLedSince = (): boolean => false
   record = (): void => undefined
 
@@ -144,12 +151,11 @@
   #describe(id: BackendServerId): ServerReport | null {
     const server = this.at(id)
     if (!server.isReachable) return null
-    return {
-      role: server.role,
-      term: server.term,
-      received: logPosition(server.term, server.offset),
-      pausedFor: server.pausedFor,
-    }
+    const { role, term: led, offset, pausedFor } = server
+    const received = logPosition(led, offset)
+    if (role === 'primary') this.received.recordPrimary(id, led)
+    else this.received.recordReplica(id, received)
+    return { role, term: led, received, pausedFor }
   }
 }
 
--- a/packages/coordination/__tests__/synchronous/groupWorld.ts
+++ b/packages/coordination/__tests__/synchronous/groupWorld.ts
@@ -2,7 +2,14 @@
  * A group of servers with one primary, as an immutable state: logs, pauses, terms, orders that are still to be carried
  * out and promotions that are still to take effect. A log is a string with the term of each record as one digit.
  */
-import { backendServerId, logPosition, term, type BackendServerId } from '@nutmegcourse/shared'
+import {
+  backendServerId,
+  isAtOrPast,
+  logPosition,
+  term,
+  type BackendServerId,
+  type LogPosition,
+} from '@nutmegcourse/shared'
 import type { ServerReport } from '@nutmegcourse/protocol'
 
 export interface WorldServer {
@@ -26,6 +33,8 @@
   readonly kind: 'promote'
   readonly server: number
   readonly token: number
+  /** The furthest position that a replica had shown to the holder before it sent the order. */
+  readonly shown: LogPosition | null
 }
 
 export type WorldOrder = ServerOrder | PromotionOrder
@@ -61,6 +70,8 @@
   /** A leaving server whose log moves to a joining one when it ends; null if there is none. */
   readonly handOver: { readonly from: number; readonly to: number } | null
   readonly budget: Budget
+  /** A server was ordered to be promoted that lacks what a replica had shown to the holder. */
+  readonly isOrderShort: boolean
   /** A promoted server lacks an acknowledged write, and had answered since it restarted, if it did, without its log. */
   readonly isLost: boolean
 }
@@ -144,6 +155,13 @@
   return { world: { ...seen, effects: [...seen.effects, { server, ages }] }, isAccepted: true }
 }
 
+/** Whether the server lacks, when it is ordered to be promoted, what a replica had shown to the holder in this term. */
+export function isShortOf(world: World, { server, shown }: PromotionOrder): boolean {
+  const { isEmptied, isAlive, role } = serverAt(world, server)
+  if (shown === null || shown.term < world.term || isEmptied || !isAlive) return false
+  return role === 'replica' && !isAtOrPast(describeServer(world, server).received, shown)
+}
+
 /** The promotion that was accepted first takes effect: its server leads the next term with what it has received. */
 export function takeEffect(world: World): World {
   const [effect, ...effects] = world.effects
--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -2,8 +2,12 @@
  * The fleet's records in the store: changes of primary, suspicions of a primary and entry hosts. Each is
  * a small JSON document that every host reads.
  */
-import { backendServerId, type AttemptId, type BackendServerId } from '@nutmegcourse/shared'
-import { attemptId } from '@nutmegcourse/shared'
+import {
+  attemptId,
+  backendServerId,
+  type AttemptId,
+  type BackendServerId,
+} from '@nutmegcourse/shared'
 
 /** Which host is changing a service's primary, or which server became primary in the last change. */
 export type ChangeRecord =
--- a/packages/coordination/src/synchronous/pauseGuard.ts
+++ b/packages/coordination/src/synchronous/pauseGuard.ts
@@ -47,9 +47,17 @@
     }
   }
 
-  /** Resolves once no pause is under way. */
-  async settled(): Promise<void> {
-    await Promise.all(this.#pending.values())
+  /**
+   * Resolves once no pause of a server that has been paused is under way. It would replace one for a later term, which
+   * has to outlast the promotion that this one ends with.
+   */
+  async settledPauses(): Promise<void> {
+    await Promise.all([...this.#paused].map(server => this.settled(server)))
+  }
+
+  /** Resolves once no pause of the server is under way. */
+  async settled(server: BackendServerId): Promise<void> {
+    await this.#pending.get(server)
   }
 
   #unlessPending(server: BackendServerId, order: () => Promise<void>): void {
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -24,6 +24,7 @@
 } from '@nutmegcourse/shared'
 import type { ServerReport } from '@nutmegcourse/protocol'
 import { LeaderCheck } from './leaderCheck.js'
+import type { ServerPosition } from './receivedBound.js'
 
 export interface GroupMember {
   readonly server: BackendServerId
@@ -71,11 +72,6 @@
   waitBeforeRetry(): Promise<void>
 }
 
-export interface ServerPosition {
-  readonly server: BackendServerId
-  readonly at: LogPosition
-}
-
 export interface ChosenPrimary {
   readonly server: BackendServerId
   readonly position: LogPosition
@@ -110,6 +106,8 @@
   | { readonly kind: 'primaryNotStopped'; readonly server: BackendServerId }
   /** A server joined the group, or started again, after the group was asked. */
   | { readonly kind: 'groupChanged'; readonly server: BackendServerId }
+  /** Another server was ordered to be promoted, and the order can not be ended yet. */
+  | { readonly kind: 'orderPending'; readonly server: BackendServerId }
   /** A server reported a newer term than all had reported before: another promotion took effect. */
   | { readonly kind: 'newerTerm'; readonly server: BackendServerId }
 
@@ -261,7 +259,8 @@
         isWitness(member, [candidate, ...answered]) &&
         (!isAnyLogWritten || member.report.received.offset > 0),
     )
-    const missing = countMissing([...others, ...unheard], answered, frozen, candidate)
+    const rest = [...others, ...unheard]
+    const missing = countMissing(rest, answered, frozen, candidate)
     return { nextTerm, pausedFor, frozen, missing }
   }
 
--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -2,9 +2,9 @@
  * The steps of one claim to change the primary of a group: choose, order the promotion, wait until it takes effect,
  * and end the pauses that outlast it.
  *
- * An order without an answer may be carried out later, and the platform accepts every order with the newest fencing
- * token. So only one server is ever ordered under one claim: if it is unknown whether the order takes effect, the
- * run ends, and the next claim, with a newer token, allows for it (`ChangePlan.hasUnfinishedOrder`).
+ * Invariant: each order to promote is sent in a round that asked the group after the order before, so that an order that
+ * got no answer is never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
+ * token, and allows for the older order (`ChangePlan.hasUnfinishedOrder`): at most one server is ordered under a token.
  */
 import {
   addMilliseconds,
@@ -15,6 +15,7 @@
   type Term,
 } from '@nutmegcourse/shared'
 import type { PromotionOutcome, ServerReport } from '@nutmegcourse/protocol'
+import { err, type Result } from 'neverthrow'
 import {
   PrimaryChoice,
   type ChangePlan,
@@ -23,6 +24,7 @@
   type GroupOrders,
 } from './primaryChange.js'
 import { PauseGuard } from './pauseGuard.js'
+import type { ReceivedBound } from './receivedBound.js'
 
 /** What the steps of a change need from the host that holds the claim. */
 export interface ChangePorts extends GroupOrders {
@@ -35,6 +37,10 @@
   isClaimHeld(): boolean
   /** Returns false if the claim has ended. */
   renewClaim(): Promise<boolean>
+  /** Replaces the token by a newer one, which ends the orders under the older ones. Returns false if that failed. */
+  renewToken(): Promise<boolean>
+  /** What any replica was seen to have received, by this host. */
+  readonly received: ReceivedBound
   /** Whether the server ran a statement, sent after `since`, that only a primary runs. */
   hasLedSince(server: BackendServerId, since: Milliseconds): boolean
   waitBeforeRound(): Promise<void>
@@ -73,13 +79,26 @@
   | { readonly kind: 'unresolved'; readonly server: BackendServerId }
   | { readonly kind: 'givenUp' }
 
-type OrderEnd = 'effective' | 'refused' | 'unresolved' | 'claimLost'
+type OrderEnd =
+  | 'effective'
+  /** Nothing was done, and nothing will be. */
+  | 'refused'
+  /** The order may still be carried out. */
+  | 'unanswered'
+  /** The order was accepted, but no effect was seen. */
+  | 'unresolved'
+  | 'claimLost'
+
+interface PendingOrder {
+  readonly chosen: ChosenPrimary
+  readonly sentAt: Milliseconds
+}
 
 /** Rounds of one claim; each queries all servers again. */
 const MAX_ROUNDS = 40
 
-/** Attempts at one order to promote, which is idempotent under its token. */
-const MAX_PROMOTION_ATTEMPTS = 8
+/** Orders to promote of one claim that may stay unanswered. */
+const MAX_UNANSWERED_ORDERS = 8
 
 /** The time that the platform takes for a promotion, and a reserve. */
 const PROMOTION_EFFECT_LIMIT_MILLISECONDS = 3000
@@ -95,7 +114,11 @@
   readonly #clock: Clock
   /** Servers that were found to have lost their log. */
   readonly #withoutLog = new Set<BackendServerId>()
-  #hasUnansweredOrder = false
+  /** An order under the present token that may still be carried out. */
+  #pending: PendingOrder | null = null
+  #unansweredOrders = 0
+  /** The group that was asked in the last round. */
+  #asked: ChangePlan | null = null
   /** The last report of the server that was ordered to be promoted. */
   #lastReport: ServerReport | null = null
 
@@ -108,27 +131,27 @@
     for (let round = 0; round < MAX_ROUNDS; round += 1) {
       if (round > 0) await this.#ports.waitBeforeRound()
       if (!(await this.#ports.renewClaim())) return { kind: 'claimLost' }
+      const effective = await this.#endPendingOrder()
+      if (effective !== null) return this.#finish(effective, null)
       this.#ports.record({ kind: 'round', round })
-      const plan = this.#ports.plan()
-      const choice = await new PrimaryChoice(plan, this.#ports, this.#withoutLog).choose()
+      const choice = await this.#choose()
       if (choice.isErr()) {
         this.#ports.record({ kind: 'waiting', failure: choice.error })
         continue
       }
-      const newcomer = findNewcomer(plan, this.#ports.plan())
-      if (newcomer !== null) {
-        const failure = { kind: 'groupChanged', server: newcomer } as const
-        this.#ports.record({ kind: 'waiting', failure })
-        continue
-      }
       const chosen = choice.value
       this.#ports.record({ kind: 'chosen', chosen })
-      const ended = await this.#order(chosen, this.#guardOf(chosen, plan))
+      const guard = this.#guardOf(chosen)
+      const ended = await this.#order(chosen, guard)
+      if (ended !== 'effective') await guard.settledPauses()
       switch (ended) {
         case 'effective':
-          return this.#finish(chosen)
+          return this.#finish(chosen, guard)
         case 'refused':
           continue
+        case 'unanswered':
+          if (this.#unansweredOrders < MAX_UNANSWERED_ORDERS) continue
+          return { kind: 'unresolved', server: chosen.server }
         case 'unresolved':
           return { kind: 'unresolved', server: chosen.server }
         case 'claimLost':
@@ -138,8 +161,41 @@
     return { kind: 'givenUp' }
   }
 
-  #guardOf(chosen: ChosenPrimary, { members }: ChangePlan): PauseGuard {
-    return new PauseGuard(chosen, new Set(members.map(({ server }) => server)), {
+  /** Chooses among the group as it is now; the choice holds only if the group is still the same at its end. */
+  async #choose(): Promise<Result<ChosenPrimary, ChoiceFailure>> {
+    const known = this.#ports.plan()
+    const hasUnfinishedOrder = known.hasUnfinishedOrder || this.#unansweredOrders > 0
+    this.#asked = { ...known, hasUnfinishedOrder }
+    const choice = await new PrimaryChoice(this.#asked, this.#ports, this.#withoutLog).choose()
+    if (choice.isErr()) return choice
+    const newcomer = findNewcomer(known, this.#ports.plan())
+    if (newcomer !== null) return err({ kind: 'groupChanged', server: newcomer })
+    const { server } = choice.value
+    if (this.#pending !== null && this.#pending.chosen.server !== server) {
+      return err({ kind: 'orderPending', server: this.#pending.chosen.server })
+    }
+    return choice
+  }
+
+  /**
+   * Returns the choice whose unanswered order took effect. Otherwise the token is renewed, so that another server may be
+   * ordered.
+   */
+  async #endPendingOrder(): Promise<ChosenPrimary | null> {
+    const pending = this.#pending
+    if (pending === null) return null
+    const { chosen, sentAt } = pending
+    if (chosen.how !== 'primaryKept' && (await this.#leads(chosen.server, sentAt))) {
+      this.#ports.record({ kind: 'promoted', chosen, report: this.#lastReport })
+      return chosen
+    }
+    if (await this.#ports.renewToken()) this.#pending = null
+    return null
+  }
+
+  #guardOf(chosen: ChosenPrimary): PauseGuard {
+    const known = this.#asked?.members ?? []
+    return new PauseGuard(chosen, new Set(known.map(({ server }) => server)), {
       pause: (server, pausedFor) => this.#ports.pause(server, pausedFor),
       stepDown: (server, nextTerm) => this.#ports.stepDown(server, nextTerm),
       members: () => this.#ports.plan().members.map(({ server }) => server),
@@ -150,38 +206,52 @@
   }
 
   async #order(chosen: ChosenPrimary, guard: PauseGuard): Promise<OrderEnd> {
-    const { server } = chosen
-    const orderedAt = this.#clock.now()
-    this.#hasUnansweredOrder = false
-    for (let attempt = 0; attempt < MAX_PROMOTION_ATTEMPTS; attempt += 1) {
-      if (attempt > 0) await this.#ports.waitBeforeRound()
-      if (!this.#ports.isClaimHeld()) return 'claimLost'
-      const outcome = await this.#whileGuarded(guard, this.#ports.promote(server, attempt))
-      switch (outcome) {
-        case 'accepted':
-          return this.#awaitEffect(chosen, guard, orderedAt)
-        case 'rejected':
-          return this.#hasUnansweredOrder ? 'unresolved' : 'refused'
-        case 'unavailable':
-          continue
-        case 'noAnswer':
-          this.#hasUnansweredOrder = true
-          continue
-      }
+    if (!this.#ports.isClaimHeld()) return 'claimLost'
+    const sentAt = this.#clock.now()
+    const ordered = this.#ports.promote(chosen.server, this.#unansweredOrders)
+    const outcome = await this.#whileGuarded(chosen, guard, ordered)
+    switch (outcome) {
+      case 'accepted':
+        this.#pending = null
+        return this.#awaitEffect(chosen, guard, sentAt)
+      case 'rejected':
+      case 'unavailable':
+        return 'refused'
+      case 'noAnswer':
+        this.#unansweredOrders += 1
+        this.#pending = { chosen, sentAt }
+        return 'unanswered'
     }
-    return this.#hasUnansweredOrder ? 'unresolved' : 'refused'
   }
 
-  /** Keeps the group paused while an order is awaited: it may be carried out although its answer is late or lost. */
-  async #whileGuarded<Outcome>(guard: PauseGuard, outcome: Promise<Outcome>): Promise<Outcome> {
+  /**
+   * Keeps the group paused while an order is awaited: it may be carried out although its answer is late or lost. Once the
+   * chosen server is known to lack something, the answer is not awaited any more, as only a newer token ends the order.
+   */
+  async #whileGuarded(
+    chosen: ChosenPrimary,
+    guard: PauseGuard,
+    outcome: Promise<PromotionOutcome['kind']>,
+  ): Promise<PromotionOutcome['kind']> {
     const answer = outcome.then(value => ({ value }))
     for (;;) {
       const first = await Promise.race([answer, this.#ports.waitBeforeRetry().then(() => null)])
       if (first !== null) return first.value
       this.#repeatPauses(guard)
+      if (await this.#isOvertaken(chosen)) return 'noAnswer'
     }
   }
 
+  /** Whether a replica was seen to have what the chosen server lacks, also by now. */
+  async #isOvertaken({ server, position, newestTerm }: ChosenPrimary): Promise<boolean> {
+    const { received } = this.#ports
+    if (received.beyond(position, newestTerm) === null) return false
+    const report = await this.#ports.report(server)
+    if (report === null) return true
+    if (report.term > newestTerm) return false
+    return received.beyond(report.received, newestTerm) !== null
+  }
+
   async #awaitEffect(
     chosen: ChosenPrimary,
     guard: PauseGuard,
@@ -191,9 +261,7 @@
       chosen.how === 'primaryKept'
         ? await this.#staysPrimary(chosen, guard)
         : await this.#becomesPrimary(chosen.server, orderedAt, guard)
-    // Statements go to the new primary at once; a pause that is still under way has to end before pauses are ended.
     if (isEffective) this.#ports.record({ kind: 'promoted', chosen, report: this.#lastReport })
-    await guard.settled()
     return isEffective ? 'effective' : 'unresolved'
   }
 
@@ -232,14 +300,18 @@
     return report?.role === 'primary' || this.#ports.hasLedSince(server, since)
   }
 
-  async #finish(chosen: ChosenPrimary): Promise<ChangeEnd> {
+  /** A pause that is still under way has to end before it is ended; only its own server waits for it. */
+  async #finish(chosen: ChosenPrimary, guard: PauseGuard | null): Promise<ChangeEnd> {
     const { server } = chosen
     const frozen = new Set(chosen.frozen.map(each => each.server))
     const others = this.#ports.plan().members.filter(member => member.server !== server)
     await Promise.all(
-      others.map(member => this.#endPause(member.server, frozen.has(member.server))),
+      others.map(async member => {
+        await guard?.settled(member.server)
+        await this.#endPause(member.server, frozen.has(member.server))
+      }),
     )
-    return { kind: 'done', primary: server, hasUnansweredOrder: this.#hasUnansweredOrder }
+    return { kind: 'done', primary: server, hasUnansweredOrder: this.#pending !== null }
   }
 
   /**
--- a/packages/host/src/changeLog.ts
+++ b/packages/host/src/changeLog.ts
@@ -29,6 +29,8 @@
   /** Attempts at which the server had no capacity. */
   readonly busy: number
   readonly unanswered: number
+  /** The host through which the server was reached; null if it was reached directly. */
+  readonly through: string | null
   readonly tookMilliseconds: number
 }
 
@@ -59,6 +61,15 @@
     this.#pauses = new PauseWatch()
   }
 
+  tokenRenewed(token: number): void {
+    this.#context.log.write('token_renewed', {
+      service: this.#service.name,
+      token,
+      before: this.#token,
+    })
+    this.#token = token
+  }
+
   round(round: number): void {
     const { clock, log } = this.#context
     const now = clock.now()
--- a/packages/host/src/claimedChange.ts
+++ b/packages/host/src/claimedChange.ts
@@ -4,7 +4,12 @@
  *
  * @internal
  */
-import type { ChangeEvent, ChangePlan, ChangePorts } from '@nutmegcourse/coordination'
+import type {
+  ChangeEvent,
+  ChangePlan,
+  ChangePorts,
+  ReceivedBound,
+} from '@nutmegcourse/coordination'
 import type { BackendServerId, Milliseconds, Term } from '@nutmegcourse/shared'
 import type {
   BackendServerEntry,
@@ -122,6 +127,17 @@
     return this.#parts.claim.renew()
   }
 
+  async renewToken(): Promise<boolean> {
+    const { claim, orders } = this.#parts
+    if (!(await claim.renewToken())) return false
+    orders.changeLog.tokenRenewed(claim.token)
+    return true
+  }
+
+  get received(): ReceivedBound {
+    return this.#parts.service.received
+  }
+
   hasLedSince(server: BackendServerId, since: Milliseconds): boolean {
     return this.#parts.service.hasLedSince(server, since)
   }
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -22,6 +22,7 @@
   attempts: 'how often it was sent',
   busy: 'attempts that the server refused because it was full',
   unanswered: 'attempts without an answer; each may be carried out later',
+  through: 'the host through which the server was reached; null if it was asked directly',
   tookMilliseconds: 'over all attempts',
 }
 
@@ -228,7 +229,7 @@
     fields: {
       service: 'the service',
       token: 'the fencing token',
-      kind: 'noReplica, unknownReplica (it may hold more), incompleteList, primaryNotStopped, groupChanged (it joined or started again after the group was asked) or newerTerm (another promotion took effect)',
+      kind: 'noReplica, unknownReplica (it may hold more), incompleteList, primaryNotStopped, groupChanged (it joined or started again after the group was asked), orderPending (its promotion was ordered without an answer) or newerTerm (another promotion took effect)',
       server: 'the server that prevents it',
       missing:
         'for unknownReplica: the servers that may hold acknowledged writes and did not answer, with the position up to which they may hold them (null: unknown) and whether they may return with their log',
@@ -249,6 +250,18 @@
       how: 'candidateHoldsAll, furthestOfFrozen, primaryStopped (it holds the last write of the primary, which stepped down) or primaryKept (only older orders to promote are cancelled)',
     },
   },
+  token_renewed: {
+    when: 'An order to promote got no answer; a newer token ends it.',
+    fields: {
+      service: 'the service',
+      token: 'the new fencing token',
+      before: 'the token before it',
+    },
+  },
+  token_not_renewed: {
+    when: 'The newer token could not be written; only the server that was ordered may be ordered again.',
+    fields: { service: 'the service', token: 'the fencing token', why: 'how the call failed' },
+  },
   member_joined: {
     when: 'A server joined the group after the choice, and was paused until the promotion takes effect.',
     fields: {
@@ -270,7 +283,7 @@
       holder: 'this host',
       fencingToken: 'the token',
       outcome: 'accepted, rejected, unavailable or noAnswer',
-      attempt: 'counted from 0; an order without an answer is repeated under the same token',
+      attempt: 'the orders of this claim before it that got no answer',
       tookMilliseconds: 'since this attempt was sent',
     },
   },
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -21,6 +21,7 @@
 import { CallerSession } from './callerSession.js'
 import { CustomerLimits, type Admission, type OperationStart } from './customerLimits.js'
 import type { DecisionLog } from './decisionLog.js'
+import type { RelayedOrderAnswer, RelayedOrderRequest } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import { HostFleet } from './hostFleet.js'
 import type { HostMetrics } from './hostMetrics.js'
@@ -126,6 +127,10 @@
     })
   }
 
+  orderServer(request: RelayedOrderRequest): Promise<RelayedOrderAnswer> {
+    return this.#services.orderServer(request)
+  }
+
   /** Whether new callers should be sent here: the host is not stopping and can route their statements. */
   get isReady(): boolean {
     return this.#stopping === null && this.#services.isServable
--- a/packages/host/src/failoverController.ts
+++ b/packages/host/src/failoverController.ts
@@ -24,13 +24,20 @@
   type ChangeRecord,
   type SuspicionRecord,
 } from '@nutmegcourse/coordination'
-import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
-import type { PromotionPort, StoreLink } from '@nutmegcourse/protocol'
+import {
+  addMilliseconds,
+  milliseconds,
+  type BackendServerId,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
+import type { PromotionPort, ServerReport, StoreLink } from '@nutmegcourse/protocol'
 import type { ServerDirectory } from '@nutmegcourse/state'
 import { ClaimedChange } from './claimedChange.js'
 import { GroupOrderSender } from './groupOrderSender.js'
+import { GroupPeers, type RelayedOrder } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import { CALL_LIMIT_MILLISECONDS, PrimaryClaims, type Claim } from './primaryClaim.js'
+import type { RelayPeer } from './relayPeer.js'
 import type { ServiceState } from './serviceState.js'
 
 /** Time after a change of primary, or an attempt at one, during which this host starts no other. */
@@ -53,6 +60,14 @@
 
 type ChangeReason = 'abandoned' | 'missing' | 'leaving' | 'silent'
 
+/** The hosts that use the service's servers. */
+export interface ObservingHosts {
+  /** Their names, with that of this host. */
+  readonly observers: () => readonly string[]
+  /** The others that can be reached. */
+  readonly peers: () => readonly RelayPeer[]
+}
+
 interface StoredChangeRecord {
   readonly record: ChangeRecord
   readonly revision: number
@@ -85,15 +100,16 @@
     directory: ServerDirectory,
     store: StoreLink,
     promotion: PromotionPort,
-    observers: () => readonly string[],
+    hosts: ObservingHosts,
   ) {
     this.#context = context
     this.#service = service
     this.#directory = directory
     this.#store = store
     this.#promotion = promotion
-    this.#observers = observers
-    this.#orders = new GroupOrderSender(context, service, directory)
+    this.#observers = hosts.observers
+    const peers = new GroupPeers(service, hosts.peers)
+    this.#orders = new GroupOrderSender(context, service, directory, peers)
     this.#claims = new PrimaryClaims(context, store, service.name, (change, unfinished) => {
       this.receiveChangeRecord(change?.value ?? null, change?.revision ?? 0)
       this.receiveUnfinishedRecord(unfinished?.revision ?? 0)
@@ -133,6 +149,10 @@
     this.#suspendFor(now, this.#claims.lifetimeMilliseconds)
   }
 
+  orderForPeer(server: BackendServerId, order: RelayedOrder): Promise<ServerReport | null> {
+    return this.#orders.orderForPeer(server, order)
+  }
+
   #suspendFor(now: Milliseconds, span: number): void {
     this.#suspendedUntil = milliseconds(Math.max(this.#suspendedUntil, now + span))
   }
--- a/packages/host/src/groupOrderSender.ts
+++ b/packages/host/src/groupOrderSender.ts
@@ -14,10 +14,11 @@
   LinkFailure,
   ServerReport,
 } from '@nutmegcourse/protocol'
-import type { ServerDirectory } from '@nutmegcourse/state'
+import { SILENCE_LIMIT_MILLISECONDS, type ServerDirectory } from '@nutmegcourse/state'
 import type { GroupOrders } from '@nutmegcourse/coordination'
 import { addressOf, type BackendServerState } from './backendServerState.js'
 import { ChangeLog, type OrderCourse } from './changeLog.js'
+import { firstAnswer, type GroupPeers, type RelayedOrder } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import type { PooledLink } from './pooledLink.js'
 import type { ServiceState } from './serviceState.js'
@@ -53,36 +54,109 @@
   readonly #context: HostContext
   readonly #service: ServiceState
   readonly #directory: ServerDirectory
+  readonly #peers: GroupPeers
   readonly changeLog: ChangeLog
 
-  constructor(context: HostContext, service: ServiceState, directory: ServerDirectory) {
+  constructor(
+    context: HostContext,
+    service: ServiceState,
+    directory: ServerDirectory,
+    peers: GroupPeers,
+  ) {
     this.#context = context
     this.#service = service
     this.#directory = directory
+    this.#peers = peers
     this.changeLog = new ChangeLog(context, service)
   }
 
   report(server: BackendServerId): Promise<ServerReport | null> {
-    return this.#order(server, { kind: 'report' })
+    return this.#orderOnAnyPath(server, { kind: 'report' })
   }
 
   pause(server: BackendServerId, term: Term): Promise<ServerReport | null> {
-    return this.#order(server, { kind: 'pause', term })
+    return this.#orderOnAnyPath(server, { kind: 'pause', term })
   }
 
   stepDown(server: BackendServerId, term: Term): Promise<ServerReport | null> {
-    return this.#order(server, { kind: 'stepDown', term })
+    return this.#orderOnAnyPath(server, { kind: 'stepDown', term })
   }
 
-  resume(server: BackendServerId): Promise<ServerReport | null> {
-    return this.#order(server, { kind: 'resume' })
+  /** Only the holder may end a pause, and only as long as its claim lasts, so this does not go through other hosts. */
+  async resume(server: BackendServerId): Promise<ServerReport | null> {
+    const answer = await this.#order(server, { kind: 'resume' })
+    return typeof answer === 'string' ? null : answer
+  }
+
+  /** One attempt, for a host that does not reach the server. */
+  async orderForPeer(server: BackendServerId, order: RelayedOrder): Promise<ServerReport | null> {
+    if (this.#isOutOfReach(server)) return null
+    const answer = await this.#orderOnce(server, order)
+    if (typeof answer === 'string') return null
+    this.#recordReport(server, answer)
+    return answer
   }
 
   waitBeforeRetry(): Promise<void> {
     return sleep(RETRY_PAUSE_MILLISECONDS)
   }
 
-  async #order(id: BackendServerId, command: BackendCommand): Promise<ServerReport | null> {
+  /** A server that this host does not reach may serve others, which can stop it. */
+  async #orderOnAnyPath(
+    server: BackendServerId,
+    order: RelayedOrder,
+  ): Promise<ServerReport | null> {
+    const answered = this.#order(server, order)
+    if (this.#isOutOfReach(server)) {
+      const direct = answered.then(answer => (typeof answer === 'string' ? null : answer))
+      return firstAnswer([direct, this.#orderThroughPeers(server, order)])
+    }
+    const answer = await answered
+    if (answer === 'noAnswer' && this.#service.server(server) !== undefined) {
+      return this.#orderThroughPeers(server, order)
+    }
+    return typeof answer === 'string' ? null : answer
+  }
+
+  async #orderThroughPeers(
+    server: BackendServerId,
+    order: RelayedOrder,
+  ): Promise<ServerReport | null> {
+    const { clock } = this.#context
+    const startedAt = clock.now()
+    const answer = await this.#peers.order(server, order)
+    if (answer === null) return null
+    const { report, host } = answer
+    const tookMilliseconds = Math.round(clock.now() - startedAt)
+    const course = { attempts: 1, busy: 0, unanswered: 0, through: host, tookMilliseconds }
+    this.#answered(server, order, course, report)
+    return report
+  }
+
+  #isOutOfReach(id: BackendServerId): boolean {
+    const server = this.#service.server(id)
+    if (server === undefined) return false
+    const silence = server.silentMilliseconds(this.#context.clock.now())
+    return server.pool.refusals > 0 || silence > SILENCE_LIMIT_MILLISECONDS
+  }
+
+  #answered(
+    server: BackendServerId,
+    command: BackendCommand,
+    course: OrderCourse,
+    report: ServerReport,
+  ): void {
+    this.#recordReport(server, report)
+    this.changeLog.answered(server, command, course, report)
+  }
+
+  #recordReport(server: BackendServerId, { role, term, received }: ServerReport): void {
+    const bound = this.#service.received
+    if (role === 'primary') bound.recordPrimary(server, Math.max(term, received.term))
+    else bound.recordReplica(server, received)
+  }
+
+  async #order(id: BackendServerId, command: BackendCommand): Promise<ServerReport | OrderFailure> {
     const { clock } = this.#context
     const startedAt = clock.now()
     const noCapacityDeadline = addMilliseconds(startedAt, NO_CAPACITY_RETRY_MILLISECONDS)
@@ -93,12 +167,13 @@
       attempts: busy + unanswered + answers,
       busy,
       unanswered,
+      through: null,
       tookMilliseconds: Math.round(clock.now() - startedAt),
     })
     for (;;) {
       const report = await this.#orderOnce(id, command)
       if (report !== 'noCapacity' && report !== 'noAnswer') {
-        this.changeLog.answered(id, command, course(1), report)
+        this.#answered(id, command, course(1), report)
         return report
       }
       if (report === 'noAnswer') unanswered += 1
@@ -107,7 +182,7 @@
       await this.waitBeforeRetry()
     }
     this.changeLog.unanswered(id, command, course(0))
-    return null
+    return unanswered > 0 ? 'noAnswer' : 'noCapacity'
   }
 
   async #orderOnce(
--- a/packages/host/src/hostFleet.ts
+++ b/packages/host/src/hostFleet.ts
@@ -76,6 +76,11 @@
     return this.#observers.get(service) ?? []
   }
 
+  /** The other hosts that use the service's servers and can be reached. */
+  observingPeers(service: string): readonly RelayPeer[] {
+    return this.#peers.up(this.observersOf(service)).slice(0, MAX_INDIRECT_PEERS)
+  }
+
   /** Applies a host's registration, or its removal with null. */
   receiveHostRecord(host: string, record: HostRecord | null): void {
     this.#isPlanned = false
--- a/packages/host/src/primaryClaim.ts
+++ b/packages/host/src/primaryClaim.ts
@@ -11,6 +11,7 @@
   unfinishedKey,
   writeRecord,
   type ChangeEnd,
+  type ChangeRecord,
 } from '@nutmegcourse/coordination'
 import { addMilliseconds, attemptId, type Milliseconds } from '@nutmegcourse/shared'
 import type { ChangeOutcome, StoreFailure, StoreLink, StoredRecord } from '@nutmegcourse/protocol'
@@ -40,6 +41,14 @@
   readonly unfinished: number
 }
 
+type ClaimedRecord = Extract<ChangeRecord, { readonly phase: 'claimed' }>
+
+interface GrantedClaim {
+  readonly record: ClaimedRecord
+  readonly lease: number
+  readonly grantedAt: Milliseconds
+}
+
 type DoneChange = Extract<ChangeEnd, { readonly kind: 'done' }>
 
 /** Receives the records that a failed claim found in the store; null for one that does not exist. */
@@ -50,14 +59,14 @@
 
 /** A claim that this host made. It renews itself until it is ended or lost. */
 export class Claim {
-  /** The fencing token. */
-  readonly token: number
+  readonly #record: ClaimedRecord
   readonly #lease: number
   readonly #lifetimeMilliseconds: number
   readonly #context: HostContext
   readonly #store: StoreLink
   readonly #service: string
   readonly #renewal: NodeJS.Timeout
+  #token: number
   #heldUntil: Milliseconds
   #hasEnded = false
 
@@ -67,6 +76,7 @@
     store: StoreLink,
     claimed: {
       readonly service: string
+      readonly record: ClaimedRecord
       readonly token: number
       readonly lease: number
       readonly grantedAt: Milliseconds
@@ -76,13 +86,60 @@
     this.#context = context
     this.#store = store
     this.#service = claimed.service
-    this.token = claimed.token
+    this.#record = claimed.record
+    this.#token = claimed.token
     this.#lease = claimed.lease
     this.#lifetimeMilliseconds = claimed.lifetimeMilliseconds
     this.#heldUntil = this.#endOfLease(claimed.grantedAt)
     this.#renewal = setInterval(() => void this.renew(), RENEWAL_INTERVAL_MILLISECONDS)
   }
 
+  /** The fencing token. */
+  get token(): number {
+    return this.#token
+  }
+
+  /**
+   * Writes the claim anew, whose revision becomes the token. Returns false if it is not known to be written; a later
+   * attempt finds out.
+   */
+  async renewToken(): Promise<boolean> {
+    const key = changeKey(this.#service)
+    const value = writeRecord(this.#record)
+    const made = await this.#store.change(
+      {
+        expected: [{ key, revision: this.#token }],
+        puts: [{ key, value, lease: this.#lease }],
+        removes: [],
+      },
+      CALL_LIMIT_MILLISECONDS,
+    )
+    if (made.isErr()) return this.#tokenNotRenewed(made.error.kind)
+    switch (made.value.kind) {
+      case 'made':
+        this.#token = made.value.revision
+        return true
+      case 'conflict': {
+        const [found] = made.value.records
+        if (found?.value !== value) return this.#tokenNotRenewed('conflict')
+        // An earlier attempt was carried out without an answer.
+        this.#token = found.revision
+        return true
+      }
+      case 'leaseGone':
+        return this.#tokenNotRenewed('leaseGone')
+    }
+  }
+
+  #tokenNotRenewed(why: string): false {
+    this.#context.log.write('token_not_renewed', {
+      service: this.#service,
+      token: this.#token,
+      why,
+    })
+    return false
+  }
+
   /** Whether the lease is certain to last, by this host's clock. Another host may claim the change otherwise. */
   get isHeld(): boolean {
     return !this.#hasEnded && this.#context.clock.now() < this.#heldUntil
@@ -148,6 +205,8 @@
     const { entryHost: holder } = this.#context.settings
     this.#attempts += 1
     const attempt = attemptId(`${holder}/${String(this.#attempts)}/${String(lease.value)}`)
+    const record = { phase: 'claimed', holder, attempt } as const
+    const granted = { record, lease: lease.value, grantedAt }
     const key = changeKey(this.#service)
     const marker = unfinishedKey(this.#service)
     const made = await this.#store.change(
@@ -158,7 +217,7 @@
         ],
         puts: [
           { key: marker, value: writeRecord({ holder, attempt }), lease: 0 },
-          { key, value: writeRecord({ phase: 'claimed', holder, attempt }), lease: lease.value },
+          { key, value: writeRecord(record), lease: lease.value },
         ],
         removes: [],
       },
@@ -166,19 +225,18 @@
     )
     if (made.isErr()) {
       if (made.error.kind !== 'noAnswer') return this.#failed(made.error.kind)
-      return this.#resolveUnanswered(attempt, lease.value, grantedAt)
+      return this.#resolveUnanswered(granted)
     }
-    if (made.value.kind === 'made') return this.#made(made.value.revision, lease.value, grantedAt)
+    if (made.value.kind === 'made') return this.#made(made.value.revision, granted)
     if (made.value.kind === 'conflict') this.#reportConflict(made.value.records)
     return this.#failed(made.value.kind)
   }
 
-  #made(token: number, lease: number, grantedAt: Milliseconds): Claim {
+  #made(token: number, granted: GrantedClaim): Claim {
     return new Claim(this.#context, this.#store, {
+      ...granted,
       service: this.#service,
       token,
-      lease,
-      grantedAt,
       lifetimeMilliseconds: this.lifetimeMilliseconds,
     })
   }
@@ -190,17 +248,13 @@
   }
 
   /** Reads the record after a claim got no answer, to find out whether the store made it. */
-  async #resolveUnanswered(
-    attempt: string,
-    lease: number,
-    grantedAt: Milliseconds,
-  ): Promise<Claim | null> {
+  async #resolveUnanswered(granted: GrantedClaim): Promise<Claim | null> {
     const read = await this.#store.read(changeKey(this.#service), CALL_LIMIT_MILLISECONDS)
     if (read.isErr()) return this.#failed(read.error.kind)
     const record = read.value === null ? null : readChangeRecord(read.value.value)
-    const isOwn = record?.phase === 'claimed' && record.attempt === attempt
+    const isOwn = record?.phase === 'claimed' && record.attempt === granted.record.attempt
     if (!isOwn || read.value === null) return this.#failed('lost')
-    return this.#made(read.value.revision, lease, grantedAt)
+    return this.#made(read.value.revision, granted)
   }
 
   #failed(why: string): null {
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -20,6 +20,8 @@
   ping: 'ping',
   /** Requests one operation under a customer's limit. */
   grant: 'grant',
+  /** Orders a server, during a change of primary, on behalf of a host that does not reach it. */
+  order: 'order',
   /** Requests changes of the store from a host of the zone that follows the store. */
   news: 'news',
   /** Notification by the host that runs statements: it is stopping and accepts no new ones. */
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -6,6 +6,7 @@
 import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostAddress } from '@nutmegcourse/protocol'
 import { openJsonRpc, type JsonRpcConnection } from '@nutmegcourse/transport'
+import type { RelayedOrderAnswer, RelayedOrderRequest } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import type { GrantAnswer, GrantRequest } from './limitGranter.js'
 import type { ChangeFeedResponse, ChangeFeedRequest } from './changeFeedMessages.js'
@@ -138,6 +139,10 @@
     return this.#request(RELAY_METHODS.grant, request, timeout)
   }
 
+  orderServer(request: RelayedOrderRequest, timeout: number): Promise<RelayedOrderAnswer | null> {
+    return this.#request(RELAY_METHODS.order, request, timeout)
+  }
+
   /**
    * Returns null if no answer arrives within `timeout` milliseconds. Not counted as a pending call, which would be
    * monitored with pings: no statement runs there, and the timeout suffices.
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -7,6 +7,7 @@
  */
 import { createServer, type Server, type Socket } from 'node:net'
 import { JsonRpcConnection } from '@nutmegcourse/transport'
+import type { RelayedOrderAnswer, RelayedOrderRequest } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import type { GrantRequest, LimitGranter } from './limitGranter.js'
 import type { ChangeFeedServer } from './changeFeedServer.js'
@@ -40,6 +41,8 @@
   readonly idleTransactionMilliseconds: number
   /** Answers requests of hosts of the zone for changes of the store. */
   readonly changeFeed: ChangeFeedServer
+  /** Orders a server on behalf of a host that does not reach it. */
+  orderServer(request: RelayedOrderRequest): Promise<RelayedOrderAnswer>
   /** Grants operations from the parts of customers' limits that this host holds. */
   readonly limits: LimitGranter
 }
@@ -131,6 +134,7 @@
       [RELAY_METHODS.ping]: () => true,
       [RELAY_METHODS.news]: params => this.#services.changeFeed.answer(params as ChangeFeedRequest),
       [RELAY_METHODS.grant]: params => this.#services.limits.answer(params as GrantRequest),
+      [RELAY_METHODS.order]: params => this.#services.orderServer(params as RelayedOrderRequest),
       [RELAY_METHODS.single]: params => this.#single(params as RequestMessage),
       [RELAY_METHODS.begin]: params => this.#begin(params as BeginMessage),
       [RELAY_METHODS.continue]: params => this.#continue(params as ContinueMessage),
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -26,6 +26,7 @@
 import type { CallerIdentity, RouteLookup } from './routeLookup.js'
 import { isUrgent, type ServiceInterest } from './changeUrgency.js'
 import { ConfigurationHolder } from './configurationHolder.js'
+import type { RelayedOrderAnswer, RelayedOrderRequest } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import type { HostFleet } from './hostFleet.js'
 import type { OwnRecordReader, StoredRecord } from './hostRegistration.js'
@@ -166,6 +167,11 @@
     return this.#limits.of(this.#configuration.customers.limitOf(customer))
   }
 
+  async orderServer({ service, server, order }: RelayedOrderRequest): Promise<RelayedOrderAnswer> {
+    const failover = this.#components.get(service)?.failover
+    return { report: (await failover?.orderForPeer(server, order)) ?? null }
+  }
+
   get services(): readonly ServiceState[] {
     return this.#services()
   }
@@ -178,8 +184,9 @@
     return this.#components.get(name)?.service
   }
 
+  /** A server that joins during a change of primary has to be paused at once. */
   get isAwaited(): boolean {
-    if (this.#changeFeed.isAwaited) return true
+    if (this.#changeFeed.isAwaited || this.isChanging) return true
     const now = this.#context.clock.now()
     return this.#services().some(service => service.isAwaitingPrimary(now))
   }
@@ -324,7 +331,10 @@
       this.#directory,
       store,
       promotion,
-      () => this.#fleet.observersOf(configuration.name),
+      {
+        observers: () => this.#fleet.observersOf(configuration.name),
+        peers: () => this.#fleet.observingPeers(configuration.name),
+      },
     )
     const probe = new PrimaryProbe(this.#context, service)
     const members = new MemberRecorder({
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -3,6 +3,7 @@
  *
  * @internal
  */
+import { ReceivedBound } from '@nutmegcourse/coordination'
 import {
   addMilliseconds,
   isAtOrPast,
@@ -78,6 +79,8 @@
   readonly #leadership = new Leadership()
   #primaryEvidence: PrimaryEvidence | null = null
   readonly #positions = new PrimaryPositions()
+  /** What any replica was seen to have received. */
+  readonly received = new ReceivedBound()
   readonly #servers = new Map<BackendServerId, BackendServerState>()
   #configuration: ServiceConfiguration
 
@@ -215,6 +218,7 @@
   recordPrimary(id: BackendServerId, askedAt: Milliseconds, position: LogPosition | null): void {
     this.#acceptPrimary(id, askedAt, 'answer')
     if (position === null) return
+    this.received.recordPrimary(id, position.term)
     this.#comparePositions(id, position)
     this.#directory.notePrimaryPosition(this.name, position, askedAt)
     this.bounds.add(askedAt, position)
@@ -252,6 +256,7 @@
   ): void {
     if (position === null || id === this.#leadership.primary) return
     this.#positions.recordReplica(id, position)
+    this.received.recordReplica(id, position)
     const newest = this.#newestReplicaPosition
     if (newest !== null && isAtOrPast(newest, position)) return
     this.#newestReplicaPosition = position
