fix(coordination): a choice of a primary counts everything that a replica was seen to have

Cause: a choice rested on what one host heard in one round. What it had heard a round before, what answers to statements had told it and the others, and what the last holder of the claim knew counted for nothing. One member may be missing, and that was the one that had shown that it holds more.

Change: the furthest position that any replica of the newest term was seen to have is a bound that never falls (receivedBound.ts). Reports, answers to statements, the other hosts and the record of the unfinished change feed it. A server below it is not ordered while another one may return with the rest (change_waits, shortLog), and nobody is waited for that counts as gone.

Why it works: a write is acknowledged once a replica has received it, so whoever has heard of that replica's position knows a bound of what is acknowledged, whatever the servers answer later.

--- a/packages/coordination/__tests__/synchronous/changeExplored.spec.ts
+++ b/packages/coordination/__tests__/synchronous/changeExplored.spec.ts
@@ -44,6 +44,10 @@
     'the pauses beside an earlier order have ended, and writes go on once the later holder has ended',
   ),
   faulty('pausesEndWithNextTerm', 'the earlier promotion of the candidate is to take effect'),
+  faulty(
+    'shownPositionsAreForgotten',
+    'the primary is gone and the replica that holds the rest crashes once it has answered',
+  ),
   faultyServers('pauseIsIgnored', 'the believed primary is a replica of three by now'),
   faultyServers('stepDownIsIgnored', 'all logs are equal and an order is not answered'),
 ]
--- a/packages/coordination/__tests__/synchronous/claimCases.ts
+++ b/packages/coordination/__tests__/synchronous/claimCases.ts
@@ -38,6 +38,8 @@
   /** The server that the holder believes to lead. */
   readonly believed?: number | null
   readonly unlisted?: readonly number[]
+  /** The servers that the holder takes for ended. */
+  readonly gone?: readonly number[]
   /** Only the orders are checked: what the servers do once one was sent may lose a write. */
   readonly checksOrdersOnly?: boolean
   readonly holders?: number
@@ -268,8 +270,16 @@
   },
 ]
 
-/** The order of a round is not answered. */
+/** A round ends without an order, or its order without an answer, and the next round knows more than it sees. */
 const ROUND_CASES: readonly Case[] = [
+  {
+    name: 'the primary is gone and the replica that holds the rest crashes once it has answered',
+    logs: ['11', '1', '11'],
+    dead: [P],
+    gone: [P],
+    budget: { crashes: 1 },
+    checksOrdersOnly: true,
+  },
   {
     name: 'the order is not answered, and a paused replica restarts beside an unreachable primary',
     logs: ['1', '1', '1'],
@@ -327,13 +337,15 @@
 }
 
 function holderOf(given: Case, index: number, fault: Fault): Holder {
-  const { logs, believed = P, unlisted = [], cutFrom = [], leaving = [] } = given
+  const { logs, believed = P, unlisted = [], cutFrom = [], leaving = [], gone = [] } = given
   const members = [...logs.keys()].filter(server => !unlisted.includes(server))
   const believedName = believed === null ? null : nameOf(believed)
   const group = {
     members: members.map(server =>
       member(nameOf(server), {
         isLeaving: leaving.includes(server),
+        mayHoldWrites: !gone.includes(server),
+        mayReturn: !gone.includes(server),
       }),
     ),
     isComplete: unlisted.length === 0 || fault === 'listCountsAsComplete',
--- a/packages/coordination/__tests__/synchronous/claimProgram.ts
+++ b/packages/coordination/__tests__/synchronous/claimProgram.ts
@@ -37,6 +37,7 @@
   | 'listCountsAsComplete'
   | 'otherServerUnderSameToken'
   | 'pausesEndWithNextTerm'
+  | 'shownPositionsAreForgotten'
 
 export interface ClaimedChange {
   readonly plan: ChangePlan
@@ -57,6 +58,8 @@
   #invented = 0
   #token: number
   readonly received = new ReceivedBound()
+  /** What any replica reported, whatever the claim makes of it. */
+  readonly #shown = new ReceivedBound()
 
   constructor(ports: ProgramPorts<HolderCall>, change: ClaimedChange) {
     this.#ports = ports
@@ -133,13 +136,17 @@
     return Promise.resolve(true)
   }
 
+  othersAsked(): Promise<void> {
+    return Promise.resolve()
+  }
+
   hasLedSince(): boolean {
     return false
   }
 
   async promote(server: BackendServerId): Promise<PromotionAnswerKind> {
     this.#last = null
-    const shown = this.received.furthest?.at ?? null
+    const shown = this.#shown.furthest?.at ?? null
     const call = { kind: 'promote', server: indexOf(server), token: this.#token, shown } as const
     this.#promoting = this.#ports.call(call)
     const answer = await this.#promoting
@@ -164,8 +171,11 @@
   }
 
   #recordReport(server: BackendServerId, { role, term: led, received }: ServerReport): void {
-    if (role === 'primary') this.received.recordPrimary(server, Math.max(led, received.term))
-    else this.received.recordReplica(server, received)
+    const isForgotten = this.#change.fault === 'shownPositionsAreForgotten'
+    for (const bound of isForgotten ? [this.#shown] : [this.#shown, this.received]) {
+      if (role === 'primary') bound.recordPrimary(server, Math.max(led, received.term))
+      else bound.recordReplica(server, received)
+    }
   }
 
   async #order(order: ServerOrder): Promise<ServerReport | null> {
--- a/packages/coordination/__tests__/synchronous/fakeServers.ts
+++ b/packages/coordination/__tests__/synchronous/fakeServers.ts
@@ -32,10 +32,12 @@
 /** Servers whose state each test sets; no write is made unless a test makes one. */
 export class FakeServers implements ChangePorts {
   readonly servers = new Map<BackendServerId, FakeServer>()
+  readonly orders: BackendServerId[] = []
   readonly stepDowns: { readonly server: BackendServerId; readonly term: Term }[] = []
   now = 0
   onReport: (server: BackendServerId, role: string) => boolean = () => true
   onPromoted: () => void = () => undefined
+  onWait: () => void = () => undefined
   readonly joined: BackendServerId[] = []
   readonly received = new ReceivedBound()
   /** What happens before the order to promote is answered. */
@@ -118,6 +120,7 @@
 
   waitBeforeRetry(): Promise<void> {
     this.now += 25
+    this.onWait()
     if (this.now >= this.#effectAt && this.#promoted !== null) this.#takeEffect(this.#promoted)
     return Promise.resolve()
   }
@@ -126,10 +129,12 @@
   isClaimHeld = (): boolean => true
   renewClaim = (): Promise<boolean> => Promise.resolve(true)
   renewToken = (): Promise<boolean> => Promise.resolve(true)
+  othersAsked = (): Promise<void> => Promise.resolve()
   hasLedSince = (): boolean => false
   record = (): void => undefined
 
   async promote(id: BackendServerId): Promise<'accepted'> {
+    this.orders.push(id)
     await this.whileOrdered?.()
     if (this.at(id).role !== 'primary') {
       this.#promoted = id
--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -5,9 +5,11 @@
 import {
   attemptId,
   backendServerId,
+  logPosition,
   type AttemptId,
   type BackendServerId,
 } from '@nutmegcourse/shared'
+import type { ServerPosition } from './receivedBound.js'
 
 /** Which host is changing a service's primary, or which server became primary in the last change. */
 export type ChangeRecord =
@@ -40,6 +42,8 @@
 export interface UnfinishedRecord {
   readonly holder: string
   readonly attempt: AttemptId
+  /** The furthest position that its holder knew a replica to have received; null if it knew none. */
+  readonly received: ServerPosition | null
 }
 
 const CHANGE_PREFIX = 'change/'
@@ -95,6 +99,17 @@
   return null
 }
 
+/** The position that an earlier holder left for the next one. */
+export function readUnfinishedPosition(text: string): ServerPosition | null {
+  const { received } = parse(text)
+  if (typeof received !== 'object' || received === null) return null
+  const { server, at } = received as Fields
+  if (typeof server !== 'string' || typeof at !== 'object' || at === null) return null
+  const { term, offset } = at as Fields
+  if (typeof term !== 'number' || typeof offset !== 'number') return null
+  return { server: backendServerId(server), at: logPosition(term, offset) }
+}
+
 export function readSuspicionRecord(text: string): SuspicionRecord | null {
   const fields = parse(text)
   const primary = textOf(fields, 'primary')
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -83,6 +83,10 @@
   readonly frozen: readonly ServerPosition[]
   /** The listed members that are neither frozen, nor chosen, nor the primary. */
   readonly missing: readonly BackendServerId[]
+  /** The members that could not be asked and may still return with their logs. */
+  readonly mayReturn: readonly BackendServerId[]
+  /** The members without a log, which may be about to take over that of a leaving server. */
+  readonly mayTakeOver: readonly BackendServerId[]
   /** The server that reported that it leads, if any. */
   readonly leader: BackendServerId | null
   readonly how: 'candidateHoldsAll' | 'furthestOfFrozen' | 'primaryStopped' | 'primaryKept'
@@ -106,6 +110,16 @@
   | { readonly kind: 'primaryNotStopped'; readonly server: BackendServerId }
   /** A server joined the group, or started again, after the group was asked. */
   | { readonly kind: 'groupChanged'; readonly server: BackendServerId }
+  /** The chosen server lacks what a replica was seen to have, and another server may still bring it. */
+  | {
+      readonly kind: 'shortLog'
+      /** The server that was chosen. */
+      readonly server: BackendServerId
+      readonly position: LogPosition
+      readonly known: ServerPosition
+      /** The servers that are waited for. */
+      readonly awaited: readonly BackendServerId[]
+    }
   /** Another server was ordered to be promoted, and the order can not be ended yet. */
   | { readonly kind: 'orderPending'; readonly server: BackendServerId }
   /** A server reported a newer term than all had reported before: another promotion took effect. */
@@ -141,6 +155,8 @@
   readonly pausedFor: Term
   readonly frozen: readonly Reporter[]
   readonly missing: readonly GroupMember[]
+  readonly mayReturn: readonly GroupMember[]
+  readonly mayTakeOver: readonly GroupMember[]
 }
 
 export class PrimaryChoice {
@@ -261,7 +277,15 @@
     )
     const rest = [...others, ...unheard]
     const missing = countMissing(rest, answered, frozen, candidate)
-    return { nextTerm, pausedFor, frozen, missing }
+    const answering = new Set(answered.map(({ server }) => server))
+    return {
+      nextTerm,
+      pausedFor,
+      frozen,
+      missing,
+      mayReturn: rest.filter(({ server, mayReturn }) => mayReturn && !answering.has(server)),
+      mayTakeOver: answered.filter(isEmptyNewcomer),
+    }
   }
 
   /** A server that leads an old term, or did not report, has to step down before it can be paused. */
@@ -477,7 +501,7 @@
 
 const describe = (
   replies: Replies,
-  { pausedFor, frozen, missing }: FrozenGroup,
+  { pausedFor, frozen, missing, mayReturn, mayTakeOver }: FrozenGroup,
   chosen: Reporter,
   how: ChosenPrimary['how'],
 ): ChosenPrimary => ({
@@ -487,6 +511,8 @@
   pausedFor,
   frozen: frozen.map(({ server, report }) => ({ server, at: report.received })),
   missing: missing.map(({ server }) => server),
+  mayReturn: mayReturn.map(({ server }) => server),
+  mayTakeOver: mayTakeOver.map(({ server }) => server),
   leader: replies.leader?.server ?? null,
   how,
 })
--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -2,8 +2,9 @@
  * The steps of one claim to change the primary of a group: choose, order the promotion, wait until it takes effect,
  * and end the pauses that outlast it.
  *
- * Invariant: each order to promote is sent in a round that asked the group after the order before, so that an order that
- * got no answer is never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
+ * Invariant: an order to promote is sent only for a server that holds everything that any replica was seen to have
+ * received (`ReceivedBound`), in a round that asked the group after the order before. An order that got no answer is
+ * thus never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
  * token, and allows for the older order (`ChangePlan.hasUnfinishedOrder`): at most one server is ordered under a token.
  */
 import {
@@ -39,8 +40,10 @@
   renewClaim(): Promise<boolean>
   /** Replaces the token by a newer one, which ends the orders under the older ones. Returns false if that failed. */
   renewToken(): Promise<boolean>
-  /** What any replica was seen to have received, by this host. */
+  /** What any replica was seen to have received, by this host and those that it reaches. */
   readonly received: ReceivedBound
+  /** Resolves once the other hosts have told what they have seen since the round began, or a short limit is over. */
+  othersAsked(): Promise<void>
   /** Whether the server ran a statement, sent after `since`, that only a primary runs. */
   hasLedSince(server: BackendServerId, since: Milliseconds): boolean
   waitBeforeRound(): Promise<void>
@@ -100,6 +103,12 @@
 /** Orders to promote of one claim that may stay unanswered. */
 const MAX_UNANSWERED_ORDERS = 8
 
+/**
+ * How long a choice whose log is known to be short waits for a server without a log, which may take over that of a
+ * leaving one. Servers that may return with a log are waited for until they count as gone.
+ */
+const TAKE_OVER_MILLISECONDS = 4000
+
 /** The time that the platform takes for a promotion, and a reserve. */
 const PROMOTION_EFFECT_LIMIT_MILLISECONDS = 3000
 
@@ -119,6 +128,8 @@
   #unansweredOrders = 0
   /** The group that was asked in the last round. */
   #asked: ChangePlan | null = null
+  /** Since when the choice is known to lack something; null if the last one was not. */
+  #shortSince: Milliseconds | null = null
   /** The last report of the server that was ordered to be promoted. */
   #lastReport: ServerReport | null = null
 
@@ -166,6 +177,7 @@
     const known = this.#ports.plan()
     const hasUnfinishedOrder = known.hasUnfinishedOrder || this.#unansweredOrders > 0
     this.#asked = { ...known, hasUnfinishedOrder }
+    const othersAsked = this.#ports.othersAsked()
     const choice = await new PrimaryChoice(this.#asked, this.#ports, this.#withoutLog).choose()
     if (choice.isErr()) return choice
     const newcomer = findNewcomer(known, this.#ports.plan())
@@ -174,7 +186,24 @@
     if (this.#pending !== null && this.#pending.chosen.server !== server) {
       return err({ kind: 'orderPending', server: this.#pending.chosen.server })
     }
-    return choice
+    if (choice.value.leader === null) await othersAsked
+    const short = this.#findShortLog(choice.value)
+    return short === null ? choice : err(short)
+  }
+
+  /** Null if the chosen server holds all that is known, or if nothing can bring the rest any more. */
+  #findShortLog(chosen: ChosenPrimary): ChoiceFailure | null {
+    const { server, position, newestTerm, mayReturn, mayTakeOver } = chosen
+    const known = this.#ports.received.beyond(position, newestTerm)
+    if (known === null) {
+      this.#shortSince = null
+      return null
+    }
+    this.#shortSince ??= this.#clock.now()
+    const mayStillTakeOver =
+      this.#clock.now() < addMilliseconds(this.#shortSince, TAKE_OVER_MILLISECONDS)
+    const awaited = [...mayReturn, ...(mayStillTakeOver ? mayTakeOver : [])]
+    return awaited.length === 0 ? null : { kind: 'shortLog', server, position, known, awaited }
   }
 
   /**
--- a/packages/host/__tests__/changeReviewed.spec.ts
+++ b/packages/host/__tests__/changeReviewed.spec.ts
@@ -1,8 +1,17 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { attemptId } from '@nutmegcourse/shared'
-import { changeKey, writeRecord } from '@nutmegcourse/coordination'
-import { A, B, P, SERVICE, withHostFixture, type HostFixture } from './support/hostFixture.js'
+import { attemptId, logPosition } from '@nutmegcourse/shared'
+import { changeKey, unfinishedKey, writeRecord } from '@nutmegcourse/coordination'
+import { freePorts } from '@nutmegcourse/stand-ins'
+import {
+  A,
+  B,
+  P,
+  SERVICE,
+  withHostFixture,
+  type FixtureHost,
+  type HostFixture,
+} from './support/hostFixture.js'
 
 const wait = (span: number): Promise<void> => new Promise(resolve => setTimeout(resolve, span))
 
@@ -59,6 +68,46 @@
   })
 })
 
+describe('a change of primary whose choice lacks what a replica was seen to have', () => {
+  const SEEN = { server: B, at: logPosition(1, 1000) }
+  const waitsForLog =
+    ({ lines }: FixtureHost) =>
+    (): boolean =>
+      lines.some(({ event, fields }) => event === 'change_waits' && fields.kind === 'shortLog')
+
+  // Guards against a holder that does not know what the one before it had seen.
+  it('waits for what the last holder of the claim left', async () => {
+    await withHostFixture(1, async (scene, [host]) => {
+      if (host === undefined) return
+      const attempt = attemptId('host-0/1/1')
+      const value = writeRecord({ holder: 'host-0', attempt, received: SEEN })
+      const key = unfinishedKey(SERVICE)
+      scene.crash(P)
+      scene.store.change({ expected: [], puts: [{ key, value, lease: 0 }], removes: [] })
+      await scene.until(waitsForLog(host), 'the choice waits', NEXT_CHANGE_MILLISECONDS)
+      expect(linesOf(scene, 'promotion_ordered')).toEqual([])
+    })
+  })
+
+  // Guards against a holder that asks nobody although another host has seen more.
+  it('waits for what another host has seen', async () => {
+    const relayPorts = await freePorts(2)
+    await withHostFixture(
+      2,
+      async (scene, [host, other]) => {
+        if (host === undefined || other === undefined) return
+        other.host.find('own')?.service.received.recordReplica(SEEN.server, SEEN.at)
+        // It can not claim the change itself.
+        other.store.behaviour = 'silent'
+        scene.crash(P)
+        await scene.until(waitsForLog(host), 'the choice waits', NEXT_CHANGE_MILLISECONDS)
+        expect(linesOf(scene, 'promotion_ordered')).toEqual([])
+      },
+      { relayPorts },
+    )
+  })
+})
+
 describe('a group whose primary is gone when all hosts start', () => {
   // Guards against a group that stays without a primary: no host has seen one, so none suspects it.
   it('gets a new primary', async () => {
--- a/packages/host/src/claimedChange.ts
+++ b/packages/host/src/claimedChange.ts
@@ -19,6 +19,7 @@
 } from '@nutmegcourse/protocol'
 import { SILENCE_LIMIT_MILLISECONDS, type ServerDirectory } from '@nutmegcourse/state'
 import type { GroupOrderSender } from './groupOrderSender.js'
+import type { GroupPeers } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import { CALL_LIMIT_MILLISECONDS, type Claim } from './primaryClaim.js'
 import type { ServiceState } from './serviceState.js'
@@ -31,6 +32,7 @@
   readonly service: ServiceState
   readonly directory: ServerDirectory
   readonly orders: GroupOrderSender
+  readonly peers: GroupPeers
   readonly promotion: PromotionPort
   readonly claim: Claim
   readonly hasUnfinishedOrder: boolean
@@ -138,6 +140,10 @@
     return this.#parts.service.received
   }
 
+  othersAsked(): Promise<void> {
+    return this.#parts.peers.askReceived()
+  }
+
   hasLedSince(server: BackendServerId, since: Milliseconds): boolean {
     return this.#parts.service.hasLedSince(server, since)
   }
@@ -165,8 +171,10 @@
         return
       case 'waiting':
         context.log.write('change_waits', { ...change, ...event.failure })
+        void claim.recordReceived(service.received.furthest)
         return
       case 'chosen':
+        void claim.recordReceived(service.received.furthest)
         context.log.write('primary_chosen', { ...change, ...event.chosen })
         return
       case 'joined':
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -229,8 +229,12 @@
     fields: {
       service: 'the service',
       token: 'the fencing token',
-      kind: 'noReplica, unknownReplica (it may hold more), incompleteList, primaryNotStopped, groupChanged (it joined or started again after the group was asked), orderPending (its promotion was ordered without an answer) or newerTerm (another promotion took effect)',
+      kind: 'noReplica, unknownReplica (it may hold more), incompleteList, primaryNotStopped, groupChanged (it joined or started again after the group was asked), shortLog (it lacks what a replica was seen to have), orderPending (its promotion was ordered without an answer) or newerTerm (another promotion took effect)',
       server: 'the server that prevents it',
+      position: 'for shortLog: the end of its log',
+      known:
+        'for shortLog: the furthest position that a replica was seen to have, and that replica',
+      awaited: 'for shortLog: the servers that may bring the rest',
       missing:
         'for unknownReplica: the servers that may hold acknowledged writes and did not answer, with the position up to which they may hold them (null: unknown) and whether they may return with their log',
     },
@@ -246,6 +250,8 @@
       pausedFor: 'the term for which the others are paused',
       frozen: 'the servers that receive no writes until then, with the ends of their logs',
       missing: 'listed servers that did not answer',
+      mayReturn: 'servers that were not paused and may return with a log',
+      mayTakeOver: 'servers without a log, which may take over that of a leaving one',
       leader: 'the server that reported that it leads; null if none did',
       how: 'candidateHoldsAll, furthestOfFrozen, primaryStopped (it holds the last write of the primary, which stepped down) or primaryKept (only older orders to promote are cancelled)',
     },
@@ -262,6 +268,10 @@
     when: 'The newer token could not be written; only the server that was ordered may be ordered again.',
     fields: { service: 'the service', token: 'the fencing token', why: 'how the call failed' },
   },
+  received_not_recorded: {
+    when: 'What a replica was seen to have received could not be left for the next holder of a claim.',
+    fields: { service: 'the service', token: 'the fencing token', why: 'how the call failed' },
+  },
   member_joined: {
     when: 'A server joined the group after the choice, and was paused until the promotion takes effect.',
     fields: {
--- a/packages/host/src/entryHost.ts
+++ b/packages/host/src/entryHost.ts
@@ -21,7 +21,12 @@
 import { CallerSession } from './callerSession.js'
 import { CustomerLimits, type Admission, type OperationStart } from './customerLimits.js'
 import type { DecisionLog } from './decisionLog.js'
-import type { RelayedOrderAnswer, RelayedOrderRequest } from './groupPeers.js'
+import type {
+  ReceivedAnswer,
+  ReceivedRequest,
+  RelayedOrderAnswer,
+  RelayedOrderRequest,
+} from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import { HostFleet } from './hostFleet.js'
 import type { HostMetrics } from './hostMetrics.js'
@@ -131,6 +136,10 @@
     return this.#services.orderServer(request)
   }
 
+  receivedOf({ service }: ReceivedRequest): ReceivedAnswer {
+    return { furthest: this.#services.service(service)?.received.furthest ?? null }
+  }
+
   /** Whether new callers should be sent here: the host is not stopping and can route their statements. */
   get isReady(): boolean {
     return this.#stopping === null && this.#services.isServable
--- a/packages/host/src/failoverController.ts
+++ b/packages/host/src/failoverController.ts
@@ -17,6 +17,7 @@
   mixHashes,
   readChangeRecord,
   readSuspicionRecord,
+  readUnfinishedPosition,
   nameHash,
   suspicionKey,
   writeRecord,
@@ -81,6 +82,7 @@
   readonly #promotion: PromotionPort
   readonly #observers: () => readonly string[]
   readonly #suspicion = new PrimarySuspicion()
+  readonly #peers: GroupPeers
   readonly #orders: GroupOrderSender
   readonly #claims: PrimaryClaims
   #changeRecord: StoredChangeRecord | null = null
@@ -108,11 +110,11 @@
     this.#store = store
     this.#promotion = promotion
     this.#observers = hosts.observers
-    const peers = new GroupPeers(service, hosts.peers)
-    this.#orders = new GroupOrderSender(context, service, directory, peers)
+    this.#peers = new GroupPeers(service, hosts.peers)
+    this.#orders = new GroupOrderSender(context, service, directory, this.#peers)
     this.#claims = new PrimaryClaims(context, store, service.name, (change, unfinished) => {
       this.receiveChangeRecord(change?.value ?? null, change?.revision ?? 0)
-      this.receiveUnfinishedRecord(unfinished?.revision ?? 0)
+      this.receiveUnfinishedRecord(unfinished?.value ?? null, unfinished?.revision ?? 0)
     })
   }
 
@@ -134,8 +136,10 @@
   }
 
   /** `revision` is 0 if no change is unfinished. The record stays beside that of a change whose order may be repeated. */
-  receiveUnfinishedRecord(revision: number): void {
+  receiveUnfinishedRecord(value: string | null, revision: number): void {
     this.#unfinishedRevision = revision
+    const received = value === null ? null : readUnfinishedPosition(value)
+    if (received !== null) this.#service.received.recordReplica(received.server, received.at)
     if (revision !== 0 && this.#changeRecord === null) {
       this.#abandonedAt ??= this.#context.clock.now()
     }
@@ -279,10 +283,10 @@
   async #change(reason: ChangeReason): Promise<void> {
     const unfinished = this.#unfinishedRevision
     const primary = this.#service.primary?.entry.server ?? null
-    const claim = await this.#claims.claim({
-      change: this.#changeRecord?.revision ?? 0,
-      unfinished,
-    })
+    const claim = await this.#claims.claim(
+      { change: this.#changeRecord?.revision ?? 0, unfinished },
+      this.#service.received.furthest,
+    )
     if (claim === null) return
     // A holder of an earlier version leaves no record of an unfinished change.
     const hasUnfinishedOrder = unfinished !== 0 || reason === 'abandoned'
@@ -299,6 +303,7 @@
       service: this.#service,
       directory: this.#directory,
       orders: this.#orders,
+      peers: this.#peers,
       promotion: this.#promotion,
       claim,
       hasUnfinishedOrder,
--- a/packages/host/src/groupPeers.ts
+++ b/packages/host/src/groupPeers.ts
@@ -1,10 +1,11 @@
 /**
  * The other hosts that use a group, during a change of its primary: orders to servers that this host does not reach go
- * through them.
+ * through them, and they tell what they have seen of the replicas' logs.
  *
  * @internal
  */
-import type { BackendServerId, Term } from '@nutmegcourse/shared'
+import type { ServerPosition } from '@nutmegcourse/coordination'
+import { logPosition, type BackendServerId, type Term } from '@nutmegcourse/shared'
 import type { ServerReport } from '@nutmegcourse/protocol'
 import type { RelayPeer } from './relayPeer.js'
 import type { ServiceState } from './serviceState.js'
@@ -26,6 +27,14 @@
   readonly report: ServerReport | null
 }
 
+export interface ReceivedRequest {
+  readonly service: string
+}
+
+export interface ReceivedAnswer {
+  readonly furthest: ServerPosition | null
+}
+
 export interface ThroughPeer {
   readonly report: ServerReport
   readonly host: string
@@ -34,6 +43,9 @@
 /** Two round trips between regions, and a statement at the server. */
 const ORDER_LIMIT_MILLISECONDS = 300
 
+/** One round trip between regions, and a connection that has to be opened. */
+const RECEIVED_LIMIT_MILLISECONDS = 100
+
 export class GroupPeers {
   readonly #service: ServiceState
   readonly #peers: () => readonly RelayPeer[]
@@ -69,6 +81,20 @@
     this.#reachedThrough.set(server, peer)
     return { report, host: peer.name }
   }
+
+  /** Records what the other hosts have seen of the replicas' logs. */
+  async askReceived(): Promise<void> {
+    const request = { service: this.#service.name }
+    await Promise.all(
+      this.#peers().map(async peer => {
+        const answer = await peer.askReceived(request, RECEIVED_LIMIT_MILLISECONDS)
+        const furthest = answer?.furthest ?? null
+        if (furthest === null) return
+        const { server, at } = furthest
+        this.#service.received.recordReplica(server, logPosition(at.term, at.offset))
+      }),
+    )
+  }
 }
 
 /** The first answer that is not null; null once there is none. */
--- a/packages/host/src/primaryClaim.ts
+++ b/packages/host/src/primaryClaim.ts
@@ -12,8 +12,9 @@
   writeRecord,
   type ChangeEnd,
   type ChangeRecord,
+  type ServerPosition,
 } from '@nutmegcourse/coordination'
-import { addMilliseconds, attemptId, type Milliseconds } from '@nutmegcourse/shared'
+import { addMilliseconds, attemptId, isAtOrPast, type Milliseconds } from '@nutmegcourse/shared'
 import type { ChangeOutcome, StoreFailure, StoreLink, StoredRecord } from '@nutmegcourse/protocol'
 import type { HostContext } from './hostContext.js'
 import { sleep } from './waiting.js'
@@ -45,6 +46,7 @@
 
 interface GrantedClaim {
   readonly record: ClaimedRecord
+  readonly received: ServerPosition | null
   readonly lease: number
   readonly grantedAt: Milliseconds
 }
@@ -69,6 +71,8 @@
   #token: number
   #heldUntil: Milliseconds
   #hasEnded = false
+  /** What the record of the unfinished change says that a replica received. */
+  #recorded: ServerPosition | null
 
   /** `grantedAt` is when the lease was requested. */
   constructor(
@@ -77,6 +81,7 @@
     claimed: {
       readonly service: string
       readonly record: ClaimedRecord
+      readonly received: ServerPosition | null
       readonly token: number
       readonly lease: number
       readonly grantedAt: Milliseconds
@@ -87,6 +92,7 @@
     this.#store = store
     this.#service = claimed.service
     this.#record = claimed.record
+    this.#recorded = claimed.received
     this.#token = claimed.token
     this.#lease = claimed.lease
     this.#lifetimeMilliseconds = claimed.lifetimeMilliseconds
@@ -140,6 +146,36 @@
     return false
   }
 
+  /** Leaves for the next holder what a replica was seen to have; a failure is only logged, since this one knows it. */
+  async recordReceived(received: ServerPosition | null): Promise<void> {
+    const recorded = this.#recorded
+    if (received === null || (recorded !== null && isAtOrPast(recorded.at, received.at))) return
+    this.#recorded = received
+    const { holder, attempt } = this.#record
+    const made = await this.#store.change(
+      {
+        expected: [{ key: changeKey(this.#service), revision: this.#token }],
+        puts: [
+          {
+            key: unfinishedKey(this.#service),
+            value: writeRecord({ holder, attempt, received }),
+            lease: 0,
+          },
+        ],
+        removes: [],
+      },
+      CALL_LIMIT_MILLISECONDS,
+    )
+    const outcome = made.isErr() ? made.error.kind : made.value.kind
+    if (outcome === 'made') return
+    if (this.#recorded === received) this.#recorded = recorded
+    this.#context.log.write('received_not_recorded', {
+      service: this.#service,
+      token: this.#token,
+      why: outcome,
+    })
+  }
+
   /** Whether the lease is certain to last, by this host's clock. Another host may claim the change otherwise. */
   get isHeld(): boolean {
     return !this.#hasEnded && this.#context.clock.now() < this.#heldUntil
@@ -198,7 +234,7 @@
   }
 
   /** A record written since `basis` may be another host's claim, which must not be overwritten. */
-  async claim(basis: ClaimBasis): Promise<Claim | null> {
+  async claim(basis: ClaimBasis, received: ServerPosition | null): Promise<Claim | null> {
     const grantedAt = this.#context.clock.now()
     const lease = await this.#store.grantLease(this.lifetimeMilliseconds, CALL_LIMIT_MILLISECONDS)
     if (lease.isErr()) return this.#failed(lease.error.kind)
@@ -206,7 +242,7 @@
     this.#attempts += 1
     const attempt = attemptId(`${holder}/${String(this.#attempts)}/${String(lease.value)}`)
     const record = { phase: 'claimed', holder, attempt } as const
-    const granted = { record, lease: lease.value, grantedAt }
+    const granted = { record, received, lease: lease.value, grantedAt }
     const key = changeKey(this.#service)
     const marker = unfinishedKey(this.#service)
     const made = await this.#store.change(
@@ -216,7 +252,7 @@
           { key: marker, revision: basis.unfinished },
         ],
         puts: [
-          { key: marker, value: writeRecord({ holder, attempt }), lease: 0 },
+          { key: marker, value: writeRecord({ holder, attempt, received }), lease: 0 },
           { key, value: writeRecord(record), lease: lease.value },
         ],
         removes: [],
--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -22,6 +22,8 @@
   grant: 'grant',
   /** Orders a server, during a change of primary, on behalf of a host that does not reach it. */
   order: 'order',
+  /** Requests what the host has seen of the logs of a service's replicas. */
+  received: 'received',
   /** Requests changes of the store from a host of the zone that follows the store. */
   news: 'news',
   /** Notification by the host that runs statements: it is stopping and accepts no new ones. */
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -6,7 +6,12 @@
 import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostAddress } from '@nutmegcourse/protocol'
 import { openJsonRpc, type JsonRpcConnection } from '@nutmegcourse/transport'
-import type { RelayedOrderAnswer, RelayedOrderRequest } from './groupPeers.js'
+import type {
+  ReceivedAnswer,
+  ReceivedRequest,
+  RelayedOrderAnswer,
+  RelayedOrderRequest,
+} from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import type { GrantAnswer, GrantRequest } from './limitGranter.js'
 import type { ChangeFeedResponse, ChangeFeedRequest } from './changeFeedMessages.js'
@@ -143,6 +148,10 @@
     return this.#request(RELAY_METHODS.order, request, timeout)
   }
 
+  askReceived(request: ReceivedRequest, timeout: number): Promise<ReceivedAnswer | null> {
+    return this.#request(RELAY_METHODS.received, request, timeout)
+  }
+
   /**
    * Returns null if no answer arrives within `timeout` milliseconds. Not counted as a pending call, which would be
    * monitored with pings: no statement runs there, and the timeout suffices.
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -7,7 +7,12 @@
  */
 import { createServer, type Server, type Socket } from 'node:net'
 import { JsonRpcConnection } from '@nutmegcourse/transport'
-import type { RelayedOrderAnswer, RelayedOrderRequest } from './groupPeers.js'
+import type {
+  ReceivedAnswer,
+  ReceivedRequest,
+  RelayedOrderAnswer,
+  RelayedOrderRequest,
+} from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import type { GrantRequest, LimitGranter } from './limitGranter.js'
 import type { ChangeFeedServer } from './changeFeedServer.js'
@@ -43,6 +48,8 @@
   readonly changeFeed: ChangeFeedServer
   /** Orders a server on behalf of a host that does not reach it. */
   orderServer(request: RelayedOrderRequest): Promise<RelayedOrderAnswer>
+  /** What this host has seen of the logs of a service's replicas. */
+  receivedOf(request: ReceivedRequest): ReceivedAnswer
   /** Grants operations from the parts of customers' limits that this host holds. */
   readonly limits: LimitGranter
 }
@@ -135,6 +142,7 @@
       [RELAY_METHODS.news]: params => this.#services.changeFeed.answer(params as ChangeFeedRequest),
       [RELAY_METHODS.grant]: params => this.#services.limits.answer(params as GrantRequest),
       [RELAY_METHODS.order]: params => this.#services.orderServer(params as RelayedOrderRequest),
+      [RELAY_METHODS.received]: params => this.#services.receivedOf(params as ReceivedRequest),
       [RELAY_METHODS.single]: params => this.#single(params as RequestMessage),
       [RELAY_METHODS.begin]: params => this.#begin(params as BeginMessage),
       [RELAY_METHODS.continue]: params => this.#continue(params as ContinueMessage),
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -247,7 +247,7 @@
     for (const [name, { failover, members }] of this.#components) {
       if (!records.has(membersKey(name))) members.receive(null, 0)
       if (!records.has(changeKey(name))) failover.receiveChangeRecord(null, 0)
-      if (!records.has(unfinishedKey(name))) failover.receiveUnfinishedRecord(0)
+      if (!records.has(unfinishedKey(name))) failover.receiveUnfinishedRecord(null, 0)
     }
   }
 
@@ -403,7 +403,7 @@
         return
       case 'unfinished': {
         const known = this.#components.get(name.service)?.failover
-        known?.receiveUnfinishedRecord(value === null ? 0 : revision)
+        known?.receiveUnfinishedRecord(value, value === null ? 0 : revision)
         return
       }
       case 'members':
