fix(state): a leaving server that has just lost its entry may still bring a longer log

Cause: a leaving server counts as ended as soon as its entry is gone, but the entry of a live one lapses as well. Two of them were silent in that moment; both counted as lost logs, of which one may be missing, and nobody was waited for although one had shown 3.254.

Evidence: primary_chosen service-1-3 at 3.251, "mayReturn":[], "missing":[service-1-2]; service-1-4, unlisted a second before, leads again at 3.255 half a second later.

Change: where the chosen log is known to be short, a server that counts as ended is waited for as long as entries of live servers take to return, three seconds from its end. Where no log is known to be short, nothing changes.

Tests: shortLog.spec.ts, "waits for a replica that was seen to hold more and has just lost its entry", which orders the short server without the change; serverDirectory.spec.ts.

--- a/packages/coordination/__tests__/synchronous/claimCases.ts
+++ b/packages/coordination/__tests__/synchronous/claimCases.ts
@@ -346,6 +346,7 @@
         isLeaving: leaving.includes(server),
         mayHoldWrites: !gone.includes(server),
         mayReturn: !gone.includes(server),
+        mayBringLog: !gone.includes(server),
       }),
     ),
     isComplete: unlisted.length === 0 || fault === 'listCountsAsComplete',
--- a/packages/coordination/__tests__/synchronous/groupMember.ts
+++ b/packages/coordination/__tests__/synchronous/groupMember.ts
@@ -11,6 +11,7 @@
   mayHoldWrites: true,
   holdsUpTo: null,
   mayReturn: true,
+  mayBringLog: true,
   hasRestarted: false,
   isAwaited: true,
   distance: 0,
--- a/packages/coordination/__tests__/synchronous/shortLog.spec.ts
+++ b/packages/coordination/__tests__/synchronous/shortLog.spec.ts
@@ -5,7 +5,8 @@
 import { A, B, C, FakeServers, P, clockOf, planOf } from './fakeServers.js'
 import { member } from './groupMember.js'
 
-const GONE = { mayHoldWrites: false, mayReturn: false }
+const JUST_GONE = { mayHoldWrites: false, mayReturn: false }
+const GONE = { ...JUST_GONE, mayBringLog: false }
 
 /** More waits than the rounds of a claim take, and fewer than a server without a log is waited for. */
 const SOME_WAITS = 20
@@ -51,6 +52,18 @@
     },
     ordered: [B],
   },
+  // Guards against a leaving server that counts as ended when its entry lapses, and lives.
+  {
+    name: 'waits for a replica that was seen to hold more and has just lost its entry',
+    others: [member(B, JUST_GONE)],
+    positions: { b: null },
+    seen: 100,
+    later: group => {
+      group.at(B).offset = 100
+      comesBack(group)
+    },
+    ordered: [B],
+  },
   // Guards against a group that waits for a log that does not return.
   {
     name: 'chooses without a replica that held more and is gone',
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -39,6 +39,11 @@
   readonly holdsUpTo: LogPosition | null
   /** False if it has ended for good. */
   readonly mayReturn: boolean
+  /**
+   * Whether it may be back with its log. A server that counts as ended since its entry is gone may live as long as
+   * entries of live servers take to return.
+   */
+  readonly mayBringLog: boolean
   /** Whether this host has seen it join, so that an empty log means that it has held nothing. */
   readonly hasJoined: boolean
   /** Whether it has restarted since the last change of primary, perhaps without its log. */
@@ -283,7 +288,7 @@
       pausedFor,
       frozen,
       missing,
-      mayReturn: rest.filter(({ server, mayReturn }) => mayReturn && !answering.has(server)),
+      mayReturn: rest.filter(each => each.mayBringLog && !answering.has(each.server)),
       mayTakeOver: answered.filter(isEmptyNewcomer),
     }
   }
--- a/packages/host/src/claimedChange.ts
+++ b/packages/host/src/claimedChange.ts
@@ -87,6 +87,7 @@
       startedAtUnixMilliseconds,
       holdsUpTo: directory.heldUpTo(server),
       mayReturn: !directory.isGone(server, now),
+      mayBringLog: directory.mayBringLog(server, now),
       hasRestarted: directory.hasRestarted(server),
     }
   }
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -300,6 +300,19 @@
     })
   }
 
+  // Guards against a leaving server that counts as ended as soon as its entry lapses, and whose log nobody waits for.
+  it('may bring their log for some seconds once a leaving one is not listed', () => {
+    const directory = new ServerDirectory(DRAIN)
+    directory.upsert(entry({ isLeaving: true }), at(0))
+    directory.unlist(A, at(1000))
+    const [early, late] = [at(3999), at(4000)].map(now => directory.mayBringLog(A, now))
+    expect({ isGone: directory.isGone(A, at(1000)), early, late }).toEqual({
+      isGone: true,
+      early: true,
+      late: false,
+    })
+  })
+
   it('count as gone if they do not return for some time', () => {
     const directory = new ServerDirectory(DRAIN)
     directory.noteRecorded({ entry: entry(), ...UNENDED }, at(0))
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -151,6 +151,14 @@
     return true
   }
 
+  /**
+   * Whether the server may be back with its log. The entry of a live one that is gone is back within some seconds, also
+   * that of a server that was leaving.
+   */
+  mayBringLog(server: BackendServerId, now: Milliseconds): boolean {
+    return !this.isGone(server, addMilliseconds(now, -REREGISTRATION_MILLISECONDS))
+  }
+
   /** Records that a server, or a new incarnation of one, was listed. */
   noteAppeared(entry: BackendServerEntry, now: Milliseconds): void {
     this.#gone.recordAppeared(entry, now)
