fix(coordination): a replica that restarted counts when only it holds what was seen

Cause: the log of a server that restarted since the last change of primary counts as one that may have begun anew, so that the candidate need not hold it.

Evidence: order_answered service-2-2 pause 1.70 and service-2-1 report 1.70; primary_chosen service-2-3 at 1.68, "frozen":[], "mayReturn":[].

Change: a restarted server that holds all that any replica of its term was seen to have counts, if no server that did not restart holds as much. One that led the term does not: it may have lost its log and written a new one.

Tests: shortLog.spec.ts, "chooses a replica that restarted with what was seen", which fails without the change, and "does not choose a server that led the term and restarted".

--- a/packages/coordination/__tests__/synchronous/shortLog.spec.ts
+++ b/packages/coordination/__tests__/synchronous/shortLog.spec.ts
@@ -19,7 +19,9 @@
   readonly positions: Readonly<Record<string, number | null>>
   /** What this host has seen of B before. */
   readonly seen?: number
-  /** The servers that answer one report and then nothing. */
+  /** Whether B led the present term. */
+  readonly hasLed?: boolean
+  /** The server that answers one report and then nothing. */
   readonly answersOnce?: BackendServerId
   /** What happens after some waits. */
   readonly later?: (group: FakeServers) => void
@@ -89,6 +91,22 @@
     seen: 100,
     ordered: [A],
   },
+  // Guards against a restarted replica whose log counts as begun anew, although only it holds what was seen.
+  {
+    name: 'chooses a replica that restarted with what was seen',
+    others: [member(B, { hasRestarted: true })],
+    positions: { b: 100 },
+    seen: 100,
+    ordered: [B],
+  },
+  // Guards against the log that a primary began anew after it had lost its own.
+  {
+    name: 'does not choose a server that led the term and restarted',
+    others: [member(B, { hasRestarted: true })],
+    positions: { b: 100 },
+    hasLed: true,
+    ordered: [A],
+  },
   // Guards against a wait for what the primary of an older term had, and a promotion has rolled back.
   {
     name: 'does not wait for a position that a newer term does not hold',
@@ -101,14 +119,15 @@
 ]
 
 describe('A change of primary that knows of a longer log', () => {
-  for (const { name, others, positions, seen, answersOnce, later, ordered } of cases) {
+  for (const { name, others, positions, seen, hasLed, answersOnce, later, ordered } of cases) {
     it(name, async () => {
       const plan = planOf([member(P, GONE), member(A), ...others])
       const group = new FakeServers(plan, { p: null, a: 90, ...positions })
-      const isNewTerm = seen !== undefined && positions.b !== null
+      const isNewTerm = positions.b === 89
       if (seen !== undefined) {
         group.received.recordReplica(B, logPosition(isNewTerm ? 0 : 1, seen))
       }
+      if (hasLed === true) group.received.recordPrimary(B, 1)
       let waits = 0
       group.onWait = () => {
         waits += 1
--- a/packages/coordination/src/synchronous/primaryChange.ts
+++ b/packages/coordination/src/synchronous/primaryChange.ts
@@ -24,7 +24,7 @@
 } from '@nutmegcourse/shared'
 import type { ServerReport } from '@nutmegcourse/protocol'
 import { LeaderCheck } from './leaderCheck.js'
-import type { ServerPosition } from './receivedBound.js'
+import { ReceivedBound, type ServerPosition } from './receivedBound.js'
 
 export interface GroupMember {
   readonly server: BackendServerId
@@ -169,11 +169,18 @@
   readonly #commands: GroupOrders
   readonly #withoutLog: Set<BackendServerId>
   readonly #leaderCheck: LeaderCheck
+  readonly #received: ReceivedBound
 
   /** `withoutLog`: servers that were found to have lost their log; kept from one choice to the next of a change. */
-  constructor(plan: ChangePlan, commands: GroupOrders, withoutLog = new Set<BackendServerId>()) {
+  constructor(
+    plan: ChangePlan,
+    commands: GroupOrders,
+    withoutLog = new Set<BackendServerId>(),
+    received = new ReceivedBound(),
+  ) {
     this.#plan = plan
     this.#commands = commands
+    this.#received = received
     this.#withoutLog = withoutLog
     this.#leaderCheck = new LeaderCheck(commands, withoutLog)
   }
@@ -277,7 +284,7 @@
     const frozen = answered.filter(
       member =>
         !this.#withoutLog.has(member.server) &&
-        isWitness(member, [candidate, ...answered]) &&
+        this.#isWitness(member, [candidate, ...answered]) &&
         (!isAnyLogWritten || member.report.received.offset > 0),
     )
     const rest = [...others, ...unheard]
@@ -293,6 +300,22 @@
     }
   }
 
+  /**
+   * Whether the candidate has to hold what the member holds. The log of one that restarted since the last known change of
+   * primary may be one that it began anew, unless it has records of a newer term than those that did not restart, or all
+   * that any replica was seen to have while they do not.
+   */
+  #isWitness(member: Reporter, all: readonly Reporter[]): boolean {
+    if (!member.hasRestarted) return true
+    const { received } = member.report
+    const others = all.filter(other => !other.hasRestarted)
+    if (others.every(({ report }) => report.received.term < received.term)) return true
+    return (
+      this.#received.isReachedBy(member.server, received) &&
+      others.every(({ server, report }) => !this.#received.isReachedBy(server, report.received))
+    )
+  }
+
   /** A server that leads an old term, or did not report, has to step down before it can be paused. */
   async #freezeMember(
     member: GroupMember,
@@ -440,16 +463,6 @@
   Number(left.isLeaving) - Number(right.isLeaving) ||
   left.distance - right.distance
 
-/**
- * Whether the candidate has to hold what the member holds. The log of one that restarted since the last known change of
- * primary may be one that it began anew, unless it has records of a newer term than those that did not restart.
- */
-function isWitness({ hasRestarted, report }: Reporter, all: readonly Reporter[]): boolean {
-  if (!hasRestarted) return true
-  const others = all.filter(other => !other.hasRestarted)
-  return others.every(other => other.report.received.term < report.received.term)
-}
-
 const isEmptyNewcomer = ({ hasJoined, report }: Reporter): boolean =>
   hasJoined && report.received.offset === 0
 
--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -178,7 +178,7 @@
     const hasUnfinishedOrder = known.hasUnfinishedOrder || this.#unansweredOrders > 0
     this.#asked = { ...known, hasUnfinishedOrder }
     const othersAsked = this.#ports.othersAsked()
-    const choice = await new PrimaryChoice(this.#asked, this.#ports, this.#withoutLog).choose()
+    const choice = await this.#newChoice(this.#asked).choose()
     if (choice.isErr()) return choice
     const newcomer = findNewcomer(known, this.#ports.plan())
     if (newcomer !== null) return err({ kind: 'groupChanged', server: newcomer })
@@ -191,6 +191,10 @@
     return short === null ? choice : err(short)
   }
 
+  #newChoice(plan: ChangePlan): PrimaryChoice {
+    return new PrimaryChoice(plan, this.#ports, this.#withoutLog, this.#ports.received)
+  }
+
   /** Null if the chosen server holds all that is known, or if nothing can bring the rest any more. */
   #findShortLog(chosen: ChosenPrimary): ChoiceFailure | null {
     const { server, position, newestTerm, mayReturn, mayTakeOver } = chosen
--- a/packages/coordination/src/synchronous/receivedBound.ts
+++ b/packages/coordination/src/synchronous/receivedBound.ts
@@ -35,6 +35,13 @@
     }
   }
 
+  /** Whether the server has all that any replica was seen to have in its term, and has not led that term itself. */
+  isReachedBy(server: BackendServerId, position: LogPosition): boolean {
+    const furthest = this.#furthest
+    if (furthest?.at.term !== position.term || !isAtOrPast(position, furthest.at)) return false
+    return (this.#ledTerm.get(server) ?? 0) < position.term
+  }
+
   /**
    * What a log that ends at `position` lacks; null if nothing is known to be missing. Once a newer term has begun, what
    * its primary did not hold of an older one has been rolled back.
