--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -2,9 +2,9 @@
  * The steps of one claim to change the primary of a group: choose, order the promotion, wait until it takes effect,
  * and end the pauses that outlast it.
  *
- * Invariant: an order to promote is sent only for a server that holds everything that any replica was seen to have
- * received (`ReceivedBound`), in a round that asked the group after the order before. An order that got no answer is
- * thus never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
+ * Invariant: an order to promote is sent in a round that asked the group after the order before, and only for a server
+ * that holds everything that any replica was seen to have received, unless nobody can bring the rest any more
+ * (`LongerLogWait`). An order that got no answer is thus never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
  * token, and allows for the older order (`ChangePlan.hasUnfinishedOrder`): at most one server is ordered under a token.
  */
 import {
@@ -24,6 +24,7 @@
   type ChosenPrimary,
   type GroupOrders,
 } from './primaryChange.js'
+import { LongerLogWait } from './longerLogWait.js'
 import { PauseGuard } from './pauseGuard.js'
 import type { ReceivedBound } from './receivedBound.js'
 
@@ -32,7 +33,7 @@
   /** The group as known now. */
   plan(): ChangePlan
   resume(server: BackendServerId): Promise<ServerReport | null>
-  /** `attempt` counts the orders for this choice from 0. */
+  /** `attempt`: the orders of this claim before it that got no answer. */
   promote(server: BackendServerId, attempt: number): Promise<PromotionOutcome['kind']>
   /** Whether the claim is certain to be in force. */
   isClaimHeld(): boolean
@@ -103,12 +104,6 @@
 /** Orders to promote of one claim that may stay unanswered. */
 const MAX_UNANSWERED_ORDERS = 8
 
-/**
- * How long a choice whose log is known to be short waits for a server without a log, which may take over that of a
- * leaving one. Servers that may return with a log are waited for until they count as gone.
- */
-const TAKE_OVER_MILLISECONDS = 4000
-
 /** The time that the platform takes for a promotion, and a reserve. */
 const PROMOTION_EFFECT_LIMIT_MILLISECONDS = 3000
 
@@ -121,6 +116,7 @@
 export class PrimaryChangeRun {
   readonly #ports: ChangePorts
   readonly #clock: Clock
+  readonly #longerLog: LongerLogWait
   /** Servers that were found to have lost their log. */
   readonly #withoutLog = new Set<BackendServerId>()
   /** An order under the present token that may still be carried out. */
@@ -128,14 +124,13 @@
   #unansweredOrders = 0
   /** The group that was asked in the last round. */
   #asked: ChangePlan | null = null
-  /** Since when the choice is known to lack something; null if the last one was not. */
-  #shortSince: Milliseconds | null = null
   /** The last report of the server that was ordered to be promoted. */
   #lastReport: ServerReport | null = null
 
   constructor(ports: ChangePorts, clock: Clock) {
     this.#ports = ports
     this.#clock = clock
+    this.#longerLog = new LongerLogWait(ports.received, clock)
   }
 
   async run(): Promise<ChangeEnd> {
@@ -187,7 +182,7 @@
       return err({ kind: 'orderPending', server: this.#pending.chosen.server })
     }
     if (choice.value.leader === null) await othersAsked
-    const short = this.#findShortLog(choice.value)
+    const short = this.#longerLog.findLacking(choice.value)
     return short === null ? choice : err(short)
   }
 
@@ -195,21 +190,6 @@
     return new PrimaryChoice(plan, this.#ports, this.#withoutLog, this.#ports.received)
   }
 
-  /** Null if the chosen server holds all that is known, or if nothing can bring the rest any more. */
-  #findShortLog(chosen: ChosenPrimary): ChoiceFailure | null {
-    const { server, position, newestTerm, mayReturn, mayTakeOver } = chosen
-    const known = this.#ports.received.beyond(position, newestTerm)
-    if (known === null) {
-      this.#shortSince = null
-      return null
-    }
-    this.#shortSince ??= this.#clock.now()
-    const mayStillTakeOver =
-      this.#clock.now() < addMilliseconds(this.#shortSince, TAKE_OVER_MILLISECONDS)
-    const awaited = [...mayReturn, ...(mayStillTakeOver ? mayTakeOver : [])]
-    return awaited.length === 0 ? null : { kind: 'shortLog', server, position, known, awaited }
-  }
-
   /**
    * Returns the choice whose unanswered order took effect. Otherwise the token is renewed, so that another server may be
    * ordered.
