--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -313,12 +313,10 @@
 
   /** Publishes role changes of running servers. */
   updateServerRoles(): void {
-    for (const group of this.groups) {
-      for (const server of group.servers.values()) {
-        if (!server.isDown && !server.isSilent) {
-          this.updateServerEntry(server.id, this.#entries.get(server.id)?.isLeaving)
-        }
-      }
+    // A successor that is just starting belongs to its group already, and listens only later.
+    for (const { group, server } of this.#servers.values()) {
+      if (!group.servers.has(server.id) || server.isDown || server.isSilent) continue
+      this.updateServerEntry(server.id, this.#entries.get(server.id)?.isLeaving)
     }
   }
 
