test(host): the primary is seen to step down before the replica restarts beside it

It now waits for the step-down itself, with a promotion of two seconds in place of 0.6, and checks that no promotion has taken effect by then; without orders through other hosts it fails on that.

--- a/packages/host/__tests__/acknowledgedWrites.spec.ts
+++ b/packages/host/__tests__/acknowledgedWrites.spec.ts
@@ -308,8 +308,8 @@
 
 const LATE_MILLISECONDS = 2000
 
-/** Time for an order to a server through another host. */
-const PEER_ORDER_MILLISECONDS = 150
+/** Leaves time to see what happens before a promotion takes effect, also on a busy machine. */
+const SLOW_PROMOTION_MILLISECONDS = 2000
 
 /** The first order of a kind to each server stays unanswered and is carried out later. */
 function loseFirstOrders(scene: HostFixture, kind: BackendCommand['kind']): void {
@@ -659,13 +659,16 @@
       const order = orderOf(scene)
       for (const host of hosts.slice(1)) scene.partition(host, P)
       const { server } = await inTime(order, 'a server is ordered to be promoted')
-      await pause(PEER_ORDER_MILLISECONDS)
+      const isStopped = (): boolean => scene.group.server(P).role === 'replica'
+      await scene.until(isStopped, 'the primary has stepped down', SLOW_PROMOTION_MILLISECONDS)
+      expect(scene.group.promotions).toEqual(0)
       receivesNothing(scene, server)
       scene.restart(otherReplica(server))
-      await pause(SETTLE_MILLISECONDS)
+      await pause(2 * SLOW_PROMOTION_MILLISECONDS)
       receivesNothing(scene, server, false)
       for (const host of hosts) scene.heal(host, P)
     },
+    options: { promotionMilliseconds: SLOW_PROMOTION_MILLISECONDS },
   },
   // Guards against a step-down that is answered by a server that has not led for a while.
   {
