--- a/packages/coordination/src/synchronous/longerLogWait.ts
+++ b/packages/coordination/src/synchronous/longerLogWait.ts
@@ -25,7 +25,7 @@
     this.#clock = clock
   }
 
-  /** Null if the chosen server holds all that is known, or if nobody can bring the rest any more. */
+  /** Null if the chosen server has reached the bound, or if no unavailable server can supply the missing records. */
   findLacking(chosen: ChosenPrimary): ChoiceFailure | null {
     const { server, position, newestTerm, mayReturn, mayTakeOver } = chosen
     const known = this.#received.beyond(position, newestTerm)
--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -3,8 +3,7 @@
  * and end the pauses that outlast it.
  *
  * Invariant: an order to promote is sent in a round that asked the group after the order before, and only for a server
- * that holds everything that any replica was seen to have received, unless nobody can bring the rest any more
- * (`LongerLogWait`). An order that got no answer is thus never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
+ * whose log has reached the received bound, unless no server can supply the missing records (`LongerLogWait`). An order that got no answer is thus never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
  * token, and allows for the older order (`ChangePlan.hasUnfinishedOrder`): at most one server is ordered under a token.
  */
 import {
@@ -43,7 +42,7 @@
   renewToken(): Promise<boolean>
   /** What any replica was seen to have received, by this host and those that it reaches. */
   readonly received: ReceivedBound
-  /** Resolves once the other hosts have told what they have seen since the round began, or a short limit is over. */
+  /** Resolves once the other hosts have sent the positions that they know, or the request has timed out. */
   othersAsked(): Promise<void>
   /** Whether the server ran a statement, sent after `since`, that only a primary runs. */
   hasLedSince(server: BackendServerId, since: Milliseconds): boolean
@@ -350,8 +349,8 @@
 }
 
 /**
- * A listed server that was not listed when the group was asked, or not in its present incarnation. It is not paused, and may have
- * acknowledged writes since they were asked.
+ * A listed server that was not listed when the group was asked, or not in its present incarnation. It is not paused, and
+ * may have acknowledged writes since then.
  */
 function findNewcomer(asked: ChangePlan, present: ChangePlan): BackendServerId | null {
   const startOf = new Map(
