refactor(coordination): the records in the store are read by one set of functions

memberRecord.ts had written again how changeRecord.ts parses JSON and tells an object, and both read a log position in their own way. recordFields.ts serves both.

--- a/packages/coordination/__tests__/synchronous/shortLog.spec.ts
+++ b/packages/coordination/__tests__/synchronous/shortLog.spec.ts
@@ -42,7 +42,7 @@
     later: comesBack,
     ordered: [B],
   },
-  // Guards against a choice that forgets what the answers to statements, another host or the last holder told.
+  // Guards against a choice that ignores positions known from statements, other hosts or the previous holder.
   {
     name: 'waits for a replica that was seen to hold more',
     others: [member(B)],
--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -5,11 +5,11 @@
 import {
   attemptId,
   backendServerId,
-  logPosition,
   type AttemptId,
   type BackendServerId,
 } from '@nutmegcourse/shared'
 import type { ServerPosition } from './receivedBound.js'
+import { isFields, parse, readPosition, textOf } from './recordFields.js'
 
 /** Which host is changing a service's primary, or which server became primary in the last change. */
 export type ChangeRecord =
@@ -102,12 +102,10 @@
 /** The position that an earlier holder left for the next one. */
 export function readUnfinishedPosition(text: string): ServerPosition | null {
   const { received } = parse(text)
-  if (typeof received !== 'object' || received === null) return null
-  const { server, at } = received as Fields
-  if (typeof server !== 'string' || typeof at !== 'object' || at === null) return null
-  const { term, offset } = at as Fields
-  if (typeof term !== 'number' || typeof offset !== 'number') return null
-  return { server: backendServerId(server), at: logPosition(term, offset) }
+  if (!isFields(received)) return null
+  const server = textOf(received, 'server')
+  const at = readPosition(received.at)
+  return server === null || at === null ? null : { server: backendServerId(server), at }
 }
 
 export function readSuspicionRecord(text: string): SuspicionRecord | null {
@@ -132,20 +130,3 @@
 export const writeRecord = (
   record: ChangeRecord | UnfinishedRecord | SuspicionRecord | HostRecord,
 ): string => JSON.stringify(record)
-
-type Fields = Readonly<Record<string, unknown>>
-
-const textOf = (fields: Fields, name: string): string | null => {
-  const value = fields[name]
-  return typeof value === 'string' ? value : null
-}
-
-/** Returns an empty object for text that is not a JSON object, so that readers find no field and return null. */
-function parse(text: string): Fields {
-  try {
-    const value: unknown = JSON.parse(text)
-    return typeof value === 'object' && value !== null ? (value as Fields) : {}
-  } catch {
-    return {}
-  }
-}
--- a/packages/coordination/src/synchronous/memberRecord.ts
+++ b/packages/coordination/src/synchronous/memberRecord.ts
@@ -5,11 +5,11 @@
 import {
   availabilityZoneId,
   backendServerId,
-  logPosition,
   type BackendServerId,
   type LogPosition,
 } from '@nutmegcourse/shared'
 import type { BackendServerEntry } from '@nutmegcourse/protocol'
+import { isFields, parse, readPosition } from './recordFields.js'
 
 export interface RecordedMember {
   readonly entry: BackendServerEntry
@@ -74,9 +74,7 @@
 
 /** Null for text that is not such a record; members that can not be read are left out. */
 export function readMemberRecord(service: string, text: string): MemberRecord | null {
-  const fields = parse(text)
-  if (fields === null) return null
-  const { era, members } = fields
+  const { era, members } = parse(text)
   if (typeof era !== 'number' || !Array.isArray(members)) return null
   return { era, members: members.flatMap((each: unknown) => readMember(service, each) ?? []) }
 }
@@ -111,22 +109,3 @@
   isLeaving: false,
   role: 'replica',
 })
-
-function readPosition(value: unknown): LogPosition | null {
-  if (!isFields(value)) return null
-  const { term, offset } = value
-  return typeof term === 'number' && typeof offset === 'number' ? logPosition(term, offset) : null
-}
-
-type Fields = Readonly<Record<string, unknown>>
-
-const isFields = (value: unknown): value is Fields => typeof value === 'object' && value !== null
-
-function parse(text: string): Fields | null {
-  try {
-    const value: unknown = JSON.parse(text)
-    return isFields(value) ? value : null
-  } catch {
-    return null
-  }
-}
--- a/packages/coordination/src/synchronous/primaryChangeRun.ts
+++ b/packages/coordination/src/synchronous/primaryChangeRun.ts
@@ -3,8 +3,10 @@
  * and end the pauses that outlast it.
  *
  * Invariant: an order to promote is sent in a round that asked the group after the order before, and only for a server
- * whose log has reached the received bound, unless no server can supply the missing records (`LongerLogWait`). An order that got no answer is thus never repeated as it is. It may be carried out as long as no newer token was seen, so the next round has a newer
- * token, and allows for the older order (`ChangePlan.hasUnfinishedOrder`): at most one server is ordered under a token.
+ * whose log has reached the received bound, unless no server can supply the missing records (`LongerLogWait`). An order
+ * that got no answer is thus never repeated as it is. It may be carried out as long as no newer token was seen, so the
+ * next round has a newer token, and allows for the older order (`ChangePlan.hasUnfinishedOrder`): at most one server is
+ * ordered under a token.
  */
 import {
   addMilliseconds,
--- a/packages/host/__tests__/changeReviewed.spec.ts
+++ b/packages/host/__tests__/changeReviewed.spec.ts
@@ -89,7 +89,7 @@
     })
   })
 
-  // Guards against a holder that asks nobody although another host has seen more.
+  // Guards against a holder that does not request the positions that other hosts know.
   it('waits for what another host has seen', async () => {
     const relayPorts = await freePorts(2)
     await withHostFixture(
--- a/packages/host/src/groupPeers.ts
+++ b/packages/host/src/groupPeers.ts
@@ -10,7 +10,7 @@
 import type { RelayPeer } from './relayPeer.js'
 import type { ServiceState } from './serviceState.js'
 
-/** Orders that do no harm when they are carried out late: they only keep a server of an older term from acknowledging. */
+/** Orders that lose no write when they are carried out late: they only stop a server of an older term from acknowledging. */
 export type RelayedOrder =
   | { readonly kind: 'report' }
   | { readonly kind: 'pause'; readonly term: Term }
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -300,7 +300,7 @@
     })
   }
 
-  // Guards against a leaving server that counts as ended as soon as its entry lapses, and whose log nobody waits for.
+  // Guards against a choice that ignores the log of a live server that is leaving and whose entry has expired.
   it('may bring their log for some seconds once a leaving one is not listed', () => {
     const directory = new ServerDirectory(DRAIN)
     directory.upsert(entry({ isLeaving: true }), at(0))
