refactor(host): whether a server is out of reach is asked of the server itself

The order sender had written again what the claimed change and the service's state test: refused connections, or silence beyond the limit. BackendServerState.isOutOfReach serves the three. firstAnswer stands with the other waits.

--- a/packages/host/src/backendServerState.ts
+++ b/packages/host/src/backendServerState.ts
@@ -8,6 +8,7 @@
 import {
   LatencyEstimate,
   ReplicaProgress,
+  SILENCE_LIMIT_MILLISECONDS,
   WriteConfirmation,
   type ConnectionPart,
 } from '@nutmegcourse/state'
@@ -118,6 +119,11 @@
     return Math.max(0, now - Math.max(probedAt, this.lastHeardAt))
   }
 
+  /** Whether it refuses connections, or has left a probe unanswered for longer than the silence limit. */
+  isOutOfReach(now: Milliseconds): boolean {
+    return this.pool.refusals > 0 || this.silentMilliseconds(now) > SILENCE_LIMIT_MILLISECONDS
+  }
+
   /** Records that a query was sent which a server answers at once, whatever its load. */
   probeSent(now: Milliseconds): void {
     this.#queryProbeSentAt ??= now
--- a/packages/host/src/claimedChange.ts
+++ b/packages/host/src/claimedChange.ts
@@ -17,7 +17,7 @@
   PromotionPort,
   ServerReport,
 } from '@nutmegcourse/protocol'
-import { SILENCE_LIMIT_MILLISECONDS, type ServerDirectory } from '@nutmegcourse/state'
+import type { ServerDirectory } from '@nutmegcourse/state'
 import type { GroupOrderSender } from './groupOrderSender.js'
 import type { GroupPeers } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
@@ -59,7 +59,8 @@
         isLeaving: leavingSince !== null || goneSince !== null,
         isListed: true,
         mayHoldWrites: true,
-        isAwaited: entry.server !== suspect && !this.#isSilent(entry.server, now),
+        isAwaited:
+          entry.server !== suspect && service.server(entry.server)?.isOutOfReach(now) !== true,
         distance: service.server(entry.server)?.distance ?? 0,
       }))
     const dropped = directory.recentlyDropped(service.name).map(({ entry, mayHoldWrites }) => ({
@@ -92,12 +93,6 @@
     }
   }
 
-  #isSilent(server: BackendServerId, now: Milliseconds): boolean {
-    const state = this.#parts.service.server(server)
-    if (state === undefined) return false
-    return state.pool.refusals > 0 || state.silentMilliseconds(now) > SILENCE_LIMIT_MILLISECONDS
-  }
-
   report(server: BackendServerId): Promise<ServerReport | null> {
     return this.#parts.orders.report(server)
   }
--- a/packages/host/src/groupOrderSender.ts
+++ b/packages/host/src/groupOrderSender.ts
@@ -14,15 +14,15 @@
   LinkFailure,
   ServerReport,
 } from '@nutmegcourse/protocol'
-import { SILENCE_LIMIT_MILLISECONDS, type ServerDirectory } from '@nutmegcourse/state'
+import type { ServerDirectory } from '@nutmegcourse/state'
 import type { GroupOrders } from '@nutmegcourse/coordination'
 import { addressOf, type BackendServerState } from './backendServerState.js'
 import { ChangeLog, type OrderCourse } from './changeLog.js'
-import { firstAnswer, type GroupPeers, type RelayedOrder } from './groupPeers.js'
+import type { GroupPeers, RelayedOrder } from './groupPeers.js'
 import type { HostContext } from './hostContext.js'
 import type { PooledLink } from './pooledLink.js'
 import type { ServiceState } from './serviceState.js'
-import { OVERDUE, sleep, withDeadline } from './waiting.js'
+import { OVERDUE, firstAnswer, sleep, withDeadline } from './waiting.js'
 
 /** Limit of one attempt. A server accepts a connection in tens of milliseconds, also over the link. */
 const ORDER_LIMIT_MILLISECONDS = 500
@@ -134,10 +134,7 @@
   }
 
   #isOutOfReach(id: BackendServerId): boolean {
-    const server = this.#service.server(id)
-    if (server === undefined) return false
-    const silence = server.silentMilliseconds(this.#context.clock.now())
-    return server.pool.refusals > 0 || silence > SILENCE_LIMIT_MILLISECONDS
+    return this.#service.server(id)?.isOutOfReach(this.#context.clock.now()) === true
   }
 
   #answered(
--- a/packages/host/src/groupPeers.ts
+++ b/packages/host/src/groupPeers.ts
@@ -9,6 +9,7 @@
 import type { ServerReport } from '@nutmegcourse/protocol'
 import type { RelayPeer } from './relayPeer.js'
 import type { ServiceState } from './serviceState.js'
+import { firstAnswer } from './waiting.js'
 
 /** Orders that lose no write when they are carried out late: they only stop a server of an older term from acknowledging. */
 export type RelayedOrder =
@@ -96,19 +97,3 @@
     )
   }
 }
-
-/** The first answer that is not null; null once there is none. */
-export function firstAnswer<Answer>(
-  attempts: readonly Promise<Answer | null>[],
-): Promise<Answer | null> {
-  return new Promise(resolve => {
-    let left = attempts.length
-    if (left === 0) resolve(null)
-    for (const attempt of attempts) {
-      void attempt.then(answer => {
-        left -= 1
-        if (answer !== null || left === 0) resolve(answer)
-      })
-    }
-  })
-}
--- a/packages/host/src/serviceState.ts
+++ b/packages/host/src/serviceState.ts
@@ -22,7 +22,6 @@
 import {
   FreshnessBounds,
   Leadership,
-  SILENCE_LIMIT_MILLISECONDS,
   connectionDivisor,
   type ConnectionPart,
   type ReadRequirement,
@@ -163,8 +162,7 @@
   /** Whether the primary is known, accepts connections and answers this host within the silence limit. */
   reachesPrimary(now: Milliseconds): boolean {
     const primary = this.writablePrimary(now)
-    if (primary === null || primary.pool.refusals > 0) return false
-    return primary.silentMilliseconds(now) <= SILENCE_LIMIT_MILLISECONDS
+    return primary !== null && !primary.isOutOfReach(now)
   }
 
   /**
--- a/packages/host/src/waiting.ts
+++ b/packages/host/src/waiting.ts
@@ -47,6 +47,22 @@
 /** Resolves after the event loop has read its sockets. */
 const readSockets = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
 
+/** The first answer that is not null; null once there is none. */
+export function firstAnswer<Answer>(
+  attempts: readonly Promise<Answer | null>[],
+): Promise<Answer | null> {
+  return new Promise(resolve => {
+    let left = attempts.length
+    if (left === 0) resolve(null)
+    for (const attempt of attempts) {
+      void attempt.then(answer => {
+        left -= 1
+        if (answer !== null || left === 0) resolve(answer)
+      })
+    }
+  })
+}
+
 /** Wakes all current waiters when raised; each waits with a timeout of its own. */
 export class Signal {
   #waiting = new Set<() => void>()
