test(soak): configurations are judged, under faults that keep hosts from the store

What was missing: the soak published configurations and checked nothing about them, and its hosts rewrote the record of members some ten times a second, as each reaches the servers at ports of its own. Each change ended the watch of every host, so that no watch ever waited long, and a long, silent one was never met.

--configurations: a version every 0.4 to 4.9 s, each with a new route; all hosts are asked for it until they serve it. Checked: in force within the bound, no return to an older one, removed routes gone. New faults: the store turns a host away (503, 429, reset, silent, 101, an endless answer, five seconds late), answers all late, a process that gets little processor time, the same with connections to the store that go silent. They last 1 to 12 s and overlap.

--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -8,6 +8,7 @@
 import { isChangeFault } from './changeFaults.js'
 import type { Fault, PlannedFault } from './faultPlan.js'
 import { PLANNED_KINDS, STORE } from './faultPlan.js'
+import { starve, type Starvation } from './starvation.js'
 import { FaultTrace } from './faultTrace.js'
 import type { SoakFleet } from './soakFleet.js'
 
@@ -33,7 +34,8 @@
   /** The number of started faults by kind. */
   readonly faultCounts = new Map<string, number>()
   /** When each fault ended. */
-  readonly #faults: { readonly isPlanned: boolean; until: number }[] = []
+  readonly #faults: { readonly fault: Fault; readonly isPlanned: boolean; until: number }[] = []
+  readonly #starvations = new Map<string, Starvation>()
 
   constructor(fleet: SoakFleet, random: RandomSource) {
     this.#fleet = fleet
@@ -61,6 +63,7 @@
   }
 
   close(): void {
+    for (const starvation of this.#starvations.values()) starvation.end()
     clearInterval(this.#roleTimer)
   }
 
@@ -80,6 +83,14 @@
     )
   }
 
+  /** The end of the last fault since `since` in which the host could not follow the store, by itself or through others. */
+  excusedUntil(host: string, since: number): number {
+    const ends = this.#faults
+      .filter(({ fault, until }) => until >= since && keepsFromStore(fault, host))
+      .map(({ until }) => until)
+    return Math.max(Number.NEGATIVE_INFINITY, ...ends)
+  }
+
   /** A server that another fault has stopped is started by the end of that fault. */
   #recover(server: string): void {
     if (this.#changes.isStopped(server)) return
@@ -106,7 +117,7 @@
     const fault = this.#changes.resolve(drawn)
     this.faultCounts.set(fault.kind, (this.faultCounts.get(fault.kind) ?? 0) + 1)
     const isPlanned = PLANNED_KINDS.includes(fault.kind)
-    const record = { isPlanned, until: Number.POSITIVE_INFINITY }
+    const record = { fault, isPlanned, until: Number.POSITIVE_INFINITY }
     this.#faults.push(record)
     this.#trace.write('fault_begins', { ...fault, durationMilliseconds })
     await this.#begin(fault)
@@ -173,9 +184,29 @@
         return
       case 'configurationChanged':
         this.#fleet.publishConfiguration()
+        return
+      case 'storeTurnsAway':
+        this.#fleet.setStoreResponse(fault.host, fault.response)
+        return
+      case 'storeLate':
+        this.#fleet.storeDelayMilliseconds = fault.delayMilliseconds
+        return
+      case 'hostStarved':
+        this.#starve(fault.host, () => undefined)
+        return
+      case 'hostStarvedAndSilenced':
+        this.#starve(fault.host, () => {
+          relay.silence({ from: [STORE], to: [fault.host] })
+        })
     }
   }
 
+  #starve(host: string, silence: () => void): void {
+    const isHeld = (): boolean => (this.#activeCounts.get(`process ${host}`) ?? 0) > 0
+    this.#starvations.get(host)?.end()
+    this.#starvations.set(host, starve(this.#fleet.host(host), { isHeld, silence }))
+  }
+
   async #end(fault: Fault): Promise<void> {
     if (!this.#deactivate(fault)) return
     if (isChangeFault(fault)) return this.#changes.end(fault)
@@ -219,6 +250,16 @@
       case 'storeLosesAnswers':
         this.#fleet.dropsStoreAnswers = false
         return
+      case 'storeTurnsAway':
+        this.#fleet.setStoreResponse(fault.host, null)
+        return
+      case 'storeLate':
+        this.#fleet.storeDelayMilliseconds = 0
+        return
+      case 'hostStarved':
+      case 'hostStarvedAndSilenced':
+        this.#starvations.get(fault.host)?.end()
+        return
       case 'hostReloaded':
       case 'reset':
       case 'silenced':
@@ -268,7 +309,11 @@
     case 'cut':
       return `cut ${fault.host} ${fault.from}`
     case 'hostReloaded':
+    case 'storeTurnsAway':
       return `${fault.kind} ${fault.host}`
+    case 'hostStarved':
+    case 'hostStarvedAndSilenced':
+      return `starved ${fault.host}`
     case 'reset':
     case 'silenced':
       return `${fault.kind} ${fault.host} ${fault.from}`
@@ -291,6 +336,7 @@
     case 'holderKilled':
       return `${fault.kind} ${fault.service}`
     case 'storeAway':
+    case 'storeLate':
     case 'storeLosesAnswers':
     case 'storeForgetsHistory':
     case 'configurationChanged':
@@ -298,3 +344,18 @@
       return fault.kind
   }
 }
+
+/** While one of these lasts, a process does nothing. */
+const PROCESS_STOPS: readonly Fault['kind'][] = [
+  'hostKilled',
+  'hostFrozen',
+  'hostStopped',
+  'hostStoppedTwice',
+]
+const STORE_OUTAGES: readonly Fault['kind'][] = ['storeAway', 'entriesLapse']
+
+/** Whether the fault keeps the host from the store and from all other hosts that reach it. */
+function keepsFromStore(fault: Fault, host: string): boolean {
+  if (STORE_OUTAGES.includes(fault.kind)) return true
+  return PROCESS_STOPS.includes(fault.kind) && 'host' in fault && fault.host === host
+}
--- a/packages/soak/src/faultPlan.ts
+++ b/packages/soak/src/faultPlan.ts
@@ -2,9 +2,11 @@
 import type { RandomSource } from '@nutmegcourse/shared'
 import { pick } from '@nutmegcourse/stand-ins'
 import type { ChangeFault } from './changeFaults.js'
+import { drawConfigurationFault, type ConfigurationFault } from './configurationFaults.js'
 
 export type Fault =
   | ChangeFault
+  | ConfigurationFault
   /** SIGKILL; the process is started again when the fault ends. */
   | { readonly kind: 'hostKilled'; readonly host: string }
   /** SIGSTOP and SIGCONT. */
@@ -186,6 +188,11 @@
         service: pick(services, random),
         afterMilliseconds: LATEST_IN_CHANGE_MILLISECONDS * random.next(),
       }
+    case 'storeTurnsAway':
+    case 'storeLate':
+    case 'hostStarved':
+    case 'hostStarvedAndSilenced':
+      return drawConfigurationFault(kind, hosts, random)
     case 'storeAway':
     case 'storeLosesAnswers':
     case 'storeForgetsHistory':
--- a/packages/soak/src/fleetConfiguration.ts
+++ b/packages/soak/src/fleetConfiguration.ts
@@ -10,6 +10,7 @@
   databaseName,
   type Guarantee,
 } from './guarantees.js'
+import { databaseOfVersion, liveVersions } from './configurationChecker.js'
 import { CLASS_PRIORITIES, CUSTOMERS } from './hardLoad.js'
 
 const GUARANTEE_TYPES: Readonly<Record<Guarantee, Route['guarantee']>> = {
@@ -18,11 +19,12 @@
   own: { kind: 'ownWrites', maximumAgeMilliseconds: BOUNDED_AGE_MILLISECONDS },
 }
 
-/** The statement timeouts change with each version. */
+/** The statement timeouts change with each version; with `hasVersionRoutes`, routes come and go as well. */
 export function configurationOf(
   version: number,
   groups: readonly MemoryGroup[],
   isHardLoad: boolean,
+  hasVersionRoutes: boolean,
 ): FleetConfiguration {
   const timeout = SHORTEST_TIMEOUT_MILLISECONDS + (version % 4) * 100
   const route = (service: string, guarantee: Guarantee): Route => ({
@@ -35,9 +37,17 @@
     priority: isHardLoad ? CLASS_PRIORITIES[guarantee] : 1,
     isPublic: false,
   })
+  const [firstGroup] = groups
+  const added = hasVersionRoutes && firstGroup !== undefined ? liveVersions(version) : []
   return {
     version,
-    routes: groups.flatMap(({ service }) => GUARANTEES.map(each => route(service, each))),
+    routes: [
+      ...groups.flatMap(({ service }) => GUARANTEES.map(each => route(service, each))),
+      ...added.map(each => {
+        const database = databaseOfVersion(each)
+        return { ...route(firstGroup?.service ?? '', 'own'), name: `r-${database}`, database }
+      }),
+    ],
     services: groups.map(({ service, connectionLimit }) => ({
       name: service,
       connectionLimit,
--- a/packages/soak/src/hostProcess.ts
+++ b/packages/soak/src/hostProcess.ts
@@ -27,6 +27,7 @@
 export class HostProcess {
   readonly plan: HostProcessPlan
   #child: ChildProcess | null = null
+  #incarnation = 0
   /** Whether the current incarnation of the process has become ready. */
   #hasBecomeReady = false
   /** True from the stop signal until callers have received the end of their connections. */
@@ -36,6 +37,11 @@
     this.plan = plan
   }
 
+  /** Grows with each start of the process. */
+  get incarnation(): number {
+    return this.#incarnation
+  }
+
   get processId(): number | null {
     return this.#isRunning ? (this.#child?.pid ?? null) : null
   }
@@ -60,6 +66,7 @@
   start(): void {
     if (this.#isRunning) return
     this.#hasBecomeReady = false
+    this.#incarnation += 1
     const path = join(this.plan.directory, `${this.plan.name}.yaml`)
     writeFileSync(path, this.plan.settings)
     const log = openSync(this.logFile, 'a')
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,5 +1,7 @@
 /** The soak test: runs entry host processes under random faults and checks their consistency. Not published. */
 export * from './changeFaults.js'
+export * from './configurationChecker.js'
+export * from './configurationFaults.js'
 export * from './failoverGaps.js'
 export * from './faultPlan.js'
 export { ConsistencyChecker, type ReadRule } from './consistencyChecker.js'
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -11,6 +11,7 @@
   isCause,
   NAMED_CHANGE_FAULT_KINDS,
 } from './changeFaults.js'
+import { CONFIGURATION_FAULT_KINDS, CONFIGURATION_RUN_KINDS } from './configurationFaults.js'
 import { DEFAULT_FAULT_KINDS, PLANNED_KINDS, type FaultKind } from './faultPlan.js'
 import { runSoak, type SoakOptions } from './runSoak.js'
 import type { UnsuccessfulStatement } from './soakCallerOptions.js'
@@ -26,6 +27,8 @@
   --limit N      connection limit of a backend server (25)
   --kinds A,B    inject only these kinds of fault
   --changes      series of faults around changes of primary, which take 1,000 ms
+  --configurations  a new configuration every 0.4 to 4.9 s, and faults that keep hosts from the store;
+                 checks when each version is in force at each host
   --load         hard load: customers, classes and callers beyond the slots of the servers,
                  during the faults and for 9 s after them
   --program F    path of another build of the entry host program
@@ -50,6 +53,7 @@
   limit: { type: 'string', default: '25' },
   kinds: { type: 'string' },
   changes: { type: 'boolean', default: false },
+  configurations: { type: 'boolean', default: false },
   load: { type: 'boolean', default: false },
   program: { type: 'string', default: PROGRAM },
   keep: { type: 'string' },
@@ -77,13 +81,15 @@
     if (!Number.isInteger(value) || value < 1) mistakes.push(`--${name}: not a positive integer`)
     return value
   }
-  const usualKinds = values.changes ? SERIES_FAULT_KINDS : DEFAULT_FAULT_KINDS
+  const ownKinds = values.configurations ? CONFIGURATION_RUN_KINDS : DEFAULT_FAULT_KINDS
+  const usualKinds = values.changes ? SERIES_FAULT_KINDS : ownKinds
   const kinds = values.kinds?.split(',') ?? usualKinds
   const known = new Set<string>([
     ...DEFAULT_FAULT_KINDS,
     ...PLANNED_KINDS,
     ...CHANGE_FAULT_KINDS,
     ...NAMED_CHANGE_FAULT_KINDS,
+    ...CONFIGURATION_FAULT_KINDS,
   ])
   if (values.changes && !kinds.some(kind => isCause(kind as FaultKind))) {
     mistakes.push('--kinds: none of them makes hosts replace a primary')
@@ -102,6 +108,7 @@
     connectionLimit: count('limit', values.limit),
     kinds: kinds as readonly FaultKind[],
     hasChangeSeries: values.changes,
+    judgesConfigurations: values.configurations,
     isHardLoad: values.load,
     program: values.program,
     keep: values.keep ?? null,
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -3,6 +3,8 @@
 import { SeededRandom } from '@nutmegcourse/shared'
 import { FaultInjector } from './faultInjector.js'
 import { planChangeSeries } from './changeFaults.js'
+import { ConfigurationWatch, type ConfigurationReport } from './configurationWatch.js'
+import { planConfigurationFaults } from './configurationFaults.js'
 import type { FailoverGaps } from './failoverGaps.js'
 import { planFaults, type FaultKind, type PlannedFault } from './faultPlan.js'
 import { SHORTEST_TIMEOUT_MILLISECONDS } from './guarantees.js'
@@ -29,6 +31,8 @@
   readonly kinds: readonly FaultKind[]
   /** Draws series of faults around changes of primary; `paceMilliseconds` is the average time between two series. */
   readonly hasChangeSeries: boolean
+  /** Publishes configurations all the while, and checks when they are in force; the faults keep hosts from the store. */
+  readonly judgesConfigurations?: boolean
   /** Adds customers, classes and load beyond the slots of the backend servers. */
   readonly isHardLoad: boolean
   /** The faults; drawn from the seed by default. */
@@ -47,6 +51,7 @@
   readonly operations: ConsistencyChecker['counts']
   /** Only statements that were judged: sent while load was on and no fault. */
   readonly underLoad?: LoadChecker['counts'] & { readonly hostStandstills: number }
+  readonly configurations?: ConfigurationReport
   readonly promotions: number
   readonly failoverGaps: FailoverGaps
   /** From the end of the last fault until every host has written to every service; null on a timeout. */
@@ -95,6 +100,7 @@
   readonly #injector: FaultInjector
   readonly #generator: LoadGenerator
   readonly #stallDetector = new StallDetector()
+  readonly #configurations: ConfigurationWatch | null
   #madeCallers = 0
 
   constructor(options: SoakOptions) {
@@ -107,10 +113,20 @@
       ...options,
       promotionMilliseconds,
       isReplicationDelayed: options.hasChangeSeries,
+      hasVersionRoutes: options.judgesConfigurations ?? false,
     })
     this.#checker = new ConsistencyChecker(this.#fleet.groups)
     this.#injector = new FaultInjector(this.#fleet, this.#random)
     this.#generator = new LoadGenerator((name, habits) => this.#makeCaller(name, habits))
+    this.#configurations =
+      options.judgesConfigurations === true
+        ? new ConfigurationWatch(this.#fleet, new SeededRandom(options.seed), {
+            excusedUntil: (host, since) => this.#excusedUntil(host, since),
+            report: finding => {
+              this.#checker.addFinding(finding)
+            },
+          })
+        : null
   }
 
   async run(): Promise<SoakReport> {
@@ -124,7 +140,9 @@
     const random = new SeededRandom(seed)
     const loads = isHardLoad ? planLoads(seconds * 1000, random) : []
     const calmLoads = isHardLoad ? planCalmLoads(CALM_MILLISECONDS, random) : []
+    this.#configurations?.start()
     await Promise.all([this.#injector.run(this.#planFaults()), this.#generator.run(loads, running)])
+    const configurations = await this.#configurations?.finish()
     const [recoveryMilliseconds] = await Promise.all([
       waitForRecovery(this.#fleet, this.#checker),
       this.#generator.run(calmLoads, running),
@@ -140,6 +158,7 @@
       ...(isHardLoad
         ? { underLoad: { ...this.#loadChecker.counts, hostStandstills: hostStandstills.length } }
         : {}),
+      ...(configurations === undefined ? {} : { configurations }),
       promotions: this.#fleet.groups.reduce((sum, group) => sum + group.promotions, 0),
       failoverGaps: this.#checker.failoverGaps,
       recoveryMilliseconds,
@@ -148,6 +167,7 @@
   }
 
   close(): void {
+    this.#configurations?.close()
     this.#stallDetector.close()
     this.#injector.close()
     this.#fleet.close()
@@ -164,9 +184,17 @@
       paceMilliseconds,
       kinds,
     }
+    if (this.#options.judgesConfigurations === true)
+      return planConfigurationFaults(sizes, this.#random)
     return hasChangeSeries ? planChangeSeries(sizes, this.#random) : planFaults(sizes, this.#random)
   }
 
+  #excusedUntil(host: string, since: number): number {
+    const stallEndedAt = this.#stallDetector.lastStallEndedAt
+    const ownStall = stallEndedAt >= since ? stallEndedAt : Number.NEGATIVE_INFINITY
+    return Math.max(ownStall, this.#injector.excusedUntil(host, since))
+  }
+
   #makeCaller(name: string, habits: CallerHabits): SoakCaller {
     const random = new SeededRandom(this.#options.seed * 1000 + this.#madeCallers)
     this.#madeCallers += 1
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -22,11 +22,13 @@
   serveStore,
   writeSettings,
   type StoreEndpointFaults,
+  type StoreResponse,
 } from '@nutmegcourse/platform/standIns'
 import { CALLERS, STORE } from './faultPlan.js'
 import { configurationOf } from './fleetConfiguration.js'
 import { HARD_LOAD_CONTRACTS, HARD_LOAD_SLOTS, keyOf, limitSlots } from './hardLoad.js'
 import { HostProcess } from './hostProcess.js'
+import { withPorts } from './memberAddresses.js'
 
 export interface FleetPlan {
   readonly hosts: number
@@ -39,6 +41,8 @@
   readonly promotionMilliseconds: number
   /** Whether replicas receive writes some milliseconds late, each another time. */
   readonly isReplicationDelayed: boolean
+  /** Whether each version of the configuration adds a route and removes an older one. */
+  readonly hasVersionRoutes: boolean
   readonly program: string
   readonly directory: string
 }
@@ -76,10 +80,19 @@
   readonly hosts: HostProcess[] = []
   /** The relay port at which callers reach each host. */
   readonly callerPorts = new Map<string, number>()
+  /** The port on which each host itself listens for callers. */
+  readonly directPorts = new Map<string, number>()
   readonly regions = new Map<string, string>()
   dropsStoreAnswers = false
   /** Called for each call to promote; see `StoreEndpointFaults`. */
   onPromotionCall: NonNullable<StoreEndpointFaults['takesPromotion']> = () => false
+  /** Called with each version of the configuration that was published. */
+  onPublished: (version: number) => void = () => undefined
+  /** How late the store answers all hosts, in milliseconds. */
+  storeDelayMilliseconds = 0
+  /** Of the hosts that the store does not serve as usual. */
+  readonly #storeResponses = new Map<string, StoreResponse>()
+  readonly #storeListeners = new Map<string, { closeAllConnections(): void }>()
   #version = 0
   readonly #closeCallbacks: (() => void)[] = []
   readonly #entries = new Map<BackendServerId, BackendServerEntry>()
@@ -92,6 +105,8 @@
   /** Every server that ever ran, with its group. */
   readonly #servers = new Map<string, { group: MemoryGroup; server: MemoryServer }>()
   readonly #takenPorts = new Set<number>()
+  /** The port of each server itself, by which records name it in the store. */
+  readonly #listenPorts = new Map<string, number>()
   /** The relay ports by which each host reaches the servers. */
   readonly #serverPorts = new Map<string, Map<string, number>>()
 
@@ -131,8 +146,26 @@
   /** Publishes the next configuration version. */
   publishConfiguration(): void {
     this.#version += 1
-    const { isHardLoad } = this.plan
-    this.store.configure(configurationOf(this.#version, this.groups, isHardLoad))
+    const { isHardLoad, hasVersionRoutes } = this.plan
+    this.store.configure(configurationOf(this.#version, this.groups, isHardLoad, hasVersionRoutes))
+    this.onPublished(this.#version)
+  }
+
+  /** Changes how the store responds to one host; null: as to all others. */
+  setStoreResponse(host: string, response: StoreResponse | null): void {
+    if (response === null) this.#storeResponses.delete(host)
+    else this.#storeResponses.set(host, response)
+    // A store that becomes silent leaves its connections open.
+    if (response?.kind === 'silent') this.relay.silence({ from: [STORE], to: [host] })
+    else this.#storeListeners.get(host)?.closeAllConnections()
+  }
+
+  #storeResponseTo(host: string): StoreResponse {
+    const delayed: StoreResponse =
+      this.storeDelayMilliseconds > 0
+        ? { kind: 'late', milliseconds: this.storeDelayMilliseconds }
+        : { kind: 'usual' }
+    return this.#storeResponses.get(host) ?? delayed
   }
 
   host(name: string): HostProcess {
@@ -349,6 +382,7 @@
     const listener = await serveBackend(this.dialer, group, id)
     this.#closeCallbacks.push(() => listener.close())
     this.relay.setTarget(id, portOf(listener))
+    this.#listenPorts.set(id, portOf(listener))
     for (const host of this.#serverPorts.keys()) await this.#openServerLink(host, id)
     this.#putEntry({
       server: id,
@@ -379,8 +413,15 @@
     this.regions.set(name, REGIONS[zone])
     this.#serverPorts.set(name, new Map())
     for (const server of this.#servers.keys()) await this.#openServerLink(name, server)
+    const portAtHost = (server: string): number | undefined =>
+      this.#serverPorts.get(name)?.get(server)
     const listener = await serveStore(this.store, this.groups, {
-      portOf: server => this.#serverPorts.get(name)?.get(server) ?? 0,
+      response: () => this.#storeResponseTo(name),
+      portOf: server => portAtHost(server) ?? 0,
+      records: {
+        toClient: (key, value) => withPorts(key, value, portAtHost),
+        toStore: (key, value) => withPorts(key, value, server => this.#listenPorts.get(server)),
+      },
       keysOf: customer => [keyOf(customer)],
       losesAnswer: method => method === 'POST' && this.dropsStoreAnswers,
       takesPromotion: (call, carryOut) => this.onPromotionCall(call, carryOut),
@@ -389,6 +430,7 @@
       listener.closeAllConnections()
       listener.close()
     })
+    this.#storeListeners.set(name, listener)
     this.relay.setTarget(`${STORE} of ${name}`, portOf(listener))
     const store = await this.relay.addLink({
       sourceZone: name,
@@ -397,6 +439,7 @@
     })
     const [callers = 0, readiness = 0, internal = 0] = ports
     this.relay.setTarget(name, callers)
+    this.directPorts.set(name, callers)
     const link = { sourceZone: CALLERS, targetZone: name, target: name }
     this.callerPorts.set(name, await this.relay.addLink(link))
     const address = (port: number) => ({ host: '127.0.0.1', port })
--- a/packages/soak/src/stallDetector.ts
+++ b/packages/soak/src/stallDetector.ts
@@ -28,6 +28,12 @@
     return this.#stalls
   }
 
+  /** Checks first, as below. */
+  get lastStallEndedAt(): number {
+    this.#check()
+    return this.#lastStallEndedAt
+  }
+
   /** Whether a stall ended at or after `time`. Checks first, since the timer may not have run yet. */
   hasStalledSince(time: number): boolean {
     this.#check()
