--- a/packages/protocol/src/host/storeLink.ts
+++ b/packages/protocol/src/host/storeLink.ts
@@ -58,6 +58,8 @@
   readonly begin: number
   /** Between two parts of the answer. */
   readonly pause: number
+  /** Called when the answer begins. */
+  readonly onBegun?: () => void
 }
 
 /** Every call has its own time limit in milliseconds, after which its connection is closed. */
