--- a/packages/coordination/__tests__/synchronous/zoneFollowers.spec.ts
+++ b/packages/coordination/__tests__/synchronous/zoneFollowers.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { followersBefore, planFollowers, type HostRecord } from '../../src/index.js'
+import { followersBefore, otherFollowers, planFollowers, type HostRecord } from '../../src/index.js'
 
 const record = (zone: string, weight = 1, relay: string | null = '10.0.0.1:1'): HostRecord => ({
   zone,
@@ -58,3 +58,35 @@
     expect(planFollowers('z0', records)).toEqual(before)
   })
 })
+
+describe('otherFollowers', () => {
+  const SELF = { entryHost: 'h0', zone: 'z0', region: 'r' }
+  const far = (zone: string): HostRecord => ({ ...record(zone), region: 'far' })
+  const CASES: Readonly<
+    Record<string, readonly [hosts: ReadonlyMap<string, HostRecord>, expected: readonly string[]]>
+  > = {
+    'are the hosts of the own zone, the region and the others': [
+      new Map([
+        ['c', far('z2')],
+        ['b', record('z1')],
+        ['a', record('z0')],
+        ['h0', record('z0')],
+      ]),
+      ['a', 'b', 'c'],
+    ],
+    'are not those that cannot be reached': [new Map([['a', record('z1', 1, null)]]), []],
+  }
+  for (const [name, [hosts, expected]] of Object.entries(CASES)) {
+    it(name, () => {
+      expect(otherFollowers(SELF, hosts)).toEqual(expected)
+    })
+  }
+
+  // Guards against a large fleet in which all hosts are asked, of which most follow through others themselves.
+  it('are the planned followers of large zones', () => {
+    const records = fleet(60, 3)
+    const planned = ['z0', 'z1', 'z2'].flatMap(zone => planFollowers(zone, records))
+    const found = otherFollowers(SELF, records)
+    expect([...found].sort()).toEqual(planned.filter(host => host !== 'h0').sort())
+  })
+})
--- a/packages/coordination/src/synchronous/zoneFollowers.ts
+++ b/packages/coordination/src/synchronous/zoneFollowers.ts
@@ -28,6 +28,41 @@
     .map(([host]) => host)
 }
 
+/** A host's place. */
+export interface HostPlace {
+  readonly entryHost: string
+  readonly zone: string
+  readonly region: string
+}
+
+/**
+ * The other hosts that follow the store themselves, in the order in which a host asks them that the store does not
+ * serve: nearer ones first, and among equals in another order for each host, so that they share the load.
+ */
+export function otherFollowers(
+  { entryHost, zone, region }: HostPlace,
+  hosts: ReadonlyMap<string, HostRecord>,
+): readonly string[] {
+  const distance = (record: HostRecord): number => {
+    if (record.zone === zone) return 0
+    return record.region === region ? 1 : 2
+  }
+  const zones = new Set([...hosts.values()].map(record => record.zone))
+  const followers = new Set([...zones].flatMap(each => followersOf(each, hosts)))
+  const score = (host: string): number => mixHashes(nameHash(host), nameHash(entryHost))
+  return [...hosts]
+    .filter(([host, { relay }]) => followers.has(host) && host !== entryHost && relay !== null)
+    .sort(([left, a], [right, b]) => distance(a) - distance(b) || score(right) - score(left))
+    .map(([host]) => host)
+}
+
+/** In a small zone all hosts follow the store. */
+function followersOf(zone: string, hosts: ReadonlyMap<string, HostRecord>): readonly string[] {
+  const planned = planFollowers(zone, hosts)
+  if (planned.length > 0) return planned
+  return [...hosts].filter(([, record]) => record.zone === zone).map(([host]) => host)
+}
+
 /** The followers that one host asks: those before it in the order. The first one watches the store itself. */
 export function followersBefore(followers: readonly string[], self: string): readonly string[] {
   const selfIndex = followers.indexOf(self)
