fix(coordination): a record that names a port out of range is left out instead of ending the process

What operators of a like system saw: processes that read an odd entry end again and again. Here a record of members with a server at a port of 1e308 did that: the host asked that server for its log in a change of primary, and the runtime threw (ERR_SOCKET_BAD_PORT) where nothing catches. Entries of servers were checked, records of members and the addresses of other hosts were not. One function, isPort, now decides for all addresses.

--- a/packages/coordination/src/synchronous/memberRecord.ts
+++ b/packages/coordination/src/synchronous/memberRecord.ts
@@ -5,6 +5,7 @@
 import {
   availabilityZoneId,
   backendServerId,
+  isPort,
   type BackendServerId,
   type LogPosition,
 } from '@nutmegcourse/shared'
@@ -83,7 +84,7 @@
   if (!isFields(value)) return null
   const { server, host, port, zone, startedAt, hasEnded, holdsUpTo } = value
   if (typeof server !== 'string' || typeof host !== 'string') return null
-  if (typeof port !== 'number' || typeof zone !== 'string') return null
+  if (!isPort(port) || typeof zone !== 'string') return null
   return {
     entry: entryOf(backendServerId(server), service, {
       host,
--- a/packages/host/src/main.ts
+++ b/packages/host/src/main.ts
@@ -11,7 +11,7 @@
   serveReadiness,
   settingsPath,
 } from '@nutmegcourse/platform'
-import { SystemClock, SystemRandom } from '@nutmegcourse/shared'
+import { SystemClock, SystemRandom, isPort } from '@nutmegcourse/shared'
 import type { HostAddress, HostSettings, PromotionPort } from '@nutmegcourse/protocol'
 import { DecisionLog } from './decisionLog.js'
 import { HostMetrics, serveMetrics } from './hostMetrics.js'
@@ -97,8 +97,7 @@
 function metricsListenAddress(settings: HostSettings): HostAddress | null {
   const { values } = parseArgs({ options: { 'metrics-port': { type: 'string' } } })
   const port = Number(values['metrics-port'])
-  const isPort = Number.isInteger(port) && port > 0 && port < 65_536
-  return isPort ? { host: settings.callers.host, port } : settings.metrics
+  return isPort(port) ? { host: settings.callers.host, port } : settings.metrics
 }
 
 const path = settingsPath(process.env)
--- a/packages/host/src/relayPeers.ts
+++ b/packages/host/src/relayPeers.ts
@@ -5,7 +5,7 @@
  */
 import type { HostRecord } from '@nutmegcourse/coordination'
 import type { HostAddress } from '@nutmegcourse/protocol'
-import type { Milliseconds } from '@nutmegcourse/shared'
+import { isPort, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
 import { RelayPeer } from './relayPeer.js'
 
@@ -81,5 +81,5 @@
 /** The address at which a host runs statements for others; null when it does not. */
 function relayAddress({ relay }: HostRecord): HostAddress | null {
   const [host = '', port = ''] = relay?.split(':') ?? []
-  return host === '' || port === '' ? null : { host, port: Number(port) }
+  return host !== '' && isPort(Number(port)) ? { host, port: Number(port) } : null
 }
