fix(host): a slow store does not keep a host from registering, nor a stall from reaching another host

A host whose calls to register took longer than 1.5 s was never known to the others, so that none could ask it for changes; its limit now grows with what it saw. And the time to open a connection to another host counted stalls of the own process: with 300 ms, a process that stands still that long reached no host at all. It now passes in steps between which the sockets are read, as the limits of calls to the store do.

--- a/packages/host/__tests__/ownStall.spec.ts
+++ b/packages/host/__tests__/ownStall.spec.ts
@@ -87,3 +87,43 @@
     })
   }
 })
+
+describe('the recent lateness of timers', () => {
+  type Step = readonly [afterMilliseconds: number, lateness: number]
+  const CASES: Readonly<Record<string, readonly [steps: readonly Step[], expected: number]>> = {
+    'is that of the latest timer': [[[0, 300]], 300],
+    'is the longest of some seconds': [
+      [
+        [0, 300],
+        [4000, 10],
+      ],
+      300,
+    ],
+    'is forgotten after a while': [
+      [
+        [0, 300],
+        [10_000, 10],
+        [10_000, 20],
+      ],
+      20,
+    ],
+    'is forgotten after a pause': [
+      [
+        [0, 300],
+        [60_000, 10],
+      ],
+      10,
+    ],
+  }
+  for (const [name, [steps, expected]] of Object.entries(CASES)) {
+    it(name, () => {
+      const clock = new VirtualClock()
+      const ownStall = new OwnStall(clock)
+      for (const [after, lateness] of steps) {
+        clock.advance(after)
+        ownStall.noteLateness(lateness)
+      }
+      expect(ownStall.recentLatenessMilliseconds).toEqual(expected)
+    })
+  }
+})
--- a/packages/host/__tests__/storeTurnsAway.spec.ts
+++ b/packages/host/__tests__/storeTurnsAway.spec.ts
@@ -55,6 +55,10 @@
     return this.#late(limit, super.watch(revision, wait, limit))
   }
 
+  override grantLease(lifetime: number, limit: number): StoreResult<number> {
+    return this.#late({ begin: limit, pause: limit }, super.grantLease(lifetime, limit))
+  }
+
   async #late<Value>(limit: LongAnswerLimit, answer: StoreResult<Value>): StoreResult<Value> {
     const askedAt = performance.now()
     const result = await answer
@@ -154,6 +158,11 @@
       await withHostFixture(0, async fixture => {
         const host = fixture.add('host-1', 1000, new LateStore(fixture.store, late))
         await fixture.until(() => host.host.isReady, 'the host is ready', 3 * BOUND_MILLISECONDS)
+        await fixture.until(
+          () => fixture.store.record('host/host-1') !== null,
+          'the other hosts know it',
+          3 * BOUND_MILLISECONDS,
+        )
         for (const version of [2, 3]) {
           const span = await millisecondsUntilServed(fixture, [host], version)
           expect(span < BOUND_MILLISECONDS).toEqual(true)
--- a/packages/host/src/hostRegistration.ts
+++ b/packages/host/src/hostRegistration.ts
@@ -5,8 +5,10 @@
  * @internal
  */
 import { hostKey, writeRecord } from '@nutmegcourse/coordination'
-import type { StoreLink } from '@nutmegcourse/protocol'
+import type { StoreFailure, StoreLink } from '@nutmegcourse/protocol'
+import type { Result } from 'neverthrow'
 import type { HostContext } from './hostContext.js'
+import { GrowingLimit } from './growingLimit.js'
 import { Signal } from './waiting.js'
 
 /**
@@ -20,7 +22,8 @@
 /** Simultaneous registrations after a restore of the store are spread over this time. */
 const RESTORED_SPREAD_MILLISECONDS = 1000
 
-const CALL_LIMIT_MILLISECONDS = 1500
+const SHORTEST_CALL_LIMIT_MILLISECONDS = 1500
+const LONGEST_CALL_LIMIT_MILLISECONDS = 30_000
 const RETRY_MILLISECONDS = 2000
 
 /** A record as read from the store. */
@@ -44,6 +47,11 @@
   readonly #reader: OwnRecordReader
   /** Called after the first registration, when other hosts learn of this one. */
   readonly #onJoined: () => void
+  /** Without a record no other host knows this one, so a store that is slow must not prevent it for good. */
+  readonly #limit = new GrowingLimit(
+    SHORTEST_CALL_LIMIT_MILLISECONDS,
+    LONGEST_CALL_LIMIT_MILLISECONDS,
+  )
   #lease: number | null = null
   #hasJoined = false
   #isStopped = false
@@ -91,7 +99,7 @@
     this.#isStopped = true
     this.#wakeUp.raise()
     if (this.#lease === null) return
-    await this.#store.endLease(this.#lease, CALL_LIMIT_MILLISECONDS)
+    await this.#store.endLease(this.#lease, SHORTEST_CALL_LIMIT_MILLISECONDS)
   }
 
   /**
@@ -115,16 +123,12 @@
   }
 
   async #register(): Promise<boolean> {
-    const lease = await this.#store.grantLease(LIFETIME_MILLISECONDS, CALL_LIMIT_MILLISECONDS)
+    const lease = await this.#timed(limit => this.#store.grantLease(LIFETIME_MILLISECONDS, limit))
     if (lease.isErr()) return this.#failed(lease.error.kind)
     const key = hostKey(this.#context.settings.entryHost)
-    const change = await this.#store.change(
-      {
-        expected: [],
-        puts: [{ key, value: this.#record(), lease: lease.value }],
-        removes: [],
-      },
-      CALL_LIMIT_MILLISECONDS,
+    const puts = [{ key, value: this.#record(), lease: lease.value }]
+    const change = await this.#timed(limit =>
+      this.#store.change({ expected: [], puts, removes: [] }, limit),
     )
     if (change.isErr()) return this.#failed(change.error.kind)
     if (change.value.kind !== 'made') return this.#failed(change.value.kind)
@@ -135,13 +139,24 @@
   }
 
   async #renew(lease: number): Promise<boolean> {
-    const renewed = await this.#store.renewLease(lease, CALL_LIMIT_MILLISECONDS)
+    const renewed = await this.#timed(limit => this.#store.renewLease(lease, limit))
     if (renewed.isErr()) return this.#failed(renewed.error.kind)
     if (renewed.value) return true
     this.#lease = null
     return this.#register()
   }
 
+  async #timed<Value>(
+    call: (limit: number) => Promise<Result<Value, StoreFailure>>,
+  ): Promise<Result<Value, StoreFailure>> {
+    const { clock } = this.#context
+    const askedAt = clock.now()
+    const result = await call(this.#limit.milliseconds)
+    if (result.isOk()) this.#limit.answered(clock.now() - askedAt)
+    else if (result.error.kind === 'noAnswer') this.#limit.exceeded()
+    return result
+  }
+
   #failed(why: string): false {
     this.#context.log.write('registration_failed', { why })
     return false
--- a/packages/transport/src/jsonRpcConnection.ts
+++ b/packages/transport/src/jsonRpcConnection.ts
@@ -9,7 +9,9 @@
 } from 'json-rpc-2.0'
 import { ResultAsync } from 'neverthrow'
 import split2 from 'split2'
+import { SystemClock } from '@nutmegcourse/shared'
 import { startReadTimeout } from './readTimeout.js'
+import { SilenceLimit } from './silenceLimit.js'
 import type { TransportError } from './transportError.js'
 
 /** A longer line closes the connection. Values of the store are at most 1 MB. */
@@ -161,17 +163,18 @@
   const endpoint = `${address}:${port}`
   const attempt = new Promise<Socket>((resolve, reject) => {
     const socket = connect({ host: address, port, noDelay: true })
-    const timer = setTimeout(() => {
+    const limit = new SilenceLimit(new SystemClock())
+    limit.start(connectTimeoutMilliseconds, () => {
       socket.destroy()
       reject(new ConnectTimeout())
-    }, connectTimeoutMilliseconds)
+    })
     const fail = (error: Error): void => {
-      clearTimeout(timer)
+      limit.stop()
       reject(error)
     }
     socket.once('error', fail)
     socket.once('connect', () => {
-      clearTimeout(timer)
+      limit.stop()
       socket.off('error', fail)
       resolve(socket)
     })
