--- a/packages/soak/__tests__/soak.spec.ts
+++ b/packages/soak/__tests__/soak.spec.ts
@@ -7,18 +7,19 @@
 import { SeededRandom } from '@nutmegcourse/shared'
 import {
   CHANGE_FAULT_KINDS,
+  CONFIGURATION_RUN_KINDS,
   DEFAULT_FAULT_KINDS,
+  type FaultKind,
   LOAD_KINDS,
-  PLANNED_KINDS,
-  SERIES_FAULT_KINDS,
-  planChangeSeries,
   planCalmLoads,
+  planChangeSeries,
   planFaults,
   planLoads,
-  runSoak,
-  readMemberReference,
-  type FaultKind,
+  PLANNED_KINDS,
   type PlannedFault,
+  readMemberReference,
+  runSoak,
+  SERIES_FAULT_KINDS,
 } from '../src/index.js'
 
 const PROGRAM = fileURLToPath(new URL('../../../host/dist/src/main.js', import.meta.url))
@@ -121,6 +122,7 @@
   readonly paceMilliseconds: number
   readonly isHardLoad: boolean
   readonly hasChangeSeries: boolean
+  readonly judgesConfigurations?: boolean
   /** Instead of faults drawn from the seed. */
   readonly plan?: readonly PlannedFault[]
 }
@@ -196,6 +198,18 @@
     seconds: 3,
     isHardLoad: true,
   },
+  // Guards against hosts that go on with an older configuration while the store turns them away or is slow, or while they
+  // get little processor time.
+  {
+    ...USUAL,
+    name: 'faults that keep hosts from the store while configurations change',
+    seed: 55001,
+    kinds: CONFIGURATION_RUN_KINDS,
+    hosts: 6,
+    seconds: 20,
+    paceMilliseconds: 600,
+    judgesConfigurations: true,
+  },
   // Guards against changes of primary that lose acknowledged writes.
   {
     ...CHANGE_SERIES,
@@ -275,6 +289,8 @@
         })
         expect(report.findings).toEqual([])
         expect(report.operations.acknowledged > 0).toEqual(true)
+        const isJudged = (report.configurations?.inForce ?? 0) > 0
+        expect(isJudged).toEqual(run.judgesConfigurations ?? false)
         const { highest = 0, lowerLate = 0 } = report.underLoad ?? {}
         // Otherwise the load was not judged, or left nobody waiting.
         expect([highest > 0, lowerLate > 0]).toEqual([run.isHardLoad, run.isHardLoad])
