refactor(host): further pages of a slow list are waited for, one late list is kept, others are asked when it matters

Read as a newcomer would: a further page had one try of 1.5 s, so a list of several pages from a slower store began anew for ever; six lists beside each other would have filled a narrow link; and a store that compacts its history, which cuts every watch once, made every host ask another one.

--- a/packages/host/__tests__/patientCalls.spec.ts
+++ b/packages/host/__tests__/patientCalls.spec.ts
@@ -8,7 +8,7 @@
 import { PatientCalls } from '../src/patientCalls.js'
 
 const EXPECTED_MILLISECONDS = 40
-const LIMITS = { pauseMilliseconds: 50, begunMilliseconds: 60 }
+const LIMITS = { pauseMilliseconds: 50, begunMilliseconds: 60, lateCalls: 5 }
 const LOST: StoreFailure = { kind: 'unavailable', detail: 'reset' }
 
 /** How one call goes: milliseconds until its answer begins and until it ends; null for never. */
--- a/packages/host/src/patientCalls.ts
+++ b/packages/host/src/patientCalls.ts
@@ -12,8 +12,6 @@
 import { GrowingLimit } from './growingLimit.js'
 import { OVERDUE, Signal, withDeadline } from './waiting.js'
 
-/** Late calls that are kept; further ones end when they are late. */
-const MAX_PATIENT_CALLS = 5
 /** How long a late call is kept beyond the expected time. */
 const SHORTEST_PATIENCE_MILLISECONDS = 4000
 const LONGEST_PATIENCE_MILLISECONDS = 60_000
@@ -23,6 +21,8 @@
   readonly pauseMilliseconds: number
   /** How long an answer that has begun may take until the next call is made. */
   readonly begunMilliseconds: number
+  /** Late calls that are kept; further ones end when they are late. */
+  readonly lateCalls: number
 }
 
 export interface PatientAnswer<Answer> {
@@ -96,7 +96,7 @@
     make: (limit: LongAnswerLimit) => Promise<Result<Answer, StoreFailure>>,
     expected: number,
   ): PendingCall<Answer> {
-    const isPatient = this.#pending.filter(each => each.isPatient).length < MAX_PATIENT_CALLS
+    const isPatient = this.#pending.filter(each => each.isPatient).length < this.#limits.lateCalls
     const askedAt = this.#clock.now()
     let latest: Milliseconds | null = null
     const limit: LongAnswerLimit = {
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -16,6 +16,7 @@
   type StoreLink,
 } from '@nutmegcourse/protocol'
 import { HOST_RECORDS_PREFIX } from '@nutmegcourse/coordination'
+import { err, ok, type Result } from 'neverthrow'
 import { addMilliseconds, jittered, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostContext } from './hostContext.js'
 import { changeDelayBudget, type ChangeDelayBudget } from './changeDelayBudget.js'
@@ -55,9 +56,17 @@
 const WATCH_LIMITS = {
   pauseMilliseconds: PAUSE_LIMIT_MILLISECONDS,
   begunMilliseconds: PAUSE_LIMIT_MILLISECONDS,
+  lateCalls: 5,
 }
 /** A second list beside one that is being read would only take its part of the link. */
-const LIST_LIMITS = { pauseMilliseconds: PAUSE_LIMIT_MILLISECONDS, begunMilliseconds: 60_000 }
+const LIST_LIMITS = {
+  pauseMilliseconds: PAUSE_LIMIT_MILLISECONDS,
+  begunMilliseconds: 60_000,
+  lateCalls: 1,
+}
+
+/** How often a further page is asked for before the list begins anew. */
+const MAX_PAGE_CALLS = 4
 
 /** Pause before the other hosts are asked again when none of them could help. */
 const OTHERS_RETRY_MILLISECONDS = 250
@@ -240,18 +249,26 @@
     let { next } = answer
     while (next !== null) {
       const after: string = next
-      const pages = new PatientCalls<DirectoryPage>(this.#context.clock, LIST_LIMITS)
-      const page = await pages.next(limit => this.#store.list(after, limit), LIST_LIMIT.begin)
+      const page = await this.#furtherPage(after)
       if (page.isErr()) return page.error
-      changes.push(...page.value.answer.changes)
-      revisions.push(page.value.answer.revision)
-      ;({ next } = page.value.answer)
+      changes.push(...page.value.changes)
+      revisions.push(page.value.revision)
+      ;({ next } = page.value)
       if (next === after) return PAGES_REPEAT
     }
     // Pages are not a snapshot: the watch reports again what changed since the first one.
     return this.#takeStoreList(changes, Math.min(...revisions), askedAt)
   }
 
+  async #furtherPage(after: string): Promise<Result<DirectoryPage, StoreFailure>> {
+    const pages = new PatientCalls<DirectoryPage>(this.#context.clock, LIST_LIMITS)
+    for (let calls = 1; ; calls += 1) {
+      const page = await pages.next(limit => this.#store.list(after, limit), LIST_LIMIT.begin)
+      if (page.isOk()) return ok(page.value.answer)
+      if (page.error.kind !== 'noAnswer' || calls === MAX_PAGE_CALLS) return err(page.error)
+    }
+  }
+
   #takeStoreList(
     changes: readonly RevisedChange[],
     revision: number,
@@ -312,24 +329,16 @@
     const wasContinuous = this.#isContinuous
     this.#isContinuous = watched.isOk() && !watched.value.isLate
     if (watched.isErr()) return watched.error
-    const { answer, askedAt, isLate } = watched.value
+    const { answer, isLate } = watched.value
     this.#isStoreSlow = isLate
     const madeSince = this.#earliestChangeTime(wasContinuous && !isLate)
-    return this.#takeWatched(
-      answer,
-      { knownAt: this.#knownAsOf(watched.value), madeSince },
-      askedAt,
-    )
+    return this.#takeWatched(answer, { knownAt: this.#knownAsOf(watched.value), madeSince })
   }
 
-  async #takeWatched(
-    { events, after }: WatchedEvents,
-    age: ChangeAge,
-    askedAt: Milliseconds,
-  ): Promise<null> {
+  async #takeWatched({ events, after }: WatchedEvents, age: ChangeAge): Promise<null> {
     // A response of an older revision must not revert what is known.
     if (this.#revision === null || events.revision < this.#revision) return null
-    if (this.#isOutdated(events.revision, askedAt)) return null
+
     this.#changeFeed.server.takeFromStore(events, age)
     return this.#takeChanges(
       { ...events, changes: this.#unknownOf(events, after) },
@@ -451,11 +460,17 @@
     this.#isStoreUnavailable = true
     this.#failures += 1
     if (this.#failures >= FAILURES_TO_DECLINE) this.#changeFeed.server.suspend()
-    void this.#followOthers()
+    if (this.#needsOthers) void this.#followOthers()
     await this.#watches.pause(jittered(this.#retryDelay, this.#context.random))
     this.#retryDelay = Math.min(this.#retryDelay * 2, this.#longestRetryDelay)
   }
 
+  /** A store that compacts its history cuts every watch once; that alone is no reason to ask. */
+  get #needsOthers(): boolean {
+    const { ageMilliseconds } = this.#context.knowledge
+    return this.#failures > 1 || ageMilliseconds > this.#longestWatch
+  }
+
   /** The first failure of a kind, and each one that leaves this host without a confirmed configuration. */
   #logFailure(failure: StoreFailure): void {
     const { knowledge, log } = this.#context
