fix(host): frozen hosts do not keep a host that the store turns away from asking the next one

A host that asks others lost a whole wait, 1.3 s, at each frozen one before it. The first answer is now asked for without a wait, and so is the next host after one that did not answer.

--- a/packages/host/__tests__/changeFeed.spec.ts
+++ b/packages/host/__tests__/changeFeed.spec.ts
@@ -185,6 +185,67 @@
   })
 })
 
+describe('a host that the store does not serve', () => {
+  const told = { ...UPDATE, changes: [], revision: 10 }
+  const OUTDATED = { ...told, knownAgo: 4001 }
+  interface ElsewhereCase {
+    readonly answers: Answers
+    /** The hosts that it asks, and how long it lets each wait. */
+    readonly asked: readonly (readonly [host: string, wait: number])[]
+    readonly from: string | null
+  }
+  // Guards against a host that stays behind because the hosts that it asks are frozen, or no more up to date than it is.
+  const CASES: Readonly<Record<string, ElsewhereCase>> = {
+    'asks another host': { answers: [told], asked: [['host-1', 100]], from: 'host-1' },
+    'asks the next one, without a wait, after one that is frozen': {
+      answers: [null, told],
+      asked: [
+        ['host-1', 100],
+        ['host-2', 0],
+      ],
+      from: 'host-2',
+    },
+    'asks the next one after one that follows another host': {
+      answers: [DECLINED, told],
+      asked: [
+        ['host-1', 100],
+        ['host-2', 100],
+      ],
+      from: 'host-2',
+    },
+    'does not rely on one that cannot tell itself': {
+      answers: [OUTDATED],
+      asked: [['host-1', 100]],
+      from: null,
+    },
+    'finds none': { answers: [], asked: [], from: null },
+  }
+  for (const [name, { answers, asked, from }] of Object.entries(CASES)) {
+    it(name, async () => {
+      const seen: (readonly [string, number])[] = []
+      const others = answers.map((answer, index): ChangeFeedSource => {
+        const host = `host-${index + 1}`
+        return {
+          name: host,
+          requestChanges: ({ wait }) => {
+            seen.push([host, wait])
+            return Promise.resolve(answer)
+          },
+        }
+      })
+      const context = followerContext(new VirtualClock(1000))
+      const { reader } = changeFeedWith(
+        context,
+        () => [],
+        () => others,
+      )
+      const received = await reader.watchElsewhere(request(10, 100))
+      expect(seen).toEqual([...asked])
+      expect(received?.from ?? null).toEqual(from)
+    })
+  }
+})
+
 describe('a host that serves the change feed', () => {
   const serverAt = (clock: VirtualClock): ChangeFeedServer =>
     new ChangeFeedServer(followerContext(clock))
--- a/packages/host/src/changeFeedReader.ts
+++ b/packages/host/src/changeFeedReader.ts
@@ -86,11 +86,14 @@
 
   /** The same through a host of any zone; null when none of them can provide the changes now. */
   async watchElsewhere(request: ChangeFeedRequest): Promise<ReceivedChanges | null> {
+    let { wait } = request
     for (;;) {
       const source = this.#nextOf(this.#sources.otherSources())
       if (source === undefined) return null
-      const answer = await this.#ask(source, request)
+      const answer = await this.#ask(source, { ...request, wait })
       if (answer !== null && answer !== 'refused') return answer
+      // Several hosts may be frozen, and this one has lost the time of one wait already.
+      if (answer === null) wait = 0
     }
   }
 
--- a/packages/host/src/patientCalls.ts
+++ b/packages/host/src/patientCalls.ts
@@ -14,7 +14,7 @@
 
 /** How long a late call is kept beyond the expected time. */
 const SHORTEST_PATIENCE_MILLISECONDS = 4000
-const LONGEST_PATIENCE_MILLISECONDS = 60_000
+const LONGEST_PATIENCE_MILLISECONDS = 20_000
 
 export interface PatientLimits {
   /** The longest gap between two parts of an answer. */
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -392,7 +392,9 @@
 
   async #askOthers(after: number): Promise<void> {
     const { isAwaited } = this.#listener
-    const request = { after, wait: this.#budget.zoneWatch, isAwaited }
+    // The first answer is to bring what is known at once.
+    const isFirst = this.#context.knowledge.sourceName === FROM_STORE.kind
+    const request = { after, wait: isFirst ? 0 : this.#budget.zoneWatch, isAwaited }
     const received = await this.#changeFeed.reader.watchElsewhere(request)
     if (received === null) await sleep(OTHERS_RETRY_MILLISECONDS)
     else if (this.#failures > 0 && received.events.revision >= (this.#newest?.revision ?? 0))
