--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -202,9 +202,14 @@
   }
 
   #starve(host: string, silence: () => void): void {
-    const isHeld = (): boolean => (this.#activeCounts.get(`process ${host}`) ?? 0) > 0
+    // A process that stops needs its turns, or it would never end.
+    const isFrozen = (): boolean =>
+      this.#faults.some(
+        ({ fault, until }) =>
+          fault.kind === 'hostFrozen' && fault.host === host && !Number.isFinite(until),
+      )
     this.#starvations.get(host)?.end()
-    this.#starvations.set(host, starve(this.#fleet.host(host), { isHeld, silence }))
+    this.#starvations.set(host, starve(this.#fleet.host(host), { isFrozen, silence }))
   }
 
   async #end(fault: Fault): Promise<void> {
--- a/packages/soak/src/starvation.ts
+++ b/packages/soak/src/starvation.ts
@@ -10,20 +10,20 @@
 }
 
 export interface StarvationParts {
-  /** Whether another fault stops or freezes the process, which is left alone meanwhile. */
-  readonly isHeld: () => boolean
+  /** Whether another fault has frozen the process, which is left alone meanwhile. */
+  readonly isFrozen: () => boolean
   /** Called from time to time, to silence connections of the process. */
   readonly silence: () => void
 }
 
-export function starve(host: HostProcess, { isHeld, silence }: StarvationParts): Starvation {
+export function starve(host: HostProcess, { isFrozen, silence }: StarvationParts): Starvation {
   let timer: NodeJS.Timeout | null = null
   const stand = (): void => {
-    if (!isHeld()) host.signal('SIGSTOP')
+    if (!isFrozen()) host.signal('SIGSTOP')
     timer = setTimeout(run, STANDSTILL_MILLISECONDS)
   }
   const run = (): void => {
-    if (!isHeld()) host.signal('SIGCONT')
+    if (!isFrozen()) host.signal('SIGCONT')
     timer = setTimeout(stand, RUN_MILLISECONDS)
   }
   const silencing = setInterval(silence, SILENCE_INTERVAL_MILLISECONDS)
@@ -32,7 +32,7 @@
     end: () => {
       if (timer !== null) clearTimeout(timer)
       clearInterval(silencing)
-      if (!isHeld()) host.signal('SIGCONT')
+      if (!isFrozen()) host.signal('SIGCONT')
     },
   }
 }
