refactor(host): the follower counts failures once, and an error's text is made in one place

Read as a newcomer would: whether the store is unavailable is whether calls have failed in a row; the flag beside the count is gone. The stack of an unexpected error is written by one function. Three comments in the field's terms, a stray blank line. A test pins what three kinds of lines say of the configuration that decided.

--- a/packages/host/__tests__/decisionLog.spec.ts
+++ b/packages/host/__tests__/decisionLog.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { DecisionLog } from '../src/decisionLog.js'
+import { DecisionLog, type LogFields } from '../src/decisionLog.js'
 import { HostMetrics } from '../src/hostMetrics.js'
 
 describe('DecisionLog', () => {
@@ -23,6 +23,19 @@
     })
   }
 
+  // Guards against refusals that do not say which configuration decided, or how old the host's knowledge of it is.
+  for (const event of ['session_refused', 'statement_refused', 'try_failed'] as const) {
+    it(`says in ${event} which configuration decided, and how old it is`, () => {
+      const lines: LogFields[] = []
+      const sink = { info: (_event: string, fields: LogFields) => lines.push(fields) }
+      const log = new DecisionLog(sink, new HostMetrics())
+      const configuration = { version: 7, source: 'store', knownMilliseconds: 12 }
+      log.describeDecisions(() => configuration)
+      log.write(event, { database: 'db' })
+      expect(lines).toEqual([{ database: 'db', ...configuration }])
+    })
+  }
+
   // A lost write is to be found by the level of its line, among thousands of ordinary ones.
   it('writes a lost write as a warning, and counts each reason by itself', () => {
     const infos: string[] = []
--- a/packages/host/__tests__/patientCalls.spec.ts
+++ b/packages/host/__tests__/patientCalls.spec.ts
@@ -103,8 +103,8 @@
     expect(second.isErr() && second.error.kind).toEqual('historyGone')
   })
 
-  // Guards against a store that becomes slow after connections to it went silent: the silent calls took all the places
-  // of late ones, and each new call was given up just before its answer.
+  // Guards against a slow store that is never followed because pending calls on silent connections use up the limit of
+  // late calls, so that each new call times out before its answer.
   it('gives up silent calls for newer ones, and keeps the oldest', async () => {
     const calls = new PatientCalls<number>(new SystemClock(), { ...LIMITS, lateCalls: 2 })
     const signals: (AbortSignal | undefined)[] = []
--- a/packages/host/src/changeFeedReader.ts
+++ b/packages/host/src/changeFeedReader.ts
@@ -158,8 +158,8 @@
 }
 
 /**
- * Why a host is skipped. `behind`: it lags or was paused, since its revision is older than this host's. `outdated`: it
- * has not heard of the store for too long.
+ * Why a host is skipped. `behind`: it lags or was paused, since its revision is older than this host's. `outdated`: its
+ * knowledge of the store is older than the bound of a configuration.
  */
 function reasonOf(answer: ChangeFeedResponse | null, after: number): string {
   switch (answer?.kind) {
--- a/packages/host/src/decisionLog.ts
+++ b/packages/host/src/decisionLog.ts
@@ -6,8 +6,8 @@
 const LINES_PER_SECOND = 15
 
 /**
- * Limit for refused statements and sessions, which operators need in order to answer callers' complaints: a host that still answers
- * any statements refuses fewer than this.
+ * Limit for refused statements and sessions, which operators need in order to answer callers' complaints: a host that
+ * still answers any statements refuses fewer than this.
  */
 const REFUSALS_PER_SECOND = 100
 
--- a/packages/host/src/patientCalls.ts
+++ b/packages/host/src/patientCalls.ts
@@ -1,8 +1,7 @@
 /**
  * Repeats a call to the store without discarding answers that are late. When no answer has begun in the expected time,
- * the next call is made beside the earlier ones, each on a connection of its own, and the first answer counts. So
- * neither a connection that went silent nor a slow store can stop the host: the next call mends the first, and patience
- * the second.
+ * the next call is made beside the earlier ones, each on a connection of its own, and the first answer counts. A silent
+ * connection is thus replaced by the next call, and the answer of a slow store is still received.
  *
  * @internal
  */
--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -37,6 +37,7 @@
 import { PrimaryProbe } from './primaryProbe.js'
 import { ServerListing, type ListingSource } from './serverListing.js'
 import { ServiceState } from './serviceState.js'
+import { stackOf } from './stackOf.js'
 import type { StoreListener } from './storeFollower.js'
 import { Signal } from './waiting.js'
 
@@ -280,7 +281,7 @@
     try {
       this.#applyChange(change, since, source)
     } catch (error) {
-      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error)
+      const detail = stackOf(error)
       this.#context.log.write('change_failed', { key: subjectOf(change), detail })
     }
   }
--- a/packages/host/src/storeFollower.ts
+++ b/packages/host/src/storeFollower.ts
@@ -23,6 +23,7 @@
 import type { ChangeAge, ChangeFeedServer } from './changeFeedServer.js'
 import { PatientCalls, type PatientAnswer } from './patientCalls.js'
 import type { KnowledgeSource } from './storeKnowledge.js'
+import { stackOf } from './stackOf.js'
 import { sleep } from './waiting.js'
 import type { ChangeFeedReader, ReceivedChanges } from './changeFeedReader.js'
 
@@ -142,7 +143,6 @@
   #isContinuous = false
   /** The last answer of the store was late. Until one is in time, the host asks often and does not batch. */
   #isStoreSlow = false
-  #isStoreUnavailable = false
   /** Consecutive failed calls. */
   #failures = 0
   #isStopped = false
@@ -184,7 +184,7 @@
 
   /** What one change throws must not end the following of all later ones. */
   async #pauseAfter(error: unknown): Promise<void> {
-    const detail = error instanceof Error ? (error.stack ?? error.message) : String(error)
+    const detail = stackOf(error)
     this.#context.log.write('following_failed', { revision: this.#revision, detail })
     await sleep(this.#budget.longestRetryDelay)
   }
@@ -338,7 +338,6 @@
   async #takeWatched({ events, after }: WatchedEvents, age: ChangeAge): Promise<null> {
     // A response of an older revision must not revert what is known.
     if (this.#revision === null || events.revision < this.#revision) return null
-
     this.#changeFeed.server.takeFromStore(events, age)
     return this.#takeChanges(
       { ...events, changes: this.#unknownOf(events, after) },
@@ -445,9 +444,7 @@
   }
 
   #succeeded(): void {
-    if (this.#isStoreUnavailable)
-      this.#context.log.write('store_back', { revision: this.#revision })
-    this.#isStoreUnavailable = false
+    if (this.#failures > 0) this.#context.log.write('store_back', { revision: this.#revision })
     this.#failures = 0
     this.#retryDelay = this.#budget.shortestRetryDelay
   }
@@ -459,7 +456,6 @@
       return
     }
     this.#logFailure(failure)
-    this.#isStoreUnavailable = true
     this.#failures += 1
     if (this.#failures >= FAILURES_TO_DECLINE) this.#changeFeed.server.suspend()
     if (this.#needsOthers) void this.#followOthers()
@@ -476,7 +472,7 @@
   /** The first failure of a kind, and each one that leaves this host without a confirmed configuration. */
   #logFailure(failure: StoreFailure): void {
     const { knowledge, log } = this.#context
-    if (!this.#isStoreUnavailable) log.write('store_lost', { ...failure, ...knowledge.describe() })
+    if (this.#failures === 0) log.write('store_lost', { ...failure, ...knowledge.describe() })
     else if (!knowledge.isConfirmed)
       log.write('store_still_lost', { ...failure, ...knowledge.describe() })
   }
