fix(platform): a message ends at CR LF only, and no field writes a line end

What callers saw: a write whose data held a line feed ran cut off there, and the rest ran as a second statement that nobody had sent (UNASKED); a row with a line feed was cut off, and what followed it was read as the end of the answer, a forged signature included (MIXED).

Cause: LineBuffer split at LF and dropped one CR, towards callers and backend servers alike. Fields were joined unchecked, so that a value with CR LF became a message of its own; text from JSON was cut to its low bytes, so that U+010D U+010A was written as CR LF.

A command that cannot be written closes its connection unsent, and its statement is refused as malformed, in a transaction as aborted; an answer that cannot be written ends the session.

--- a/packages/host/__tests__/support/caller.ts
+++ b/packages/host/__tests__/support/caller.ts
@@ -1,4 +1,5 @@
 /** An in-process caller of an entry host, connected without a socket. */
+import { ok, type Result } from 'neverthrow'
 import { digestOfKey, type LogPosition } from '@nutmegcourse/shared'
 import {
   statementId,
@@ -59,10 +60,15 @@
     this.#events = events
   }
 
-  answer(answer: CallerAnswer, status: SessionStatus, position: LogPosition | null): void {
+  answer(
+    answer: CallerAnswer,
+    status: SessionStatus,
+    position: LogPosition | null,
+  ): Result<void, string> {
     const settle = this.#waiting
     this.#waiting = null
     settle?.({ answer, status, position })
+    return ok(undefined)
   }
 
   acceptSession(): void {
--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -86,8 +86,8 @@
   if (replies === OVERDUE) return mishap({ kind: 'overdue' }, null)
   const [ownReplies, reply, check] = replies
   if (!ownReplies.every(isHostCommandDone)) {
-    const failure = reply.isErr() ? reply.error.kind : 'malformedAnswer'
-    return mishap({ kind: 'lost', failure }, null)
+    const failed = [...ownReplies, reply].find(each => each.isErr())
+    return mishap(failed?.isErr() === true ? failureOf(failed.error) : MALFORMED_ANSWER, null)
   }
   const outcome = readReply(reply)
   if (outcome.kind === 'mishap' || !plan.verifiesPrimary) return outcome
@@ -134,6 +134,22 @@
   }
 }
 
+const MALFORMED_ANSWER: StatementFailure = { kind: 'lost', failure: 'malformedAnswer' }
+
+function failureOf(failure: LinkFailure): StatementFailure {
+  switch (failure.kind) {
+    case 'unwritable':
+      return { kind: 'unwritable' }
+    case 'malformedAnswer':
+    case 'connectionRefused':
+    case 'connectionLost':
+    case 'rejected':
+      return { kind: 'lost', failure: failure.kind }
+    default:
+      return assertNever(failure)
+  }
+}
+
 /**
  * Whether one of the host's own commands succeeded. An answer with a signature belongs to a forwarded statement: the
  * command's own answer was lost.
@@ -145,14 +161,14 @@
 }
 
 function readReply(reply: Result<BackendReply, LinkFailure>): AttemptOutcome {
-  if (reply.isErr()) return mishap({ kind: 'lost', failure: reply.error.kind }, null)
+  if (reply.isErr()) return mishap(failureOf(reply.error), null)
   const { rows, outcome, status, position } = reply.value
   if (outcome.kind === 'refused') {
     return mishap({ kind: 'refused', refusal: outcome.refusal }, status, position)
   }
   const { signature } = outcome
   // An answer without a signature belongs to another command: the statement's own answer was lost.
-  if (signature === null) return mishap({ kind: 'lost', failure: 'malformedAnswer' }, null)
+  if (signature === null) return mishap(MALFORMED_ANSWER, null)
   return { kind: 'answered', rows, signature, status, position }
 }
 
@@ -166,8 +182,7 @@
     return mishap({ kind: 'lost', failure: 'connectionLost' }, null)
   }
   const isIdle = ended.value.status === 'idle'
-  if (isHostCommandDone(begun))
-    return isIdle ? outcome : mishap({ kind: 'lost', failure: 'malformedAnswer' }, null)
+  if (isHostCommandDone(begun)) return isIdle ? outcome : mishap(MALFORMED_ANSWER, null)
   return mishap({ kind: 'refused', refusal: 'notPrimary' }, isIdle ? 'idle' : null)
 }
 
--- a/packages/host/src/callerSession.ts
+++ b/packages/host/src/callerSession.ts
@@ -221,7 +221,8 @@
       this.#current = null
       this.#recordMetrics(next, answer, arrivedAt)
       if (this.#isEnded) break
-      this.#link.answer(answer, statements.status, position)
+      const written = this.#link.answer(answer, statements.status, position)
+      if (written.isErr()) this.#logUnwritable(next, written.error)
     }
     this.#isServing = false
     this.#idleSince = this.#context.clock.now()
@@ -252,6 +253,11 @@
     this.ended()
   }
 
+  #logUnwritable({ id }: CallerStatement, detail: string): void {
+    const fields = { request: id, database: this.#database, detail }
+    this.#context.log.write('answer_unwritable', fields)
+  }
+
   /** Logs a statement that arrived after the end of the session and is not run. */
   #logDropped({ id }: CallerStatement): void {
     const { clock, log } = this.#context
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -484,6 +484,14 @@
       ...KNOWLEDGE_FIELDS,
     },
   },
+  answer_unwritable: {
+    when: 'An answer could not be sent to a caller, since a field of it holds what ends a message. The session was closed.',
+    fields: {
+      request: 'id of the statement',
+      database: 'the database that the caller named',
+      detail: 'which field',
+    },
+  },
   slot_refused: {
     when: 'A statement was refused at once, because its turn at the server would come too late to answer it in time.',
     fields: {
--- a/packages/host/src/serverAccess.ts
+++ b/packages/host/src/serverAccess.ts
@@ -400,6 +400,7 @@
     case 'overdue':
     case 'overloaded':
     case 'unconfirmed':
+    case 'unwritable':
       return mishap.kind
   }
 }
--- a/packages/host/src/serviceOutliers.ts
+++ b/packages/host/src/serviceOutliers.ts
@@ -160,6 +160,7 @@
     case 'notSent':
     case 'overloaded':
     case 'unconfirmed':
+    case 'unwritable':
       return 'neither'
   }
 }
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -137,6 +137,7 @@
       return last.refusal === 'busy' ? retryAfterWait(request) : RETRY_AFTER_MILLISECONDS
     case 'lost':
     case 'overdue':
+    case 'unwritable':
       return RETRY_AFTER_MILLISECONDS
   }
 }
--- a/packages/protocol/src/host/backendLink.ts
+++ b/packages/protocol/src/host/backendLink.ts
@@ -92,6 +92,8 @@
   /** The server rejected the session. */
   | { readonly kind: 'rejected'; readonly refusal: BackendRefusal; readonly detail: string }
   | { readonly kind: 'malformedAnswer'; readonly detail: string }
+  /** The command cannot be written and was not sent, nor were those after it; the connection is closed. */
+  | { readonly kind: 'unwritable'; readonly detail: string }
 
 /** One connection to a backend server. Commands are answered in the order in which they were sent. */
 export interface BackendLink {
--- a/packages/protocol/src/host/statements.ts
+++ b/packages/protocol/src/host/statements.ts
@@ -3,6 +3,7 @@
  * format has a codec that converts between its messages and these types.
  */
 import type { LogPosition, Brand, KeyDigest } from '@nutmegcourse/shared'
+import type { Result } from 'neverthrow'
 
 /** Identifies one statement of one attempt of a caller. Created by the caller, forwarded unchanged. */
 export type StatementId = Brand<string, 'StatementId'>
@@ -83,7 +84,12 @@
 /** One caller's connection. */
 export interface CallerLink {
   listen(events: CallerEvents): void
-  answer(answer: CallerAnswer, status: SessionStatus, position: LogPosition | null): void
+  /** Closes the connection and returns the reason if the answer cannot be written. */
+  answer(
+    answer: CallerAnswer,
+    status: SessionStatus,
+    position: LogPosition | null,
+  ): Result<void, string>
   /** Accepts the session. */
   acceptSession(): void
   /**
--- a/packages/state/src/synchronous/statementRecovery.ts
+++ b/packages/state/src/synchronous/statementRecovery.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'refused'; readonly refusal: BackendRefusal }
   /** It was sent, and the connection failed before the answer arrived. */
   | { readonly kind: 'lost'; readonly failure: LinkFailure['kind'] }
+  /** It was not sent: no message of the wire can hold it, or the session's values. */
+  | { readonly kind: 'unwritable' }
   /** It was sent, and the route's statement timeout expired before the answer arrived. */
   | { readonly kind: 'overdue' }
 
@@ -53,6 +55,8 @@
     case 'overloaded':
     case 'unconfirmed':
       return answer(place === 'withinTransaction' || place === 'commit' ? 'aborted' : 'notRun')
+    case 'unwritable':
+      return answer(place === 'withinTransaction' || place === 'commit' ? 'aborted' : 'malformed')
     case 'refused':
       return recoveryForRefused(place, failure.refusal, isOpen)
     case 'lost':
