fix(platform): an answer is used only if it cannot belong to another command

Cause: answers carry no id, and LineBackendLink gave each to the command that had waited longest, whatever it was. A backend server that answers twice, the second time late, shifted all answers that followed, for as long as the connection lived. What made an answer unfit was judged after the command had been taken off the queue, and logged as one word.

An unfit answer closes the connection, and all that waits on it has an unknown outcome.

answer_unfit says what made the answer unfit, on which connection, after which command, and is counted by reason; try_failed carries the same. No rows are logged.

--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -121,13 +121,14 @@
     case 'read':
     case 'write':
     case 'commit':
-      return { own: [], command: { kind: 'forward', id, text, after } }
+      return { own: [], command: { kind: 'forward', id, effect: body.kind, text, after } }
     case 'execute': {
       const definition = session.prepared.get(body.name)
       if (definition === undefined) return null
       const { name, commands } = pooled.values.prepare(definition)
       const { argument } = body
-      return { own: commands, command: { kind: 'execute', id, name, argument, after } }
+      const { effect } = definition
+      return { own: commands, command: { kind: 'execute', id, effect, name, argument, after } }
     }
     default:
       return assertNever(body)
@@ -138,9 +139,10 @@
 
 function failureOf(failure: LinkFailure): StatementFailure {
   switch (failure.kind) {
+    case 'malformedAnswer':
+      return { kind: 'lost', failure: failure.kind, unfit: failure.unfit }
     case 'unwritable':
       return { kind: 'unwritable' }
-    case 'malformedAnswer':
     case 'connectionRefused':
     case 'connectionLost':
     case 'rejected':
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -480,10 +480,28 @@
       reason: 'refusal, failure or kind; each is counted separately',
       refusal: 'why it was refused',
       failure: 'how the connection was lost',
+      unfit: 'for malformedAnswer: the answer that was not used, with the fields of answer_unfit',
       tookMilliseconds: 'since it was sent',
       ...KNOWLEDGE_FIELDS,
     },
   },
+  answer_unfit: {
+    when: 'An answer of a backend server may belong to another command or is not whole. It was not used, and the connection was closed: the outcome of the commands that waited on it is unknown.',
+    fields: {
+      server: 'the server',
+      service: 'its service',
+      reason:
+        'repeatedSignature (the connection had brought it before), unsigned, signed, status (of the transaction), position (of the log, which went back), rows, noCommandWaiting, refused (a command that succeeds on any usable connection), framing or tooLong; each is counted separately',
+      command: 'the command that waited for it; null for none',
+      previousCommand: 'the command that was answered before; null for none',
+      connection: 'number of the connection in this process',
+      connectionAgeMilliseconds: 'since it was opened',
+      commandsSent: 'on the connection',
+      answersReceived: 'on the connection, without this one',
+      answersConfirmed: 'of these, those that were used only after a later answer confirmed them',
+      messages: 'the first bytes of the answer, escaped, without rows',
+    },
+  },
   answer_unwritable: {
     when: 'An answer could not be sent to a caller, since a field of it holds what ends a message. The session was closed.',
     fields: {
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -4,7 +4,7 @@
  * @internal
  */
 import { milliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
-import type { BackendAddress, BackendLink } from '@nutmegcourse/protocol'
+import type { BackendAddress, BackendLink, LinkFailure } from '@nutmegcourse/protocol'
 import {
   ConnectionValues,
   ServiceEstimate,
@@ -48,6 +48,7 @@
 
 export class ServerPool implements ConnectionReceiver {
   readonly #context: HostContext
+  readonly #address: BackendAddress
   readonly #connections = new PoolConnections()
   readonly #idle = this.#connections.idle
   readonly #replacement: ConnectionReplacement
@@ -70,6 +71,7 @@
   ) {
     this.#part = part
     this.#context = context
+    this.#address = address
     this.#connectionLimit = connectionLimit
     this.#queue = new LinkQueue(context.clock)
     this.#opener = new ConnectionOpener(context, address, this)
@@ -316,13 +318,20 @@
       stalledBefore: 0,
     }
     this.#connections.add(pooled)
-    link.onClosed(() => {
+    link.onClosed(failure => {
+      this.#logUnfit(failure)
       // A connection that the pool closes itself has been removed from #connections before.
       if (this.#connections.has(pooled)) this.discard(pooled)
     })
     this.release(pooled)
   }
 
+  #logUnfit(failure: LinkFailure): void {
+    if (failure.kind !== 'malformedAnswer') return
+    const { server, service } = this.#address
+    this.#context.log.write('answer_unfit', { server, service, ...failure.unfit })
+  }
+
   /** If the server is full but this host holds connections to it, waiters stay queued for these. */
   failedToOpen(failure: OpenFailure): void {
     if (failure === 'unreachable' || this.#connections.size === 0) this.withdrawWaiting(failure)
--- a/packages/protocol/src/host/backendLink.ts
+++ b/packages/protocol/src/host/backendLink.ts
@@ -3,11 +3,15 @@
 import type { Result } from 'neverthrow'
 import type { SessionStatus, StatementEffect, StatementId } from './statements.js'
 
+/** What a statement of a caller does; only reads return rows. */
+export type ForwardedEffect = StatementEffect | 'commit'
+
 /** Statements of callers, run as they were written. */
 export type ForwardedCommand =
   | {
       readonly kind: 'forward'
       readonly id: StatementId
+      readonly effect: ForwardedEffect
       readonly text: string
       /** The server refuses unless its log holds this position. */
       readonly after: LogPosition | null
@@ -16,6 +20,7 @@
   | {
       readonly kind: 'execute'
       readonly id: StatementId
+      readonly effect: ForwardedEffect
       readonly name: string
       readonly argument: string
       readonly after: LogPosition | null
@@ -91,11 +96,58 @@
   | { readonly kind: 'connectionLost' }
   /** The server rejected the session. */
   | { readonly kind: 'rejected'; readonly refusal: BackendRefusal; readonly detail: string }
-  | { readonly kind: 'malformedAnswer'; readonly detail: string }
+  /** An answer cannot be used. Which commands ran is unknown, for all that were unanswered. */
+  | { readonly kind: 'malformedAnswer'; readonly unfit: UnfitAnswer }
   /** The command cannot be written and was not sent, nor were those after it; the connection is closed. */
   | { readonly kind: 'unwritable'; readonly detail: string }
 
-/** One connection to a backend server. Commands are answered in the order in which they were sent. */
+/** What makes an answer unfit for use. */
+export type UnfitReason =
+  /** The connection has brought this signature before. */
+  | 'repeatedSignature'
+  /** An answer without a signature to a caller's statement. */
+  | 'unsigned'
+  /** An answer with a signature to a command of the host itself. */
+  | 'signed'
+  /** The transaction status after the command cannot be this one. */
+  | 'status'
+  /** The server's log ends before the end that an earlier answer reported. */
+  | 'position'
+  /** Rows in the answer to a command that returns none, or no row where one is due. */
+  | 'rows'
+  /** No command waits for an answer. */
+  | 'noCommandWaiting'
+  /** A command that succeeds on any usable connection was refused. */
+  | 'refused'
+  /** The messages do not form an answer. */
+  | 'framing'
+  /** A message is longer than the wire protocol allows. */
+  | 'tooLong'
+
+/** An answer that was not used, and the connection on which it arrived. */
+export interface UnfitAnswer {
+  readonly reason: UnfitReason
+  /** The command that it was to answer; null if none waited. */
+  readonly command: BackendCommand['kind'] | null
+  /** The command that was answered before it; null for none. */
+  readonly previousCommand: BackendCommand['kind'] | null
+  /** Numbers the connections of this process. */
+  readonly connection: number
+  readonly connectionAgeMilliseconds: number
+  /** Commands sent and answers received on the connection, without this one. */
+  readonly commandsSent: number
+  readonly answersReceived: number
+  /** Of these, answers that were used only after a later answer had confirmed them. */
+  readonly answersConfirmed: number
+  /** The messages of the answer, without rows: the first bytes of each, escaped. */
+  readonly messages: string
+}
+
+/**
+ * One connection to a backend server. Commands are answered in the order in which they were sent. A reply is passed on
+ * only if it cannot be the answer to another command; otherwise the connection is closed, and every command that waits
+ * fails with `malformedAnswer`.
+ */
 export interface BackendLink {
   readonly isOpen: boolean
   /** Milliseconds of the monotonic clock when bytes last arrived. */
@@ -103,7 +155,7 @@
   run(command: BackendCommand): Promise<Result<BackendReply, LinkFailure>>
   /** Closes the connection; pending commands fail with `connectionLost`. */
   close(): void
-  onClosed(listener: () => void): void
+  onClosed(listener: (failure: LinkFailure) => void): void
 }
 
 export interface BackendAddress {
--- a/packages/stand-ins/src/hostPlatform/memoryLink.ts
+++ b/packages/stand-ins/src/hostPlatform/memoryLink.ts
@@ -35,7 +35,7 @@
   readonly #hooks: MemoryDialerHooks
   #transaction: OpenTransaction | null = null
   #hasFailed = false
-  #closeListener: (() => void) | null = null
+  #closeListener: ((failure: LinkFailure) => void) | null = null
   readonly #pendingReplies = new Set<(reply: Reply) => void>()
 
   readonly #unreachable: ReadonlySet<BackendServerId>
@@ -74,10 +74,10 @@
     this.#server.connections -= 1
     for (const resolve of this.#pendingReplies) resolve(err({ kind: 'connectionLost' }))
     this.#pendingReplies.clear()
-    this.#closeListener?.()
+    this.#closeListener?.({ kind: 'connectionLost' })
   }
 
-  onClosed(listener: () => void): void {
+  onClosed(listener: (failure: LinkFailure) => void): void {
     this.#closeListener = listener
   }
 
--- a/packages/state/src/synchronous/statementRecovery.ts
+++ b/packages/state/src/synchronous/statementRecovery.ts
@@ -3,7 +3,12 @@
  * whether the statement may be retried, and if not, which refusal tells the caller truthfully what happened.
  */
 import { assertNever } from '@nutmegcourse/shared'
-import type { BackendRefusal, CallerRefusal, LinkFailure } from '@nutmegcourse/protocol'
+import type {
+  BackendRefusal,
+  CallerRefusal,
+  LinkFailure,
+  UnfitAnswer,
+} from '@nutmegcourse/protocol'
 
 export type StatementPlace =
   /** A read outside a transaction. */
@@ -25,7 +30,12 @@
   | { readonly kind: 'unconfirmed' }
   | { readonly kind: 'refused'; readonly refusal: BackendRefusal }
   /** It was sent, and the connection failed before the answer arrived. */
-  | { readonly kind: 'lost'; readonly failure: LinkFailure['kind'] }
+  | {
+      readonly kind: 'lost'
+      readonly failure: LinkFailure['kind']
+      /** The answer that could not be used, if the connection failed for that reason. */
+      readonly unfit?: UnfitAnswer
+    }
   /** It was not sent: no message of the wire can hold it, or the session's values. */
   | { readonly kind: 'unwritable' }
   /** It was sent, and the route's statement timeout expired before the answer arrived. */
