--- a/packages/host/src/connectionOpener.ts
+++ b/packages/host/src/connectionOpener.ts
@@ -14,6 +14,7 @@
 import type { BackendAddress, BackendLink, LinkFailure } from '@nutmegcourse/protocol'
 import { ServiceEstimate } from '@nutmegcourse/state'
 import type { HostContext } from './hostContext.js'
+import { logUnfitAnswer } from './unfitAnswers.js'
 import { OVERDUE, withDeadline } from './waiting.js'
 
 /** A server that accepts a connection does so within tens of milliseconds, also from another region. */
@@ -149,6 +150,7 @@
     const span = isFull ? FULL_BACKOFF_MILLISECONDS : REFUSED_BACKOFF_MILLISECONDS
     this.#mayOpenAt = addMilliseconds(clock.now(), jittered(span, random))
     const { server, service } = this.#address
+    logUnfitAnswer(this.#context, this.#address, failure)
     log.write('connection_not_opened', { server, service, ...failure, waiting, held })
     this.#receiver.failedToOpen(isFull ? 'full' : 'unreachable')
   }
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -463,9 +463,10 @@
     fields: {
       server: 'the server',
       service: 'its service',
-      kind: 'connectionRefused, connectionLost or rejected',
+      kind: 'connectionRefused, connectionLost, rejected, malformedAnswer or unwritable (a name that no message can hold)',
       refusal: 'why it was rejected',
-      detail: 'the message of the server',
+      detail: 'the message of the server, or the name that cannot be written',
+      unfit: 'for malformedAnswer: with the fields of answer_unfit',
       waiting: 'statements that wait for a connection there',
       held: 'connections that this host holds there',
     },
--- a/packages/host/src/groupOrderSender.ts
+++ b/packages/host/src/groupOrderSender.ts
@@ -22,6 +22,7 @@
 import type { HostContext } from './hostContext.js'
 import type { PooledLink } from './pooledLink.js'
 import type { ServiceState } from './serviceState.js'
+import { logUnfitAnswer } from './unfitAnswers.js'
 import { OVERDUE, firstAnswer, sleep, withDeadline } from './waiting.js'
 
 /** Limit of one attempt. A server accepts a connection in tens of milliseconds, also over the link. */
@@ -193,6 +194,11 @@
     const pooled = server === undefined ? null : await this.#pooledLink(server)
     const deadline = addMilliseconds(clock.now(), ORDER_LIMIT_MILLISECONDS)
     const { link, opened } = pooled === null ? dialer.open(address, null) : alreadyOpen(pooled.link)
+    if (pooled === null) {
+      link.onClosed(failure => {
+        logUnfitAnswer(this.#context, address, failure)
+      })
+    }
     const isOpen = await withDeadline(opened, deadline, clock)
     if (isOpen === OVERDUE || isOpen.isErr()) {
       link.close()
--- a/packages/host/src/serverPool.ts
+++ b/packages/host/src/serverPool.ts
@@ -4,7 +4,7 @@
  * @internal
  */
 import { milliseconds, type CustomerName, type Milliseconds } from '@nutmegcourse/shared'
-import type { BackendAddress, BackendLink, LinkFailure } from '@nutmegcourse/protocol'
+import type { BackendAddress, BackendLink } from '@nutmegcourse/protocol'
 import {
   ConnectionValues,
   ServiceEstimate,
@@ -33,6 +33,7 @@
   type LinkWaiter,
   type PooledLink,
 } from './pooledLink.js'
+import { logUnfitAnswer } from './unfitAnswers.js'
 
 /** Connections that are kept open without demand, so that the first request needs no handshake. */
 const WARM_CONNECTIONS = 1
@@ -319,19 +320,13 @@
     }
     this.#connections.add(pooled)
     link.onClosed(failure => {
-      this.#logUnfit(failure)
+      logUnfitAnswer(this.#context, this.#address, failure)
       // A connection that the pool closes itself has been removed from #connections before.
       if (this.#connections.has(pooled)) this.discard(pooled)
     })
     this.release(pooled)
   }
 
-  #logUnfit(failure: LinkFailure): void {
-    if (failure.kind !== 'malformedAnswer') return
-    const { server, service } = this.#address
-    this.#context.log.write('answer_unfit', { server, service, ...failure.unfit })
-  }
-
   /** If the server is full but this host holds connections to it, waiters stay queued for these. */
   failedToOpen(failure: OpenFailure): void {
     if (failure === 'unreachable' || this.#connections.size === 0) this.withdrawWaiting(failure)
