refactor(protocol): which answer belongs to which command is decided outside the adapter

CommandPipeline and AnswerHistory work on commands and replies of the ports, so they stand in packages/protocol; platform/ keeps the names and formats.

--- a/platform/src/answerHistory.ts
+++ b/packages/protocol/src/host/answerHistory.ts
@@ -4,10 +4,10 @@
  *
  * @internal
  */
-import type { BackendCommand, SessionStatus, UnfitReason } from '@nutmegcourse/protocol'
 import { comparePositions, type Clock, type LogPosition } from '@nutmegcourse/shared'
-import type { Answer, ReadyState } from './answerReader.js'
+import type { BackendCommand, BackendReply, UnfitReason } from './backendLink.js'
 import { RecentTexts, SeenTexts } from './seenTexts.js'
+import type { SessionStatus } from './statements.js'
 
 export type Verdict =
   | { readonly kind: 'unfit'; readonly reason: UnfitReason }
@@ -44,12 +44,12 @@
   }
 
   /** Records the state in which the server accepted the session. */
-  start({ position }: ReadyState): void {
+  start(position: LogPosition | null): void {
     this.#position = position
   }
 
   /** Judges the next answer, and records it unless it is unfit. */
-  judge(command: BackendCommand, answer: Answer): Verdict {
+  judge(command: BackendCommand, answer: BackendReply): Verdict {
     const reason =
       signatureFault(command, answer) ??
       rowsFault(command, answer) ??
@@ -64,7 +64,7 @@
     return verdict
   }
 
-  #identify(command: BackendCommand, { rows, outcome }: Answer): Verdict {
+  #identify(command: BackendCommand, { rows, outcome }: BackendReply): Verdict {
     if (outcome.kind === 'refused') {
       return this.#refusals.add(outcome.detail) ? CERTAIN : POSSIBLY_REPEATED
     }
@@ -75,7 +75,7 @@
     return this.#reports.add(rows.join('\n')) ? CERTAIN : POSSIBLY_REPEATED
   }
 
-  #statusFault(command: BackendCommand, { outcome, status }: Answer): UnfitReason | null {
+  #statusFault(command: BackendCommand, { outcome, status }: BackendReply): UnfitReason | null {
     const before = this.#status
     if (outcome.kind === 'done') {
       return status === statusAfter(command, before) ? null : 'status'
@@ -86,7 +86,7 @@
     return before === 'failed' && status === 'open' ? 'status' : null
   }
 
-  #positionFault({ position }: Answer): UnfitReason | null {
+  #positionFault({ position }: BackendReply): UnfitReason | null {
     if (position === null || this.#position === null) return null
     return comparePositions(position, this.#position) < 0 ? 'position' : null
   }
@@ -97,14 +97,14 @@
   return kind === 'report' || kind === 'pause' || kind === 'resume' || kind === 'stepDown'
 }
 
-function signatureFault(command: BackendCommand, { outcome }: Answer): UnfitReason | null {
+function signatureFault(command: BackendCommand, { outcome }: BackendReply): UnfitReason | null {
   if (outcome.kind === 'refused') return null
   const isForwarded = command.kind === 'forward' || command.kind === 'execute'
   if (isForwarded) return outcome.signature === null ? 'unsigned' : null
   return outcome.signature === null ? null : 'signed'
 }
 
-function rowsFault(command: BackendCommand, { rows, outcome }: Answer): UnfitReason | null {
+function rowsFault(command: BackendCommand, { rows, outcome }: BackendReply): UnfitReason | null {
   const isForwarded = command.kind === 'forward' || command.kind === 'execute'
   if (isForwarded && command.effect === 'read') return null
   if (outcome.kind === 'done' && isReported(command)) return rows.length === 1 ? null : 'rows'
--- a/packages/protocol/src/host/index.ts
+++ b/packages/protocol/src/host/index.ts
@@ -1,4 +1,5 @@
 export * from './backendLink.js'
+export * from './commandPipeline.js'
 export * from './directory.js'
 export * from './hostSettings.js'
 export * from './slotStatus.js'
