fix(host): a statement runs with its session's values as they were when it arrived

Cause: a request carried the session's own object, and each attempt read the values, the definition of the prepared statement and the position of the session's last write from it when its connection was there. An attempt that outlives the answer of its statement, as one of a read that was sent to two servers does, read what the session had by then.

A session's values now never change: SET, PREPARE and CLOSE make new ones, of which only the map concerned is copied, and a request carries those that were in force when it arrived. A statement copies nothing. The position of an acknowledged write comes back with the result of the statement and is kept by the session in one place, instead of being written into the request's session by three runners. All paths use the same request: single reads and writes, both attempts of a read, transactions, and statements that are relayed (what is sent to other hosts has not changed).

--- a/packages/host/src/relayMessages.ts
+++ b/packages/host/src/relayMessages.ts
@@ -120,18 +120,21 @@
   service: ServiceState,
   now: Milliseconds,
 ): StatementRequest {
-  const values = new SessionValues()
-  for (const [name, value] of message.values) values.values.set(name, value)
-  if (message.body.kind === 'execute' && message.prepared !== null) {
-    values.prepared.set(message.body.name, message.prepared)
+  const { body, prepared } = message
+  const isPrepared = body.kind === 'execute' && prepared !== null
+  const session: SessionState = {
+    values: new SessionValues(
+      new Map(message.values),
+      new Map(isPrepared ? [[body.name, prepared]] : []),
+    ),
+    ownPosition: readPosition(message.own),
   }
-  const session: SessionState = { values, ownPosition: readPosition(message.own) }
   return {
     service,
     route,
     customer: message.customer,
     session,
-    statement: { id: statementId(message.id), text: message.text, body: message.body },
+    statement: { id: statementId(message.id), text: message.text, body },
     isWrite: message.isWrite,
     arrivedAt: now,
     deadline: addMilliseconds(now, message.remaining),
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -285,5 +285,6 @@
   { result }: TransactionStep<LocalTransaction>,
   transaction: number | null,
 ): AnswerMessage {
-  return { kind: 'answered', ...result, own: request.session.ownPosition, transaction }
+  const { ownPosition = request.session.ownPosition, ...answer } = result
+  return { kind: 'answered', ...answer, own: ownPosition, transaction }
 }
--- a/packages/host/src/relayingRunner.ts
+++ b/packages/host/src/relayingRunner.ts
@@ -80,7 +80,7 @@
     })
     if (called === null) return this.#local.single(request)
     const { outcome } = called
-    if (outcome.kind === 'answered') return this.#resultOf(request, outcome.message)
+    if (outcome.kind === 'answered') return resultOf(outcome.message)
     if (this.#mayRunHere(request, place, outcome)) {
       return this.#standInForOwners(request).single(request)
     }
@@ -212,19 +212,12 @@
     return last
   }
 
-  #resultOf(request: StatementRequest, message: Answered): StatementResult {
-    request.session.ownPosition = readPosition(message.own)
-    const position = readPosition(message.position)
-    const { answer, reason } = message
-    return reason === undefined ? { answer, position } : { answer, position, reason }
-  }
-
   #stepOf(
     request: StatementRequest,
     peer: RelayPeer,
     { message, connection }: AnsweredOutcome,
   ): TransactionStep {
-    const result = this.#resultOf(request, message)
+    const result = resultOf(message)
     if (message.transaction === null) return { result, transaction: null }
     const transaction: RelayedTransaction = {
       kind: 'relayed',
@@ -251,6 +244,16 @@
   }
 }
 
+function resultOf({ answer, position, own, reason }: Answered): StatementResult {
+  const ownPosition = readPosition(own)
+  return {
+    answer,
+    position: readPosition(position),
+    ...(ownPosition === null ? {} : { ownPosition }),
+    ...(reason === undefined ? {} : { reason }),
+  }
+}
+
 function mishapOf(outcome: RelayOutcome): StatementFailure {
   switch (outcome.kind) {
     case 'answered':
--- a/packages/host/src/sessionStatements.ts
+++ b/packages/host/src/sessionStatements.ts
@@ -58,7 +58,7 @@
   readonly #routes: RouteLookup
   readonly #runner: Runner
   readonly #authorization: CallerAuthorization
-  readonly #state: SessionState = { values: new SessionValues(), ownPosition: null }
+  #session: SessionState = { values: new SessionValues(), ownPosition: null }
   #transaction: TransactionState = { kind: 'none' }
 
   constructor(
@@ -132,13 +132,15 @@
         this.dropTransaction()
         return ACKNOWLEDGED
       case 'set':
-        this.#state.values.values.set(body.name, body.value)
+        this.#changeValues(this.#values.withValue(body.name, body.value))
         return ACKNOWLEDGED
       case 'prepare':
-        this.#state.values.prepared.set(body.name, { effect: body.effect, shape: body.shape })
+        this.#changeValues(
+          this.#values.withPrepared(body.name, { effect: body.effect, shape: body.shape }),
+        )
         return ACKNOWLEDGED
       case 'close':
-        this.#state.values.prepared.delete(body.name)
+        this.#changeValues(this.#values.withoutPrepared(body.name))
         return ACKNOWLEDGED
       case 'read':
       case 'write':
@@ -148,6 +150,14 @@
     }
   }
 
+  get #values(): SessionValues {
+    return this.#session.values
+  }
+
+  #changeValues(values: SessionValues): void {
+    this.#session = { ...this.#session, values }
+  }
+
   /**
    * Serves a statement of a failed transaction. A commit is refused with "aborted", since the transaction was rolled
    * back. So is the first statement after this host ended the transaction on its own: "malformed" would not tell the
@@ -168,7 +178,7 @@
   async #serveRemote(statement: RemoteStatement): Promise<StatementResult> {
     const transaction = this.#transaction
     const { body } = statement
-    if (body.kind === 'execute' && !this.#state.values.prepared.has(body.name)) {
+    if (body.kind === 'execute' && !this.#values.prepared.has(body.name)) {
       return this.#fail(refusal('unknownStatement', 'no such prepared statement'))
     }
     if (body.kind === 'commit' && transaction.kind === 'none') {
@@ -182,6 +192,8 @@
     }
     const request = this.#requestFor(statement, routed, permission.customer)
     const result = await this.#run(request)
+    const { ownPosition } = result
+    if (ownPosition !== undefined) this.#session = { ...this.#session, ownPosition }
     reportStatement(this.#context, this.database, request, result)
     return result
   }
@@ -211,7 +223,7 @@
     return {
       ...routed,
       customer,
-      session: this.#state,
+      session: this.#session,
       statement,
       isWrite: this.#isWrite(statement),
       arrivedAt,
@@ -222,7 +234,7 @@
 
   #isWrite({ body }: RemoteStatement): boolean {
     if (body.kind === 'execute') {
-      return this.#state.values.prepared.get(body.name)?.effect === 'write'
+      return this.#values.prepared.get(body.name)?.effect === 'write'
     }
     return body.kind === 'write'
   }
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -11,8 +11,8 @@
 import type { HostContext } from './hostContext.js'
 import { READ_ACQUIRE_MILLISECONDS, ServerAccess, type FailedAttempt } from './serverAccess.js'
 import {
+  acknowledged,
   answered,
-  recordOwnWrite,
   refused,
   type TransactionStep,
   type LocalTransaction,
@@ -102,9 +102,8 @@
         this.#access.attemptSingle(request, server, access, null, false),
       )
       if (outcome.kind === 'answered') {
-        recordOwnWrite(request, outcome.position)
         request.service.recordPrimary(server.entry.server, sentAt, outcome.position)
-        return answered(outcome)
+        return acknowledged(request, outcome)
       }
       last = outcome.mishap
       this.#access.recordFailure(request, server, last, sentAt)
--- a/packages/host/src/statements.ts
+++ b/packages/host/src/statements.ts
@@ -22,11 +22,11 @@
 import type { PooledLink } from './pooledLink.js'
 import type { ServiceState } from './serviceState.js'
 
-/** The state of a session that each of its statements depends on. */
+/** The state of a session that each of its statements depends on. It never changes: a change makes a new one. */
 export interface SessionState {
   readonly values: SessionValues
   /** The end of the log after the session's last acknowledged write; null when it wrote nothing. */
-  ownPosition: LogPosition | null
+  readonly ownPosition: LogPosition | null
 }
 
 /** How long one statement waited at this host, and how many attempts it took. */
@@ -42,6 +42,7 @@
   readonly route: Route
   /** The customer whose connections it uses; null where connections are not separated by customer. */
   readonly customer: CustomerName | null
+  /** The session as it was when the statement arrived. An attempt may outlive the answer, and the session goes on. */
   readonly session: SessionState
   readonly statement: RemoteStatement
   readonly isWrite: boolean
@@ -57,6 +58,8 @@
 export interface StatementResult {
   readonly answer: CallerAnswer
   readonly position: LogPosition | null
+  /** The end of the log that the session's next reads must include; absent if that is the same as before. */
+  readonly ownPosition?: LogPosition
   /** The cause of a refusal as one word. */
   readonly reason?: string
 }
@@ -105,13 +108,6 @@
   endTransaction(transaction: RunningTransaction, status: SessionStatus | null): void
 }
 
-/** Records the position of an acknowledged write, which the session's next reads must include. */
-export function recordOwnWrite({ session }: StatementRequest, position: LogPosition | null): void {
-  if (position === null) return
-  const { ownPosition } = session
-  session.ownPosition = ownPosition === null ? position : laterPosition(ownPosition, position)
-}
-
 /** The retry delay that a refusal advises the caller to keep. */
 const RETRY_AFTER_MILLISECONDS = 250
 
@@ -121,6 +117,18 @@
   return { answer: { kind: 'rows', rows, signature }, position }
 }
 
+/** The caller's result of an acknowledged write or commit, which the session's next reads must include. */
+export function acknowledged(
+  { session: { ownPosition } }: StatementRequest,
+  outcome: Extract<AttemptOutcome, { kind: 'answered' }>,
+): StatementResult {
+  const result = answered(outcome)
+  const { position } = result
+  if (position === null) return result
+  const later = ownPosition === null ? position : laterPosition(ownPosition, position)
+  return { ...result, ownPosition: later }
+}
+
 /** A primary that is cut off from its replicas is replaced, or reaches them again, after one second at the earliest. */
 const UNCONFIRMED_RETRY_AFTER_MILLISECONDS = 1000
 
--- a/packages/host/src/transactionRunner.ts
+++ b/packages/host/src/transactionRunner.ts
@@ -21,9 +21,9 @@
 import { continueInSlot, slotResultOf } from './statementSlots.js'
 import type { PooledLink } from './pooledLink.js'
 import {
+  acknowledged,
   answered,
   needsPrimary,
-  recordOwnWrite,
   refused,
   type TransactionStep,
   type LocalTransaction,
@@ -330,12 +330,12 @@
     outcome: Extract<AttemptOutcome, { kind: 'answered' }>,
     isCommit: boolean,
   ): TransactionStep<LocalTransaction> {
-    if (isCommit) recordOwnWrite(request, outcome.position)
+    const result = isCommit ? acknowledged(request, outcome) : answered(outcome)
     if (outcome.status === 'open') {
       this.#open.noteIdle(transaction)
-      return { result: answered(outcome), transaction }
+      return { result, transaction }
     }
     this.end(transaction, outcome.status)
-    return { result: answered(outcome), transaction: null }
+    return { result, transaction: null }
   }
 }
--- a/packages/state/__tests__/synchronous/sessionValues.spec.ts
+++ b/packages/state/__tests__/synchronous/sessionValues.spec.ts
@@ -2,11 +2,8 @@
 import { expect } from 'earl'
 import { ConnectionValues, SessionValues } from '../../src/index.js'
 
-function session(values: Readonly<Record<string, string>>): SessionValues {
-  const made = new SessionValues()
-  for (const [name, value] of Object.entries(values)) made.values.set(name, value)
-  return made
-}
+const session = (values: Readonly<Record<string, string>>): SessionValues =>
+  new SessionValues(new Map(Object.entries(values)))
 
 interface Case {
   readonly name: string
@@ -69,6 +66,26 @@
       command.kind === 'set' ? `set ${command.name} ${command.value}` : command.kind,
     )
 
+describe('SessionValues', () => {
+  // Guards against a statement that runs with what its session set or prepared after the statement had arrived.
+  const changes: readonly (readonly [string, (from: SessionValues) => SessionValues])[] = [
+    ['a new value', from => from.withValue('b', '2')],
+    ['another value of the same name', from => from.withValue('a', '2')],
+    ['a new prepared statement', from => from.withPrepared('t', { effect: 'read', shape: 'q2' })],
+    ['another shape of a name', from => from.withPrepared('s', { effect: 'write', shape: 'q2' })],
+    ['the close of a name', from => from.withoutPrepared('s')],
+  ]
+  const contentOf = ({ values, prepared }: SessionValues): unknown => [[...values], [...prepared]]
+  for (const [name, change] of changes) {
+    it(`stays as it was: ${name}`, () => {
+      const made = session({ a: '1' }).withPrepared('s', { effect: 'read', shape: 'q1' })
+      const before = contentOf(made)
+      expect(contentOf(change(made))).not.toEqual(before)
+      expect(contentOf(made)).toEqual(before)
+    })
+  }
+})
+
 describe('ConnectionValues', () => {
   for (const { name, before, then, sent, distance } of CASES) {
     it(name, () => {
--- a/packages/state/src/synchronous/sessionValues.ts
+++ b/packages/state/src/synchronous/sessionValues.ts
@@ -9,10 +9,35 @@
   readonly shape: string
 }
 
-/** The values and prepared statements that were acknowledged to the caller. */
+/**
+ * The values and prepared statements that were acknowledged to the caller. They never change: each change makes new
+ * ones, so that a statement keeps those with which it arrived.
+ */
 export class SessionValues {
-  readonly values = new Map<string, string>()
-  readonly prepared = new Map<string, PreparedStatement>()
+  readonly values: ReadonlyMap<string, string>
+  readonly prepared: ReadonlyMap<string, PreparedStatement>
+
+  constructor(
+    values: ReadonlyMap<string, string> = new Map(),
+    prepared: ReadonlyMap<string, PreparedStatement> = new Map(),
+  ) {
+    this.values = values
+    this.prepared = prepared
+  }
+
+  withValue(name: string, value: string): SessionValues {
+    return new SessionValues(new Map(this.values).set(name, value), this.prepared)
+  }
+
+  withPrepared(name: string, statement: PreparedStatement): SessionValues {
+    return new SessionValues(this.values, new Map(this.prepared).set(name, statement))
+  }
+
+  withoutPrepared(name: string): SessionValues {
+    const prepared = new Map(this.prepared)
+    prepared.delete(name)
+    return new SessionValues(this.values, prepared)
+  }
 }
 
 /** Per connection; beyond that the oldest prepared statement is closed. */
