fix(host): a prepared statement is looked up after the reset that its connection needs

Where a connection had run a session with a value that the next session did not have, and both executed the same shape, the server received RESET and then EXECUTE of a name that the reset had removed. It answered that it knew no such statement, though the caller's preparing had been acknowledged, and the statement was tried again; in the meantime the server was left out for it.

Cause: the name was looked up among what the connection had prepared before the commands that adopt the session's values were made, of which a reset is one. The name of a statement that was prepared at the same time was forgotten with the reset as well, and prepared once more under another name.

The values come first now. Found while reading what an attempt takes from its session; not seen in a record of a run, as the retry hides it from callers.

Evidence: attempt.spec.ts, whose connection knows only what was prepared since its last reset: with one value less, "unknownStatement" on the code before, "answered" now. Its other three cases passed before.

--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -67,16 +67,15 @@
   pooled: PooledLink,
   plan: AttemptPlan,
 ): Promise<AttemptOutcome> {
-  const { link, values } = pooled
-  const prepared = commandFor(pooled, plan)
+  const { link } = pooled
+  const prepared = commandsFor(pooled, plan)
   if (prepared === null) {
     return mishap(
       { kind: 'refused', refusal: 'unknownStatement' },
       plan.isInTransaction ? 'open' : 'idle',
     )
   }
-  const own = [...values.commandsToAdopt(plan.session, plan.isInTransaction), ...prepared.own]
-  const ahead = own.map(command => link.run(command))
+  const ahead = prepared.own.map(command => link.run(command))
   const main = link.run(prepared.command)
   const primaryChecks = plan.verifiesPrimary
     ? [link.run({ kind: 'begin', readOnly: false, after: null }), link.run({ kind: 'rollback' })]
@@ -109,25 +108,31 @@
 }
 
 interface PreparedCommand {
+  /** The commands that the statement needs before it. */
   readonly own: readonly OwnCommand[]
   readonly command: ForwardedCommand
 }
 
 /** Null when the session has no such prepared statement. */
-function commandFor(pooled: PooledLink, plan: AttemptPlan): PreparedCommand | null {
-  const { statement, after, session } = plan
+function commandsFor({ values }: PooledLink, plan: AttemptPlan): PreparedCommand | null {
+  const { statement, after, session, isInTransaction } = plan
   const { id, text, body } = statement
   switch (body.kind) {
     case 'read':
     case 'write':
-    case 'commit':
-      return { own: [], command: { kind: 'forward', id, text, after } }
+    case 'commit': {
+      const own = values.commandsToAdopt(session, isInTransaction)
+      return { own, command: { kind: 'forward', id, text, after } }
+    }
     case 'execute': {
       const definition = session.prepared.get(body.name)
       if (definition === undefined) return null
-      const { name, commands } = pooled.values.prepare(definition)
+      // The values come first: a reset also removes the prepared statements of the connection.
+      const adopting = values.commandsToAdopt(session, isInTransaction)
+      const { name, commands } = values.prepare(definition)
       const { argument } = body
-      return { own: commands, command: { kind: 'execute', id, name, argument, after } }
+      const own = [...adopting, ...commands]
+      return { own, command: { kind: 'execute', id, name, argument, after } }
     }
     default:
       return assertNever(body)
