fix(host): a relayed transaction that is given up while a statement runs in it ends with the statement

A host that gets no answer to a statement of a relayed transaction by its deadline refuses it as aborted and ends the transaction at the owner. The message arrived there while the statement still ran, where the transaction was not among those that wait for their next statement: the end had no effect. When the statement was answered, the owner kept the transaction open, with its connection, until it had been idle for the limit and a second more.

The owner now remembers that the transaction was ended while a statement runs in it, and ends it with the statement's answer.

Evidence: the new case of relayedTransactions.spec.ts: on the code before, the transaction was not ended; it is now.

--- a/packages/host/__tests__/relayedTransactions.spec.ts
+++ b/packages/host/__tests__/relayedTransactions.spec.ts
@@ -25,7 +25,7 @@
 
 const SERVICE = { name: 'db-1', isOwned: false, dispatchedPart: null }
 
-const requestOf = (customer: CustomerName): StatementRequest =>
+const requestOf = (customer: CustomerName, timeoutMilliseconds = 800): StatementRequest =>
   ({
     service: SERVICE,
     route: { service: SERVICE.name, guarantee: { kind: 'latest' } },
@@ -34,19 +34,24 @@
     statement: { id: 's-1', text: 'write 1', body: { kind: 'query' } },
     isWrite: true,
     arrivedAt: CONTEXT.clock.now(),
-    deadline: addMilliseconds(CONTEXT.clock.now(), 800),
+    deadline: addMilliseconds(CONTEXT.clock.now(), timeoutMilliseconds),
     timing: new StatementTiming(),
   }) as unknown as StatementRequest
 
 /** The other host: records whose statements ran in whose transaction, and whose transactions were ended. */
-function serveAt(port: number, ran: (readonly [string, string])[], ended: string[]): RelayServer {
+function serveAt(
+  port: number,
+  ran: (readonly [string, string])[],
+  ended: string[],
+  untilAnswered = Promise.resolve(),
+): RelayServer {
   const step = (transaction: { customer: string }) =>
     Promise.resolve({ result: { answer: { kind: 'done' }, position: null }, transaction })
   const runner = {
     begin: (request: StatementRequest) => step({ customer: String(request.customer) }),
     continue: (request: StatementRequest, transaction: { customer: string }) => {
       ran.push([String(request.customer), transaction.customer])
-      return step(transaction)
+      return untilAnswered.then(() => step(transaction))
     },
     endTransaction: ({ customer }: { customer: string }) => ended.push(customer),
   }
@@ -101,3 +106,31 @@
     })
   }
 })
+
+describe('a relayed transaction that is given up while a statement runs in it', () => {
+  // Guards against a transaction that keeps its connection until it has been idle for too long: its end arrives while
+  // the statement runs, and after that nobody ends it.
+  it('ends when the statement has been answered', async () => {
+    const [port = 0] = await freePorts(1)
+    const ran: (readonly [string, string])[] = []
+    const ended: string[] = []
+    let answer = (): void => undefined
+    const server = serveAt(port, ran, ended, new Promise(resolve => (answer = resolve)))
+    const peer = new RelayPeer(CONTEXT, 'host-2', { host: '127.0.0.1', port })
+    const local = {} as unknown as StatementRunner
+    const runner = new RelayingRunner(CONTEXT, local, { peersFor: () => [peer] })
+    try {
+      const { transaction } = await runner.begin(requestOf(A), false)
+      if (transaction === null) throw new Error('none begun')
+      const { result } = await runner.continue(requestOf(A, 50), transaction)
+      expect(result.answer.kind === 'refused' && result.answer.refusal).toEqual('aborted')
+      await new Promise(resolve => setTimeout(resolve, 50))
+      answer()
+      await new Promise(resolve => setTimeout(resolve, 50))
+      expect([ran, ended]).toEqual([[['a', 'a']], ['a']])
+    } finally {
+      peer.close()
+      server.close()
+    }
+  })
+})
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -124,6 +124,8 @@
   readonly #connection: JsonRpcConnection
   readonly #routes = new ReceivedRoutes()
   readonly #held = new Map<number, HeldTransaction>()
+  /** Transactions in which a statement runs, and whether the other host has ended them meanwhile. */
+  readonly #inUse = new Map<number, { isEnded: boolean }>()
   #running = 0
   #endsTransactions = false
   #lastTransaction = 0
@@ -211,12 +213,20 @@
     if (held.idleTimer !== null) clearTimeout(held.idleTimer)
     // While a statement runs, only the code after it may end the transaction.
     this.#held.delete(message.transaction)
+    const use = { isEnded: false }
+    this.#inUse.set(message.transaction, use)
     const { service } = held.transaction
     const request = readRequest(message.request, route, service, this.#context.clock.now())
     this.#running += 1
     const continued = await this.#runner.continue(request, held.transaction)
     this.#running -= 1
-    return answerOf(request, continued, this.#hold(message.transaction, continued.transaction))
+    this.#inUse.delete(message.transaction)
+    const { transaction } = continued
+    if (transaction !== null && use.isEnded) {
+      this.#runner.endTransaction(transaction, 'open')
+      return answerOf(request, continued, null)
+    }
+    return answerOf(request, continued, this.#hold(message.transaction, transaction))
   }
 
   /** Null if this host can not serve the request. */
@@ -272,6 +282,8 @@
   }
 
   #end(id: number): void {
+    const use = this.#inUse.get(id)
+    if (use !== undefined) use.isEnded = true
     const held = this.#held.get(id)
     if (held === undefined) return
     this.#held.delete(id)
