fix(host): a read is not refused as not run when one of its two servers received it

A read that was sent to two servers and answered by neither was refused by the failure of the first attempt, even if that attempt had got no connection and the other one had been sent. The caller received the promise that nothing ran, with a retry delay, while a server ran the read. Nothing is kept of a read, so no write was at stake.

The failure of an attempt that was sent now decides.

The new case of hedgedReads.spec.ts failed before where slots are scheduled ("notRun" instead of "timeout"); where they are not, it passed before as well, since there the first attempt is the one that is sent.

--- a/packages/host/__tests__/hedgedReads.spec.ts
+++ b/packages/host/__tests__/hedgedReads.spec.ts
@@ -90,5 +90,25 @@
         )
       })
     }
+
+    // Guards against a promise that nothing ran, made for the attempt that was not sent although the other one was.
+    it('is not refused as not run when one of the servers received it', async () => {
+      await withHostFixture(
+        1,
+        async (fixture, [host]) => {
+          if (host === undefined) return
+          const runs = observeRuns(fixture)
+          const { holder, replica } = await holdReplica(fixture, host)
+          const release = holdStatements(fixture, replica)
+          const caller = await fixture.caller(host, 'bounded')
+          await caller.outcomeOf('prepare s read q1')
+          expect(await caller.outcomeOf('execute s 1', READ)).toEqual('timeout')
+          release()
+          await fixture.until(() => runs.length === 1, 'the server runs the read')
+          expect(await holder.outcomeOf('commit')).toEqual('done')
+        },
+        { connectionLimit: CONNECTION_LIMIT, schedulesSlots },
+      )
+    })
   })
 }
--- a/packages/host/src/statementRunner.ts
+++ b/packages/host/src/statementRunner.ts
@@ -197,7 +197,7 @@
   }
 }
 
-/** The first answer of two attempts; if both fail, the failure of the first attempt. */
+/** The first answer of two attempts; if there is none, the first failure of an attempt that was sent. */
 async function firstAnswered(
   first: Promise<ReadOutcome>,
   second: Promise<ReadOutcome>,
@@ -205,5 +205,6 @@
   const early = await Promise.race([first, second])
   if (early.kind === 'answered') return early
   const both = await Promise.all([first, second])
-  return both.find(({ kind }) => kind === 'answered') ?? both[0]
+  const withKind = (kind: ReadOutcome['kind']) => both.find(outcome => outcome.kind === kind)
+  return withKind('answered') ?? withKind('mishap') ?? both[0]
 }
