fix(host): a connection whose server has forgotten a prepared statement prepares it again

What callers saw: unknownStatement again and again for one shape on one connection, as ConnectionValues kept the name and nothing invalidated it. Now the refusal does, so the connection is reset before its next use. attempt.spec.ts: the new case failed before, all 5 pass now.

--- a/packages/host/__tests__/attempt.spec.ts
+++ b/packages/host/__tests__/attempt.spec.ts
@@ -40,6 +40,10 @@
     return outcome.mishap.kind === 'refused' ? outcome.mishap.refusal : outcome.mishap.kind
   }
 
+  forgetPrepared(): void {
+    this.#prepared.clear()
+  }
+
   #answer(command: BackendCommand) {
     this.commands.push(command.kind)
     if (command.kind === 'reset') this.#prepared.clear()
@@ -71,6 +75,15 @@
     })
   }
 
+  // Guards against a connection that goes on executing a name that its server has forgotten.
+  it('prepares it again after the server did not know it', async () => {
+    const connection = new RecordingConnection()
+    expect(await connection.execute(prepared)).toEqual('answered')
+    connection.forgetPrepared()
+    expect(await connection.execute(prepared)).toEqual('unknownStatement')
+    expect(await connection.execute(prepared)).toEqual('answered')
+  })
+
   it('sends nothing, and keeps what it knows of the connection, when there is no such statement', async () => {
     const connection = new RecordingConnection()
     expect(await connection.execute(new SessionValues().withValue('a', '1'))).toEqual(
--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -89,6 +89,7 @@
     return mishap(failed?.isErr() === true ? failureOf(failed.error) : MALFORMED_ANSWER, null)
   }
   const outcome = readReply(reply)
+  if (isUnknownStatement(outcome)) pooled.values.invalidate()
   if (outcome.kind === 'mishap' || !plan.verifiesPrimary) return outcome
   return checkStillPrimary(outcome, check)
 }
@@ -179,6 +180,12 @@
   return { kind: 'answered', rows, signature, status, position }
 }
 
+/** The server has forgotten what was prepared on the connection. */
+const isUnknownStatement = (outcome: AttemptOutcome): boolean =>
+  outcome.kind === 'mishap' &&
+  outcome.mishap.kind === 'refused' &&
+  outcome.mishap.refusal === 'unknownStatement'
+
 function checkStillPrimary(
   outcome: AttemptOutcome,
   check: readonly Result<BackendReply, LinkFailure>[],
--- a/packages/state/src/synchronous/sessionValues.ts
+++ b/packages/state/src/synchronous/sessionValues.ts
@@ -51,7 +51,7 @@
   #lastNameNumber = 0
   #isUncertain = false
 
-  /** Values may have been rolled back with a transaction, so the connection is reset before its next use. */
+  /** The server may have lost values or prepared statements, so the connection is reset before its next use. */
   invalidate(): void {
     this.#isUncertain = true
   }
