--- a/packages/host/src/serviceRegistry.ts
+++ b/packages/host/src/serviceRegistry.ts
@@ -296,6 +296,8 @@
             version: change.configuration.version,
             ...skipped,
           })
+        for (const detail of change.skippedEntries ?? [])
+          this.#context.log.write('entry_unreadable', { key: subjectOf(change), detail })
         return
       case 'server': {
         this.#listing.recordEntry(change.entry.server, source, now)
--- a/packages/protocol/src/host/directory.ts
+++ b/packages/protocol/src/host/directory.ts
@@ -91,6 +91,8 @@
       readonly configuration: FleetConfiguration
       /** The routes that could not be read and are missing in it. */
       readonly skippedRoutes?: readonly SkippedRoute[]
+      /** The services and customers that could not be read and are missing in it. */
+      readonly skippedEntries?: readonly string[]
     }
   | { readonly kind: 'server'; readonly entry: BackendServerEntry }
   | { readonly kind: 'serverGone'; readonly server: BackendServerId }
