fix(transport): a message that is too long fails alone, unsent

What callers saw: a statement whose session values, or an answer whose rows, made a line of more than 4 Mi characters of JSON closed the connection between two hosts; everybody else's statements on it were lost, writes with an unknown outcome, and a retry did it again. One statement within the wire's 1 MiB suffices: control characters take six characters each in JSON.

Cause: the limit was checked where lines arrive only.

Now a request that is too long is not sent and fails as tooLong, which a relay takes for not sent, so that the statement runs elsewhere or here; in place of an answer that is too long an error goes out. A notification that is too long closes the connection, as before, but at the sender.

--- a/packages/agent/src/serverLink.ts
+++ b/packages/agent/src/serverLink.ts
@@ -133,6 +133,7 @@
     case 'answerTimeout':
       return 'timeout'
     case 'connectionLost':
+    case 'tooLong':
       return 'lost'
     case 'remote':
       return error.code === STALE_TERM_CODE ? 'staleTerm' : 'lost'
--- a/packages/ctl/src/storeOverRpc.ts
+++ b/packages/ctl/src/storeOverRpc.ts
@@ -37,6 +37,7 @@
   switch (error.kind) {
     case 'connectRefused':
     case 'connectTimeout':
+    case 'tooLong':
     case 'remote':
       return { kind: 'unreachable', detail: error.detail }
     case 'connectionLost':
--- a/packages/host/__tests__/relayPeer.spec.ts
+++ b/packages/host/__tests__/relayPeer.spec.ts
@@ -1,8 +1,8 @@
-import { createServer } from 'node:net'
+import { createServer, type AddressInfo } from 'node:net'
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { freePorts } from '@nutmegcourse/stand-ins'
-import { SystemClock } from '@nutmegcourse/shared'
+import { addMilliseconds, SystemClock } from '@nutmegcourse/shared'
 import { JsonRpcConnection } from '@nutmegcourse/transport'
 import type { HostContext } from '../src/hostContext.js'
 import { RelayPeer } from '../src/relayPeer.js'
@@ -73,3 +73,28 @@
     server.close()
   })
 })
+
+// Guards against a statement with long session values that closed the connection between two hosts, and cost the
+// statements of all other callers on it their answers.
+describe('a statement that is too long for the connection to a peer host', () => {
+  it('counts as not sent, and the others on the connection are answered', async () => {
+    const context = {
+      clock: new SystemClock(),
+      log: { write: () => undefined },
+    } as unknown as HostContext
+    const answered = { kind: 'answered', answer: { kind: 'acknowledged' }, position: null }
+    const answer = { ...answered, own: null, transaction: null }
+    const server = createServer(socket => {
+      new JsonRpcConnection(socket, { [RELAY_METHODS.single]: () => wait(100).then(() => answer) })
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const { port } = server.address() as AddressInfo
+    const peer = new RelayPeer(context, 'host-2', { host: '127.0.0.1', port })
+    const deadline = addMilliseconds(context.clock.now(), 2000)
+    const call = (text: string) => peer.call(RELAY_METHODS.single, () => ({ text }), deadline)
+    const outcomes = await Promise.all([call('a'), call('b'.repeat(5_000_000)), call('c')])
+    peer.close()
+    server.close()
+    expect(outcomes.map(({ kind }) => kind)).toEqual(['answered', 'notSent', 'answered'])
+  })
+})
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -5,7 +5,7 @@
  */
 import { addMilliseconds, type Milliseconds } from '@nutmegcourse/shared'
 import type { HostAddress } from '@nutmegcourse/protocol'
-import { openJsonRpc, type JsonRpcConnection } from '@nutmegcourse/transport'
+import { openJsonRpc, type JsonRpcConnection, type TransportError } from '@nutmegcourse/transport'
 import type {
   ReceivedAnswer,
   ReceivedRequest,
@@ -132,8 +132,7 @@
       if (message.kind !== 'declined') return { kind: 'answered', message, connection }
       return { kind: message.isRedirected === true ? 'redirected' : 'notSent' }
     }
-    if (answer.error.kind === 'answerTimeout') return { kind: 'overdue' }
-    return { kind: 'lost' }
+    return outcomeOf(answer.error)
   }
 
   requestChanges(request: ChangeFeedRequest, timeout: number): Promise<ChangeFeedResponse | null> {
@@ -260,3 +259,17 @@
     this.#context.log.write('relay_lost', { host: this.name, why })
   }
 }
+
+function outcomeOf(error: TransportError): RelayOutcome {
+  switch (error.kind) {
+    case 'connectRefused':
+    case 'connectTimeout':
+    case 'tooLong':
+      return { kind: 'notSent' }
+    case 'answerTimeout':
+      return { kind: 'overdue' }
+    case 'connectionLost':
+    case 'remote':
+      return { kind: 'lost' }
+  }
+}
--- a/packages/proxy/src/linkError.ts
+++ b/packages/proxy/src/linkError.ts
@@ -2,7 +2,7 @@
 import type { TransportError } from '@nutmegcourse/transport'
 
 export type LinkError =
-  /** No request was sent, since there is no connection. */
+  /** No request was sent, since there is no connection, or none that carries it. */
   | { readonly kind: 'notConnected'; readonly detail: string }
   /** A request was sent, but no answer arrived. */
   | { readonly kind: 'unanswered'; readonly detail: string }
@@ -13,6 +13,7 @@
   switch (error.kind) {
     case 'connectRefused':
     case 'connectTimeout':
+    case 'tooLong':
       return { kind: 'notConnected', detail: error.detail }
     case 'connectionLost':
     case 'answerTimeout':
--- a/packages/transport/src/jsonRpcConnection.ts
+++ b/packages/transport/src/jsonRpcConnection.ts
@@ -2,10 +2,13 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import {
   createJSONRPCErrorResponse,
+  isJSONRPCRequest,
   JSONRPCClient,
   JSONRPCErrorException,
   JSONRPCServer,
   JSONRPCServerAndClient,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
 } from 'json-rpc-2.0'
 import { ResultAsync } from 'neverthrow'
 import split2 from 'split2'
@@ -14,8 +17,11 @@
 import { SilenceLimit } from './silenceLimit.js'
 import type { TransportError } from './transportError.js'
 
-/** A longer line closes the connection. Values of the store are at most 1 MB. */
-const MAXIMUM_LINE_BYTES = 4 * 1024 * 1024
+/**
+ * A longer line is not sent, and closes the connection where it arrives. Values of the store are at most 1 MB. Counted
+ * in characters of JSON text, as the receiving side counts them.
+ */
+const MAXIMUM_LINE_CHARACTERS = 4 * 1024 * 1024
 
 export type RpcHandler = (params: unknown) => unknown
 
@@ -24,6 +30,10 @@
 
 /** Generated locally when no answer arrives; from JSON-RPC's range for implementation-defined errors. */
 const ANSWER_TIMEOUT_CODE = -32099
+/** Takes the place of an answer that is too long to be sent. */
+const ANSWER_TOO_LONG_CODE = -32098
+
+type RpcMessage = JSONRPCRequest | JSONRPCResponse
 
 class ConnectTimeout extends Error {}
 
@@ -32,13 +42,15 @@
   readonly #client: JSONRPCClient
   readonly #peer: JSONRPCServerAndClient
   #lastRequestId = 0
+  /** The last request that was too long to be sent. */
+  #lastUnsentId = 0
   #closed = false
 
   constructor(socket: Socket, handlers: RpcHandlers) {
     this.#socket = socket
     this.#client = new JSONRPCClient(
-      request => {
-        this.#write(request)
+      (message: RpcMessage) => {
+        this.#write(message)
       },
       () => {
         this.#lastRequestId += 1
@@ -58,7 +70,7 @@
       this.#peer.rejectAllPendingRequests('connection closed')
     })
     socket
-      .pipe(split2({ maxLength: MAXIMUM_LINE_BYTES }))
+      .pipe(split2({ maxLength: MAXIMUM_LINE_CHARACTERS }))
       .on('data', (line: string) => {
         this.#receive(line)
       })
@@ -94,8 +106,12 @@
   ): ResultAsync<Answer, TransportError> {
     const pending = this.#client.request(method, params) as PromiseLike<Answer>
     const stopTimeout = this.#startTimeout(this.#lastRequestId, timeoutMilliseconds)
+    const isUnsent = this.#lastUnsentId === this.#lastRequestId
     const answer = Promise.resolve(pending).finally(stopTimeout)
-    return ResultAsync.fromPromise(answer, error => this.#describeError(error, method))
+    return ResultAsync.fromPromise(answer, (error): TransportError => {
+      const described = this.#describeError(error, method)
+      return isUnsent ? { kind: 'tooLong', detail: described.detail } : described
+    })
   }
 
   /** Sends a message without an answer. It is lost if the connection breaks. */
@@ -114,9 +130,24 @@
     return startReadTimeout(fail, timeoutMilliseconds)
   }
 
-  #write(message: unknown): void {
+  #write(message: RpcMessage): void {
     if (this.#closed) throw new Error('connection closed')
-    this.#socket.write(`${JSON.stringify(message)}\n`)
+    const line = JSON.stringify(message)
+    if (line.length <= MAXIMUM_LINE_CHARACTERS) this.#socket.write(`${line}\n`)
+    else this.#refuseLong(message, line.length)
+  }
+
+  /** The other side would close the connection, and everything else on it would be lost too. */
+  #refuseLong(message: RpcMessage, length: number): void {
+    const detail = `${String(length)} of at most ${String(MAXIMUM_LINE_CHARACTERS)} characters`
+    if (!isJSONRPCRequest(message)) {
+      this.#write(createJSONRPCErrorResponse(message.id, ANSWER_TOO_LONG_CODE, detail))
+      return
+    }
+    // A notification has no answer that could tell of it.
+    if (typeof message.id === 'number') this.#lastUnsentId = message.id
+    else this.close()
+    throw new Error(detail)
   }
 
   #describeError(error: unknown, method: string): TransportError {
--- a/packages/transport/src/transportError.ts
+++ b/packages/transport/src/transportError.ts
@@ -4,6 +4,8 @@
   | { readonly kind: 'connectRefused'; readonly detail: string }
   /** The connection attempt timed out; no request was sent. */
   | { readonly kind: 'connectTimeout'; readonly detail: string }
+  /** The request is longer than a connection carries, so it was not sent. */
+  | { readonly kind: 'tooLong'; readonly detail: string }
   /** An established connection broke; a request on it may have arrived. */
   | { readonly kind: 'connectionLost'; readonly detail: string }
   /** No answer arrived in time on an open connection; the request may have arrived. */
