fix(coordination): a vote's key names its service and host whatever they hold

What it led to: the vote of host h on the primary of a service s/a was read as the vote of a host a on the service s, and none counted for s/a.

Cause: both names stood in the key as they are, separated by a slash.

Now a slash and a percent sign in a name are encoded; keys of other names are unchanged, so that hosts of both releases read them. A key of three parts is none.

--- a/packages/coordination/__tests__/synchronous/primarySuspicion.spec.ts
+++ b/packages/coordination/__tests__/synchronous/primarySuspicion.spec.ts
@@ -7,6 +7,7 @@
   readHostRecord,
   readRecordName,
   readSuspicionRecord,
+  suspicionKey,
   writeRecord,
   type SuspicionAdvice,
 } from '../../src/index.js'
@@ -248,3 +249,26 @@
     expect(readRecordName('elsewhere/s')).toEqual(null)
   })
 })
+
+// Guards against a vote on one service that counts as a vote on another, of a host that does not exist.
+describe('the key of a vote', () => {
+  const names: readonly (readonly [string, string])[] = [
+    ['s', 'h'],
+    ['s/a', 'h'],
+    ['s', 'h/a'],
+    ['s/', '/h'],
+    ['s%2Fa', 'h%'],
+    ['s%252F', 'h%25'],
+    ['données', 'h-1'],
+  ]
+  for (const [service, host] of names) {
+    it(`names its service and host: ${service} ${host}`, () => {
+      const key = suspicionKey(service, host)
+      expect(readRecordName(key)).toEqual({ kind: 'suspicion', service, host })
+    })
+  }
+
+  it('of three parts is none', () => {
+    expect(readRecordName('suspicion/s/a/h')).toEqual(null)
+  })
+})
--- a/packages/coordination/src/synchronous/changeRecord.ts
+++ b/packages/coordination/src/synchronous/changeRecord.ts
@@ -57,7 +57,7 @@
 export const unfinishedKey = (service: string): string => UNFINISHED_PREFIX + service
 export const membersKey = (service: string): string => MEMBERS_PREFIX + service
 export const suspicionKey = (service: string, host: string): string =>
-  `${SUSPICION_PREFIX}${service}/${host}`
+  `${SUSPICION_PREFIX}${keyPart(service)}/${keyPart(host)}`
 export const hostKey = (host: string): string => HOST_RECORDS_PREFIX + host
 
 export type RecordName =
@@ -79,11 +79,17 @@
   }
   if (key.startsWith(HOST_RECORDS_PREFIX))
     return { kind: 'host', host: key.slice(HOST_RECORDS_PREFIX.length) }
-  const [service, host] = key.slice(SUSPICION_PREFIX.length).split('/')
-  if (!key.startsWith(SUSPICION_PREFIX) || service === undefined || host === undefined) return null
-  return { kind: 'suspicion', service, host }
+  if (!key.startsWith(SUSPICION_PREFIX)) return null
+  const [service, host, ...others] = key.slice(SUSPICION_PREFIX.length).split('/')
+  if (service === undefined || host === undefined || others.length > 0) return null
+  return { kind: 'suspicion', service: readKeyPart(service), host: readKeyPart(host) }
 }
 
+/** Without a slash, which separates the parts of a key. */
+const keyPart = (name: string): string => name.replace(/[%/]/g, encodeURIComponent)
+
+const readKeyPart = (part: string): string => part.replace(/%2[5F]/g, decodeURIComponent)
+
 export function readChangeRecord(text: string): ChangeRecord | null {
   const fields = parse(text)
   const holder = textOf(fields, 'holder')
