fix(host): labels of events and statements are escaped like those of slots

What operators saw: a reason with a quote, a backslash or a line feed ended its label, and what followed was a metric of its own. The reason of a relayed statement comes from another host.

Cause: HostMetrics joined labels unescaped; only slotMetrics.ts escaped them.

Now both use metricLabels.ts.

--- a/packages/host/src/hostMetrics.ts
+++ b/packages/host/src/hostMetrics.ts
@@ -3,6 +3,7 @@
 import { createServer, type Server } from 'node:http'
 import type { HostAddress, SlotStatus, StatementBody } from '@nutmegcourse/protocol'
 import type { EventName } from './decisionEvents.js'
+import { metricLabels } from './metricLabels.js'
 import { slotMetricLines } from './slotMetrics.js'
 
 /** The result of a statement as reported to its caller, in one word. */
@@ -27,7 +28,7 @@
 
   /** Counts an event, also when its line was left out of the log; events with a reason are counted by reason. */
   event(event: EventName, reason?: string): void {
-    const labels = reason === undefined ? `event="${event}"` : `event="${event}",reason="${reason}"`
+    const labels = metricLabels(reason === undefined ? { event } : { event, reason })
     this.#events.set(labels, (this.#events.get(labels) ?? 0) + 1)
   }
 
@@ -37,7 +38,7 @@
     outcome: StatementOutcome,
     tookMilliseconds: number,
   ): void {
-    const key = `statement="${kind}",outcome="${outcome}"`
+    const key = metricLabels({ statement: kind, outcome })
     this.#statements.set(key, (this.#statements.get(key) ?? 0) + 1)
     let histogram = this.#latencies.get(kind)
     if (histogram === undefined) {
--- a/packages/host/src/slotMetrics.ts
+++ b/packages/host/src/slotMetrics.ts
@@ -9,8 +9,7 @@
   type ServerSlotStatus,
   type SlotStatus,
 } from '@nutmegcourse/protocol'
-
-type Labels = Readonly<Record<string, string>>
+import { metricLabels, type MetricLabels } from './metricLabels.js'
 
 /** Every metric, and what it means. docs/METRICS.md is generated from this table. */
 const SLOT_METRICS = {
@@ -72,14 +71,10 @@
   ]
 }
 
-function line(name: keyof typeof SLOT_METRICS, labels: Labels, value: number): string {
-  const described = Object.entries(labels).map(([label, text]) => `${label}="${escaped(text)}"`)
-  return `nutmegcourse_${name}{${described.join(',')}} ${String(value)}`
+function line(name: keyof typeof SLOT_METRICS, labels: MetricLabels, value: number): string {
+  return `nutmegcourse_${name}{${metricLabels(labels)}} ${String(value)}`
 }
 
-const escaped = (text: string): string =>
-  text.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n')
-
 /** The part of docs/METRICS.md on slots. */
 export function describeSlotMetrics(): string {
   const lines = [
