fix(ctl): a logged text stays in its line

What operators saw: nutmegcoursectl logs printed a field's text as it stood, so that a detail with a line feed looked like an event of another host, and one with an escape sequence controlled the terminal.

Cause: texts were printed raw, other values as JSON.

Now a text with a control character or a line end of Unicode is printed as escaped JSON too.

Evidence: logsCommand.spec.ts, 5 new cases, 4 of which failed before.

--- a/packages/ctl/__tests__/logsCommand.spec.ts
+++ b/packages/ctl/__tests__/logsCommand.spec.ts
@@ -115,3 +115,22 @@
     })
   }
 })
+
+// Guards against a detail that forges lines of other events, or controls the operator's terminal.
+describe('a line with a field of any text', () => {
+  const details: readonly (readonly [string, string])[] = [
+    ['behind by 3', 'detail=behind by 3'],
+    ['a\n2026-01-01  h2  change_claimed', 'detail="a\\n2026-01-01  h2  change_claimed"'],
+    ['a\r\nb', 'detail="a\\r\\nb"'],
+    ['a\u001b[2Jb', 'detail="a\\u001b[2Jb"'],
+    ['a\u2028b\u0085c\u009bd', 'detail="a\\u2028b\\u0085c\\u009bd"'],
+  ]
+  for (const [detail, field] of details) {
+    it(`stays one line: ${JSON.stringify(detail)}`, () => {
+      const log = line(1, 'h1', 'statement_refused', { request: 'r1', detail })
+      const { output } = readLogs(log, { kind: 'request', id: 'r1' }, false)
+      expect(output.split('\n').length).toEqual(2)
+      expect(output.endsWith(`request=r1 ${field}\n`)).toEqual(true)
+    })
+  }
+})
--- a/packages/ctl/src/commands/logLine.ts
+++ b/packages/ctl/src/commands/logLine.ts
@@ -40,7 +40,19 @@
 
 export function formatLine({ at, host, event, fields }: LogLine): string {
   const formattedFields = Object.entries(fields).map(([name, value]) =>
-    typeof value === 'string' ? `${name}=${value}` : `${name}=${JSON.stringify(value)}`,
+    typeof value === 'string' && !UNPRINTABLE.test(value)
+      ? `${name}=${value}`
+      : `${name}=${escaped(JSON.stringify(value))}`,
   )
   return `${at}  ${host}  ${event}  ${formattedFields.join(' ')}`
 }
+
+/** Control characters and line ends of Unicode. */
+const UNPRINTABLE = /[\p{Cc}\u2028\u2029]/u
+
+/** Of these JSON escapes the first 32 only. */
+const escaped = (json: string): string =>
+  json.replace(
+    /[\u007f-\u009f\u2028\u2029]/g,
+    character => `\\u${character.charCodeAt(0).toString(16).padStart(4, '0')}`,
+  )
