fix(proxy): an answer that is not the running request's breaks its connection

What callers saw: after a backend server had answered once too often, or late, a caller of the PostgreSQL path got rows, or the end, of an earlier answer, and the next callers of that connection those of the caller before.

Cause: a connection between two requests dropped rows, descriptions and pieces of messages silently and closed only at what followed them, which may arrive when the next request runs. During a request ReadyForQuery ended it whatever had come before it, and ParseComplete and CloseComplete were passed on unasked. An answer that came twice ended the position query of a write, whose own answer then went to the next caller.

Now any part of an answer between requests, or a partial message when a request starts, closes the connection; ReadyForQuery needs a result before it (a command, an error or an empty query, a row of the position query, a Sync that was sent); ParseComplete and CloseComplete need a message that they answer. What remains: a second whole answer that arrives while the next simple query runs is like its own.

--- a/packages/protocol/src/wire/serverFrames.ts
+++ b/packages/protocol/src/wire/serverFrames.ts
@@ -47,6 +47,11 @@
     return this.#forwardedBytesLeft > 0
   }
 
+  /** Whether everything received consists of whole frames. */
+  get isBetweenFrames(): boolean {
+    return this.#buffered === null && this.#forwardedBytesLeft === 0
+  }
+
   /**
    * Keeps no reference to the chunk, so that its buffer may be reused after the call. Returns false when
    * the bytes are not valid frames; the connection cannot be used any further then.
--- a/packages/proxy/__tests__/support/fakeBackend.ts
+++ b/packages/proxy/__tests__/support/fakeBackend.ts
@@ -43,7 +43,7 @@
   return Buffer.concat([head, ...parts])
 }
 
-const rowDescription = (names: readonly string[]): Buffer => {
+export const rowDescription = (names: readonly string[]): Buffer => {
   const tail = Buffer.alloc(18)
   tail.writeInt32BE(25, 6)
   tail.writeInt16BE(-1, 10)
@@ -56,7 +56,7 @@
   )
 }
 
-const dataRow = (values: readonly string[]): Buffer =>
+export const dataRow = (values: readonly string[]): Buffer =>
   frame('D', withCount(values.length, values.map(textField)))
 
 /** Statements without result columns, which must not run when they are only described. */
@@ -142,6 +142,10 @@
     this.#socket.write(parameterStatus('application_name', 'fake'))
   }
 
+  send(bytes: Buffer): void {
+    this.#socket.write(bytes)
+  }
+
   end(): void {
     this.#socket.destroy()
   }
@@ -242,7 +246,9 @@
   }
 
   #runReply(sql: string): void {
-    if (this.#execute(sql, [], true)) this.#socket.write(readyForQuery(this.status))
+    const times = this.#backend.repeatsAnswers ? 2 : 1
+    for (let time = 0; time < times; time += 1)
+      if (this.#execute(sql, [], true)) this.#socket.write(readyForQuery(this.status))
   }
 
   /** Returns false if no ReadyForQuery may follow: the connection was broken or a COPY was started. */
@@ -337,6 +343,8 @@
   offset = 10
   parses = 0
   cancelDelayMilliseconds = 0
+  /** Answers each simple query twice. */
+  repeatsAnswers = false
   follows: FakeBackend | null = null
   readonly queries: string[] = []
   readonly inserted: string[] = []
@@ -383,6 +391,11 @@
     for (const session of this.#sessions.values()) session.reportParameter()
   }
 
+  /** The connections that are open now, over which bytes can be sent unasked for. */
+  get sessions(): readonly { send(bytes: Buffer): void }[] {
+    return [...this.#sessions.values()]
+  }
+
   close(): void {
     this.#server?.close()
     this.dropSessions()
--- a/packages/proxy/src/backendConnection.ts
+++ b/packages/proxy/src/backendConnection.ts
@@ -13,7 +13,8 @@
 } from '@nutmegcourse/protocol'
 import type { ConnectFailure, ConnectionId } from '@nutmegcourse/state'
 import { BackendStartup } from './backendStartup.js'
-import { BackendRun, type RunEvents, type RunFault, type RunOutcome } from './backendRun.js'
+import { BackendRun, type RunEvents } from './backendRun.js'
+import type { RunFault, RunOutcome } from './runOutcome.js'
 import type { CallerRequest } from './callerRequest.js'
 import { sendCancel } from './cancelSender.js'
 import type { CallerSettings } from './callerSettings.js'
@@ -54,6 +55,7 @@
 const KEEP_ALIVE_MILLISECONDS = 10_000
 const APPLICATION_NAME = 'nutmegcourse-proxy'
 const CLOSED_BY_SERVER = 'backend server closed the connection'
+const UNASKED_ANSWER = 'backend server sent an answer without a request'
 const POSITION_QUERY = queryMessage(POSITION_STATEMENT)
 /** Errors after which the server's prepared statements may differ from the proxy's record of them. */
 const STATEMENT_MISMATCH_STATES: ReadonlySet<string> = new Set(['26000', '42P05', '0A000'])
@@ -127,6 +129,7 @@
    */
   start(runRequest: RunRequest): boolean {
     if (!this.#socket.writable) this.#closeOnError(CLOSED_BY_SERVER)
+    if (!this.#frames.isBetweenFrames) this.#closeOnError(UNASKED_ANSWER)
     if (this.#state !== 'open') return false
     const { request } = runRequest
     const output = runRequest.insideTransaction
@@ -191,7 +194,9 @@
     opens: boolean,
     closes: boolean,
   ): void {
-    this.#run?.forwardPiece(type, bytes, start, end, opens, closes)
+    if (this.#run !== null) this.#run.forwardPiece(type, bytes, start, end, opens, closes)
+    else if (this.#state === 'open' && type !== ServerMessage.noticeResponse)
+      this.#closeOnError(UNASKED_ANSWER)
   }
 
   inspectFrame(type: number, bytes: Buffer, start: number, end: number): void {
@@ -289,7 +294,7 @@
         this.#closeOnError(readServerError(bytes, start, end).message)
         return
       default:
-        this.#closeOnError('backend server sent an answer without a request')
+        this.#closeOnError(UNASKED_ANSWER)
     }
   }
 
--- a/packages/proxy/src/backendRun.ts
+++ b/packages/proxy/src/backendRun.ts
@@ -10,42 +10,20 @@
   readDataRow,
   readPositionReport,
   readServerError,
-  type ServerError,
   type ServerFrameSink,
   type TransactionStatusByte,
 } from '@nutmegcourse/protocol'
 import type { LogPosition } from '@nutmegcourse/shared'
 import type { CallerRequest } from './callerRequest.js'
 import type { AnswerBuffer } from './answerBuffer.js'
-import type { AnswerSlots, ParseSlot } from './requestSteps.js'
-
-export interface RunOutcome {
-  /** Transaction status after the caller's request. */
-  readonly status: TransactionStatusByte
-  readonly position: LogPosition | null
-  /** The server answered with an error, and no transaction was committed before it. */
-  readonly failed: boolean
-  /** Number of commands that succeeded. */
-  readonly commands: number
-  /** Distinct tags of the commands that change session state. */
-  readonly sessionTags: readonly SessionTag[]
-  /** SQLSTATE of the last error of the answer; null if it has none. */
-  readonly sqlState: string | null
-  /** Prepared statements whose Parse was not answered with success. */
-  readonly failedParses: readonly ParseSlot[]
-  /** The server skipped Close messages of the proxy after an error. */
-  readonly closesSkipped: boolean
-}
-
-/** Why a connection became unusable during a run. */
-export type RunFault =
-  /** The server closes the connection with this error. */
-  | { readonly kind: 'fatalError'; readonly error: ServerError }
-  /** A setup query before the request failed, so the request ran with unknown settings. */
-  | { readonly kind: 'preparationFailed'; readonly error: ServerError }
-  | { readonly kind: 'unexpectedMessage'; readonly type: number }
-  | { readonly kind: 'copy' }
-  | { readonly kind: 'answerTooLarge' }
+import type { AnswerSlots } from './requestSteps.js'
+import {
+  SESSION_TAGS,
+  type RunFault,
+  type RunOutcome,
+  type RunPlan,
+  type SessionTag,
+} from './runOutcome.js'
 
 export interface RunEvents {
   /** The caller's answer is complete; the position query may still be outstanding. */
@@ -54,28 +32,6 @@
   faulted(run: BackendRun, fault: RunFault): void
 }
 
-export interface RunPlan {
-  /** Number of answers to discard before the caller's. */
-  readonly preparations: number
-  /** A position query follows the request. */
-  readonly queriesPosition: boolean
-}
-
-/** Tags of commands whose effect on the session outlasts their transaction. */
-const SESSION_TAGS = [
-  'SET',
-  'RESET',
-  'DISCARD',
-  'DISCARD ALL',
-  'DEALLOCATE',
-  'DEALLOCATE ALL',
-  'DECLARE CURSOR',
-  'LISTEN',
-  'PREPARE',
-] as const
-
-export type SessionTag = (typeof SESSION_TAGS)[number]
-
 const sessionTagsByName: ReadonlyMap<string, SessionTag> = new Map(
   SESSION_TAGS.map(tag => [tag, tag]),
 )
@@ -106,6 +62,9 @@
   #committed = false
   #sqlState: string | null = null
   #commands = 0
+  #isEmptyQuery = false
+  /** The preparation that is being answered, or the position query, has got the part that its end may follow. */
+  #hasResult = false
   readonly #sessionTags: SessionTag[] = []
   #position: LogPosition | null = null
   #rowPieces: Buffer[] = []
@@ -144,8 +103,10 @@
     _opens: boolean,
     closes: boolean,
   ): void {
-    if (this.#phase === 'answer') this.#forward(bytes, start, end)
-    else if (this.#phase === 'positionQuery' && type === ServerMessage.dataRow) {
+    if (this.#phase === 'answer') {
+      if (type === ServerMessage.emptyQueryResponse) this.#isEmptyQuery = true
+      this.#forward(bytes, start, end)
+    } else if (this.#phase === 'positionQuery' && type === ServerMessage.dataRow) {
       this.#collectRow(Buffer.from(bytes.subarray(start, end)), closes)
     }
   }
@@ -200,7 +161,14 @@
   #readPreparation(type: number, bytes: Buffer, start: number, end: number): void {
     if (type === ServerMessage.errorResponse) {
       this.#fault({ kind: 'preparationFailed', error: readServerError(bytes, start, end) })
+    } else if (type === ServerMessage.commandComplete) {
+      this.#hasResult = true
     } else if (type === ServerMessage.readyForQuery) {
+      if (!this.#hasResult) {
+        this.#fault({ kind: 'unexpectedMessage', type })
+        return
+      }
+      this.#hasResult = false
       this.#preparations -= 1
       if (this.#preparations === 0) this.#phase = 'answer'
     }
@@ -209,6 +177,10 @@
   #readAnswer(type: number, bytes: Buffer, start: number, end: number): void {
     switch (type) {
       case ServerMessage.readyForQuery:
+        if (!this.#mayEnd) {
+          this.#fault({ kind: 'unexpectedMessage', type })
+          return
+        }
         this.#forward(bytes, start, end)
         this.#endAnswer(bytes[end - 1])
         return
@@ -219,7 +191,7 @@
         this.#readError(bytes, start, end)
         return
       case ServerMessage.parseComplete:
-        if (this.slots.parses.shift()?.hidden !== true) this.#forward(bytes, start, end)
+        this.#readParseComplete(bytes, start, end)
         return
       case ServerMessage.closeComplete:
         this.#readCloseComplete(bytes, start, end)
@@ -241,6 +213,12 @@
     }
   }
 
+  /** An end before is that of another answer: the caller would get this one's rows with its next request. */
+  get #mayEnd(): boolean {
+    if (this.request.shape.kind === 'extended') return this.request.complete
+    return this.#failed || this.#commands > 0 || this.#isEmptyQuery
+  }
+
   /** No COPY data was sent to the server, so closing the connection rolls back uncommitted work. */
   #refuseCopy(): void {
     if (!this.#committed)
@@ -248,8 +226,19 @@
     this.#fault({ kind: 'copy' })
   }
 
+  #readParseComplete(bytes: Buffer, start: number, end: number): void {
+    const slot = this.slots.parses.shift()
+    if (slot === undefined)
+      this.#fault({ kind: 'unexpectedMessage', type: ServerMessage.parseComplete })
+    else if (!slot.hidden) this.#forward(bytes, start, end)
+  }
+
   #readCloseComplete(bytes: Buffer, start: number, end: number): void {
     const slot = this.slots.closes.shift()
+    if (slot === undefined) {
+      this.#fault({ kind: 'unexpectedMessage', type: CLOSE_COMPLETE_TYPE })
+      return
+    }
     if (slot === 'discard') return
     if (slot === 'asParseComplete') bytes[start] = ServerMessage.parseComplete
     else bytes[start] = CLOSE_COMPLETE_TYPE
@@ -312,10 +301,12 @@
 
   #readPositionAnswer(type: number, bytes: Buffer, start: number, end: number): void {
     if (type === ServerMessage.readyForQuery) {
-      this.#end()
+      if (this.#hasResult) this.#end()
+      else this.#fault({ kind: 'unexpectedMessage', type })
       return
     }
     if (type !== ServerMessage.errorResponse) return
+    this.#hasResult = true
     const error = readServerError(bytes, start, end)
     if (FATAL_SEVERITIES.has(error.severity)) this.#fault({ kind: 'fatalError', error })
   }
@@ -327,6 +318,7 @@
     const row =
       this.#rowPieces.length === 1 && only !== undefined ? only : Buffer.concat(this.#rowPieces)
     this.#rowPieces = []
+    this.#hasResult = true
     const report = readPositionReport(readDataRow(row, 0, row.length))
     // A position reported by a replica does not cover this write: the server was demoted before answering.
     this.#position = report?.role === 'primary' ? report.position : null
--- a/packages/proxy/src/requestManager.ts
+++ b/packages/proxy/src/requestManager.ts
@@ -20,7 +20,8 @@
   answerTargetOf,
   type ActiveRequest,
 } from './activeRequest.js'
-import type { BackendRun, RunOutcome } from './backendRun.js'
+import type { BackendRun } from './backendRun.js'
+import type { RunOutcome } from './runOutcome.js'
 import type { CallerConnection } from './callerConnection.js'
 import type { CallerRequest } from './callerRequest.js'
 import { CallerTransactions, type PinnedTransaction, type RunMode } from './callerTransactions.js'
--- a/packages/proxy/src/sessionState.ts
+++ b/packages/proxy/src/sessionState.ts
@@ -4,7 +4,7 @@
  */
 import { assertNever, type Refusal } from '@nutmegcourse/shared'
 import type { BackendConnection } from './backendConnection.js'
-import type { RunOutcome, SessionTag } from './backendRun.js'
+import type { RunOutcome, SessionTag } from './runOutcome.js'
 import type { CallerRequest } from './callerRequest.js'
 import type { CallerSettings } from './callerSettings.js'
 import type { CallerIdentity } from './callerStartup.js'
