fix(host): changes, grants and reports of other hosts are checked too

What it led to: a list of changes from another host that could not be unpacked or read threw in the host that follows the store through it; a grant, a report or a position with a field of another type went into limits and into the choice of a primary.

Cause: as before, JSON was cast to the types of the messages.

Now an answer that cannot be read counts as none (relay_malformed), and a host whose changes cannot be read is skipped (news_not_told, malformed). Packed changes have a limit of length.

--- a/packages/host/src/changeFeedReader.ts
+++ b/packages/host/src/changeFeedReader.ts
@@ -105,8 +105,12 @@
     const askedAt = this.#context.clock.now()
     const limit = request.wait + ANSWER_ALLOWANCE_MILLISECONDS
     const answer = await source.requestChanges({ ...request, acceptsPacked: true }, limit)
-    if (answer?.kind === 'news' && answer.revision >= request.after && this.#isRecent(answer))
-      return read(answer, askedAt, source.name)
+    if (answer?.kind === 'news' && answer.revision >= request.after && this.#isRecent(answer)) {
+      const received = read(answer, askedAt, source.name)
+      if (received !== null) return received
+      this.#skip(source.name, 'malformed')
+      return 'refused'
+    }
     this.#skip(source.name, reasonOf(answer, request.after))
     return answer === null ? null : 'refused'
   }
@@ -126,8 +130,10 @@
       for (const source of this.#sources.changeFeedSources()) {
         const askedAt = clock.now()
         const answer = await source.requestChanges(WHOLE_LIST, ANSWER_ALLOWANCE_MILLISECONDS)
-        if (answer?.kind === 'news' && answer.isWhole && this.#isRecent(answer))
-          return read(answer, askedAt, source.name)
+        if (answer?.kind !== 'news' || !answer.isWhole || !this.#isRecent(answer)) continue
+        const received = read(answer, askedAt, source.name)
+        if (received !== null) return received
+        this.#skip(source.name, 'malformed')
       }
       const isOver = clock.now() >= until || this.#sources.changeFeedSources().length === 0
       if (isOver) return null
@@ -145,13 +151,20 @@
   }
 }
 
-function read(answer: ChangeFeedUpdate, askedAt: Milliseconds, from: string): ReceivedChanges {
+/** Null if its changes cannot be read. */
+function read(
+  answer: ChangeFeedUpdate,
+  askedAt: Milliseconds,
+  from: string,
+): ReceivedChanges | null {
+  const changes = unpackChanges(answer.changes)
+  if (changes === null) return null
   const { isWhole, revision, madeAgo, knownAgo, waited } = answer
   const sentAt = addMilliseconds(askedAt, waited)
   return {
     from,
     isWhole,
-    events: { changes: unpackChanges(answer.changes).map(readFeedChange), revision },
+    events: { changes: changes.map(readFeedChange), revision },
     madeSince: addMilliseconds(sentAt, -madeAgo),
     knownAt: addMilliseconds(sentAt, -knownAgo),
   }
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -151,7 +151,7 @@
   },
   news_not_told: {
     when: 'Another host, through which this one follows the store, sent no changes; the next host or the store is asked.',
-    fields: { host: 'the other host', reason: 'noAnswer, declined, behind or outdated' },
+    fields: { host: 'the other host', reason: 'noAnswer, declined, behind, outdated or malformed' },
   },
   registration_failed: {
     when: 'This host could not register in the store; it tries again.',
--- a/packages/host/src/packedChanges.ts
+++ b/packages/host/src/packedChanges.ts
@@ -6,10 +6,14 @@
  */
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import type { RevisedChange } from '@nutmegcourse/protocol'
+import { isRevisedChange } from './relayChecks.js'
 
 /** Shorter lists are sent as they are. */
 const SHORTEST_PACKED_CHARACTERS = 8192
 
+/** Longer lists are not unpacked to their end. */
+const MAXIMUM_UNPACKED_BYTES = 256 * 1024 * 1024
+
 /** Favours processor time: configurations repeat themselves and shrink to a tenth at any level. */
 const COMPRESSION_LEVEL = 1
 
@@ -20,10 +24,21 @@
 
 export type SentChanges = readonly RevisedChange[] | PackedChanges
 
-export function unpackChanges(sent: SentChanges): readonly RevisedChange[] {
-  if (!('deflated' in sent)) return sent
-  const text = inflateRawSync(Buffer.from(sent.deflated, 'base64')).toString('utf8')
-  return JSON.parse(text) as readonly RevisedChange[]
+/** Null if they cannot be read. */
+export function unpackChanges(sent: SentChanges): readonly RevisedChange[] | null {
+  const changes = 'deflated' in sent ? inflate(sent.deflated) : sent
+  return Array.isArray(changes) && changes.every(isRevisedChange) ? changes : null
+}
+
+function inflate(deflated: string): unknown {
+  try {
+    const packed = Buffer.from(deflated, 'base64')
+    const text = inflateRawSync(packed, { maxOutputLength: MAXIMUM_UNPACKED_BYTES })
+    return JSON.parse(text.toString('utf8'))
+  } catch {
+    // Cut off, not compressed, too long, or not JSON: the reader logs that it skips the host.
+    return null
+  }
 }
 
 /** Packs lists of changes, each once for all hosts that ask for the same one. */
--- a/packages/host/src/relayChecks.ts
+++ b/packages/host/src/relayChecks.ts
@@ -4,10 +4,15 @@
  *
  * @internal
  */
-import type { CallerRefusal } from '@nutmegcourse/protocol'
-import type { ChangeFeedRequest } from './changeFeedMessages.js'
-import type { ReceivedRequest, RelayedOrderRequest } from './groupPeers.js'
-import type { GrantRequest } from './limitGranter.js'
+import type { CallerRefusal, RevisedChange } from '@nutmegcourse/protocol'
+import type { ChangeFeedRequest, ChangeFeedResponse } from './changeFeedMessages.js'
+import type {
+  ReceivedAnswer,
+  ReceivedRequest,
+  RelayedOrderAnswer,
+  RelayedOrderRequest,
+} from './groupPeers.js'
+import type { GrantAnswer, GrantRequest } from './limitGranter.js'
 import type {
   AnswerMessage,
   BeginMessage,
@@ -157,3 +162,45 @@
       return false
   }
 }
+
+export const isFeedResponse = (value: unknown): value is ChangeFeedResponse =>
+  isFields(value) &&
+  (value.kind === 'declined' ||
+    (value.kind === 'news' &&
+      isFlag(value.isWhole) &&
+      isCount(value.revision) &&
+      [value.madeAgo, value.knownAgo, value.waited].every(isNumber) &&
+      (Array.isArray(value.changes) ||
+        (isFields(value.changes) && isText(value.changes.deflated)))))
+
+export const isRevisedChange = (value: unknown): value is RevisedChange =>
+  isFields(value) &&
+  isText(value.kind) &&
+  isCount(value.revision) &&
+  (value.kind !== 'configuration' ||
+    (isFields(value.configuration) && Array.isArray(value.configuration.services)))
+
+export const isGrantAnswer = (value: unknown): value is GrantAnswer =>
+  isFields(value) &&
+  (value.kind === 'declined' ||
+    (value.kind === 'granted' && (value.count === undefined || isCount(value.count))) ||
+    (value.kind === 'spent' && isNumber(value.waitMilliseconds)))
+
+export const isOrderAnswer = (value: unknown): value is RelayedOrderAnswer =>
+  isFields(value) && (value.report === null || isReport(value.report))
+
+const isReport = (value: unknown): boolean =>
+  isFields(value) &&
+  (value.role === 'primary' || value.role === 'replica') &&
+  isNumber(value.term) &&
+  isNumber(value.pausedFor) &&
+  value.received !== null &&
+  isPosition(value.received)
+
+export const isReceivedAnswer = (value: unknown): value is ReceivedAnswer =>
+  isFields(value) &&
+  (value.furthest === null ||
+    (isFields(value.furthest) &&
+      isText(value.furthest.server) &&
+      value.furthest.at !== null &&
+      isPosition(value.furthest.at)))
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -15,7 +15,13 @@
 import type { HostContext } from './hostContext.js'
 import type { GrantAnswer, GrantRequest } from './limitGranter.js'
 import type { ChangeFeedResponse, ChangeFeedRequest } from './changeFeedMessages.js'
-import { isAnswerMessage } from './relayChecks.js'
+import {
+  isAnswerMessage,
+  isFeedResponse,
+  isGrantAnswer,
+  isOrderAnswer,
+  isReceivedAnswer,
+} from './relayChecks.js'
 import { RELAY_METHODS, type AnswerMessage, type EndMessage } from './relayMessages.js'
 import { SentRoutes } from './relayRoutes.js'
 import type { ChangeFeedSource } from './changeFeedReader.js'
@@ -141,30 +147,39 @@
   }
 
   requestChanges(request: ChangeFeedRequest, timeout: number): Promise<ChangeFeedResponse | null> {
-    return this.#request(RELAY_METHODS.news, request, timeout)
+    return this.#request(RELAY_METHODS.news, request, timeout, isFeedResponse)
   }
 
   askGrant(request: GrantRequest, timeout: number): Promise<GrantAnswer | null> {
-    return this.#request(RELAY_METHODS.grant, request, timeout)
+    return this.#request(RELAY_METHODS.grant, request, timeout, isGrantAnswer)
   }
 
   orderServer(request: RelayedOrderRequest, timeout: number): Promise<RelayedOrderAnswer | null> {
-    return this.#request(RELAY_METHODS.order, request, timeout)
+    return this.#request(RELAY_METHODS.order, request, timeout, isOrderAnswer)
   }
 
   askReceived(request: ReceivedRequest, timeout: number): Promise<ReceivedAnswer | null> {
-    return this.#request(RELAY_METHODS.received, request, timeout)
+    return this.#request(RELAY_METHODS.received, request, timeout, isReceivedAnswer)
   }
 
   /**
-   * Returns null if no answer arrives within `timeout` milliseconds. Not counted as a pending call, which would be
-   * monitored with pings: no statement runs there, and the timeout suffices.
+   * Returns null if no answer that can be read arrives within `timeout` milliseconds. Not counted as a pending call,
+   * which would be monitored with pings: no statement runs there, and the timeout suffices.
    */
-  async #request<Answer>(method: string, params: unknown, timeout: number): Promise<Answer | null> {
+  async #request<Answer>(
+    method: string,
+    params: unknown,
+    timeout: number,
+    isAnswer: (value: unknown) => value is Answer,
+  ): Promise<Answer | null> {
     const connection = await this.#connect()
     if (connection === null) return null
-    const answer = await connection.request<Answer>(method, params, timeout)
-    return answer.unwrapOr(null)
+    const received = await connection.request<unknown>(method, params, timeout)
+    if (received.isErr()) return null
+    const answer = received.value
+    if (isAnswer(answer)) return answer
+    this.#context.log.write('relay_malformed', { host: this.name, method })
+    return null
   }
 
   /** Ends a transaction there. If its connection closed, nothing is sent: the other host ends it then. */
