--- a/packages/soak/src/changeFaultInjector.ts
+++ b/packages/soak/src/changeFaultInjector.ts
@@ -53,7 +53,8 @@
     fleet.onPromotionCall = (call, carryOut) => this.lateOrders.takePromotion(call, carryOut)
     const { hooks } = fleet.dialer
     const slotsOf = hooks.slotsOf
-    hooks.slotsOf = server => (this.#busyServers.has(server) ? NO_SLOTS : slotsOf?.(server))
+    hooks.slotsOf = server =>
+      this.#busyServers.has(server) || fleet.stutters.isBusy(server) ? NO_SLOTS : slotsOf?.(server)
   }
 
   commandFaultOf(server: string, command: BackendCommand): CommandFault {
--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -171,6 +171,9 @@
       case 'answersLost':
         this.#serversLosingAnswers.add(fault.server)
         return
+      case 'serverStutters':
+        this.#fleet.stutters.begin(fault)
+        return
       case 'storeAway':
         for (const { plan } of this.#fleet.hosts) {
           relay.cut({ from: [STORE], to: [plan.name], cut: true, oneWay: false })
@@ -247,6 +250,9 @@
       case 'answersLost':
         this.#serversLosingAnswers.delete(fault.server)
         return
+      case 'serverStutters':
+        this.#fleet.stutters.end(fault)
+        return
       case 'storeAway':
         for (const { plan } of this.#fleet.hosts) {
           relay.cut({ from: [STORE], to: [plan.name], cut: false, oneWay: false })
@@ -335,6 +341,8 @@
     case 'leaverEnds':
     case 'replicaDelayed':
       return `${fault.kind} ${fault.server}`
+    case 'serverStutters':
+      return `${fault.kind} ${fault.server} ${fault.answers}`
     case 'promotionsLate':
     case 'primaryLosesLog':
     case 'holderFrozen':
--- a/packages/soak/src/faultPlan.ts
+++ b/packages/soak/src/faultPlan.ts
@@ -3,10 +3,12 @@
 import { pick } from '@nutmegcourse/stand-ins'
 import type { ChangeFault } from './changeFaults.js'
 import { drawConfigurationFault, type ConfigurationFault } from './configurationFaults.js'
+import { drawStutter, type StutterFault } from './stutters.js'
 
 export type Fault =
   | ChangeFault
   | ConfigurationFault
+  | StutterFault
   /** SIGKILL; the process is started again when the fault ends. */
   | { readonly kind: 'hostKilled'; readonly host: string }
   /** SIGSTOP and SIGCONT. */
@@ -193,6 +195,8 @@
     case 'hostStarved':
     case 'hostStarvedAndSilenced':
       return drawConfigurationFault(kind, hosts, random)
+    case 'serverStutters':
+      return drawStutter(servers, random)
     case 'storeAway':
     case 'storeLosesAnswers':
     case 'storeForgetsHistory':
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,5 @@
 /** The soak test: runs entry host processes under random faults and checks their consistency. Not published. */
+export { AnswerChecker, type AnswerFindingKind, type DoneAnswer } from './answerChecker.js'
 export * from './changeFaults.js'
 export * from './configurationChecker.js'
 export * from './configurationFaults.js'
@@ -6,5 +7,6 @@
 export * from './faultPlan.js'
 export { ConsistencyChecker, type ReadRule } from './consistencyChecker.js'
 export * from './runSoak.js'
+export * from './answerFaults.js'
 export type { OnUnsuccessfulStatement, UnsuccessfulStatement } from './soakCallerOptions.js'
 export { LOAD_KINDS, planCalmLoads, planLoads } from './loadPlan.js'
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -13,6 +13,7 @@
 } from './changeFaults.js'
 import { CONFIGURATION_FAULT_KINDS, CONFIGURATION_RUN_KINDS } from './configurationFaults.js'
 import { DEFAULT_FAULT_KINDS, PLANNED_KINDS, type FaultKind } from './faultPlan.js'
+import { ANSWER_RUN_KINDS } from './answerFaults.js'
 import { runSoak, type SoakOptions } from './runSoak.js'
 import type { UnsuccessfulStatement } from './soakCallerOptions.js'
 
@@ -29,6 +30,8 @@
   --changes      series of faults around changes of primary, which take 1,000 ms
   --configurations  a new configuration every 0.4 to 4.9 s, and faults that keep hosts from the store;
                  checks when each version is in force at each host
+  --answers      servers that send answers twice, and contents that look like messages; compares each
+                 statement and answer with what the other side sent
   --load         hard load: customers, classes and callers beyond the slots of the servers,
                  during the faults and for 9 s after them
   --program F    path of another build of the entry host program
@@ -54,6 +57,7 @@
   kinds: { type: 'string' },
   changes: { type: 'boolean', default: false },
   configurations: { type: 'boolean', default: false },
+  answers: { type: 'boolean', default: false },
   load: { type: 'boolean', default: false },
   program: { type: 'string', default: PROGRAM },
   keep: { type: 'string' },
@@ -81,7 +85,8 @@
     if (!Number.isInteger(value) || value < 1) mistakes.push(`--${name}: not a positive integer`)
     return value
   }
-  const ownKinds = values.configurations ? CONFIGURATION_RUN_KINDS : DEFAULT_FAULT_KINDS
+  const checkedKinds = values.answers ? ANSWER_RUN_KINDS : DEFAULT_FAULT_KINDS
+  const ownKinds = values.configurations ? CONFIGURATION_RUN_KINDS : checkedKinds
   const usualKinds = values.changes ? SERIES_FAULT_KINDS : ownKinds
   const kinds = values.kinds?.split(',') ?? usualKinds
   const known = new Set<string>([
@@ -90,6 +95,7 @@
     ...CHANGE_FAULT_KINDS,
     ...NAMED_CHANGE_FAULT_KINDS,
     ...CONFIGURATION_FAULT_KINDS,
+    ...ANSWER_RUN_KINDS,
   ])
   if (values.changes && !kinds.some(kind => isCause(kind as FaultKind))) {
     mistakes.push('--kinds: none of them makes hosts replace a primary')
@@ -109,6 +115,7 @@
     kinds: kinds as readonly FaultKind[],
     hasChangeSeries: values.changes,
     judgesConfigurations: values.configurations,
+    comparesAnswers: values.answers,
     isHardLoad: values.load,
     program: values.program,
     keep: values.keep ?? null,
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -1,6 +1,7 @@
 /** One run: starts a fleet and callers, injects the faults of one seed and reports the findings. */
 import { setTimeout as delay } from 'node:timers/promises'
 import { SeededRandom } from '@nutmegcourse/shared'
+import { AnswerChecker, type AnswerFindingKind } from './answerChecker.js'
 import { FaultInjector } from './faultInjector.js'
 import { planChangeSeries } from './changeFaults.js'
 import { ConfigurationWatch, type ConfigurationReport } from './configurationWatch.js'
@@ -15,8 +16,14 @@
 import { ConsistencyChecker } from './consistencyChecker.js'
 import { SoakCaller } from './soakCaller.js'
 import type { OnUnsuccessfulStatement, UnsuccessfulStatement } from './soakCallerOptions.js'
-import { CONFIGURATION_BOUND_MILLISECONDS } from '@nutmegcourse/platform/standIns'
+import {
+  CONFIGURATION_BOUND_MILLISECONDS,
+  type AnswerKind,
+  type BackendHooks,
+} from '@nutmegcourse/platform/standIns'
 import { SoakFleet } from './soakFleet.js'
+import { hostileRow } from './hostileContents.js'
+import { planAnswerFaults } from './answerFaults.js'
 import { StallDetector, type Stall } from './stallDetector.js'
 
 export interface SoakOptions {
@@ -33,6 +40,8 @@
   readonly hasChangeSeries: boolean
   /** Publishes configurations all the while, and checks when they are in force; the faults keep hosts from the store. */
   readonly judgesConfigurations?: boolean
+  /** Compares statements and answers, with hostile contents and servers that stutter. */
+  readonly comparesAnswers?: boolean
   /** Adds customers, classes and load beyond the slots of the backend servers. */
   readonly isHardLoad: boolean
   /** The faults; drawn from the seed by default. */
@@ -44,6 +53,13 @@
   readonly onUnsuccessfulStatement?: OnUnsuccessfulStatement
 }
 
+export interface AnswerReport {
+  readonly statements: AnswerChecker['counts']
+  /** Answers that a server sent a second time. */
+  readonly repeated: Readonly<Record<AnswerKind, number>>
+  readonly findings: Readonly<Record<AnswerFindingKind, number>>
+}
+
 export interface SoakReport {
   readonly seed: number
   readonly findings: readonly string[]
@@ -52,6 +68,7 @@
   /** Only statements that were judged: sent while load was on and no fault. */
   readonly underLoad?: LoadChecker['counts'] & { readonly hostStandstills: number }
   readonly configurations?: ConfigurationReport
+  readonly answers?: AnswerReport
   readonly promotions: number
   readonly failoverGaps: FailoverGaps
   /** From the end of the last fault until every host has written to every service; null on a timeout. */
@@ -96,6 +113,7 @@
   readonly #random: SeededRandom
   readonly #fleet: SoakFleet
   readonly #checker: ConsistencyChecker
+  readonly #answers: AnswerChecker | null
   readonly #loadChecker = new LoadChecker()
   readonly #injector: FaultInjector
   readonly #generator: LoadGenerator
@@ -109,8 +127,10 @@
     const promotionMilliseconds = options.hasChangeSeries
       ? LONG_PROMOTION_MILLISECONDS
       : PROMOTION_MILLISECONDS
+    this.#answers = options.comparesAnswers === true ? new AnswerChecker() : null
     this.#fleet = new SoakFleet({
       ...options,
+      backendHooks: this.#answers === null ? {} : hooksOf(this.#answers, options.seed),
       promotionMilliseconds,
       isReplicationDelayed: options.hasChangeSeries,
       hasVersionRoutes: options.judgesConfigurations ?? false,
@@ -144,7 +164,7 @@
     await Promise.all([this.#injector.run(this.#planFaults()), this.#generator.run(loads, running)])
     const configurations = await this.#configurations?.finish()
     const [recoveryMilliseconds] = await Promise.all([
-      waitForRecovery(this.#fleet, this.#checker),
+      waitForRecovery(this.#fleet, this.#checker, this.#answers),
       this.#generator.run(calmLoads, running),
     ])
     for (const caller of callers) caller.stop()
@@ -152,13 +172,18 @@
     const hostStandstills = this.#fleet.hosts.flatMap(host => host.standstills)
     return {
       seed,
-      findings: [...this.#checker.finish(), ...this.#loadChecker.finish(hostStandstills)],
+      findings: [
+        ...this.#checker.finish(),
+        ...this.#loadChecker.finish(hostStandstills),
+        ...(this.#answers?.findings ?? []),
+      ],
       faults: Object.fromEntries([...this.#injector.faultCounts].sort()),
       operations: this.#checker.counts,
       ...(isHardLoad
         ? { underLoad: { ...this.#loadChecker.counts, hostStandstills: hostStandstills.length } }
         : {}),
       ...(configurations === undefined ? {} : { configurations }),
+      ...(this.#answers === null ? {} : { answers: this.#reportAnswers(this.#answers) }),
       promotions: this.#fleet.groups.reduce((sum, group) => sum + group.promotions, 0),
       failoverGaps: this.#checker.failoverGaps,
       recoveryMilliseconds,
@@ -166,6 +191,11 @@
     }
   }
 
+  #reportAnswers({ counts, findingCounts }: AnswerChecker): AnswerReport {
+    const { repeated } = this.#fleet.stutters
+    return { statements: counts, repeated, findings: findingCounts }
+  }
+
   close(): void {
     this.#configurations?.close()
     this.#stallDetector.close()
@@ -186,6 +216,7 @@
     }
     if (this.#options.judgesConfigurations === true)
       return planConfigurationFaults(sizes, this.#random)
+    if (this.#answers !== null) return planAnswerFaults(sizes, this.#random)
     return hasChangeSeries ? planChangeSeries(sizes, this.#random) : planFaults(sizes, this.#random)
   }
 
@@ -204,6 +235,7 @@
       checker: this.#checker,
       random,
       habits,
+      answers: this.#answers,
       onUnsuccessfulStatement: statement => {
         this.#options.onUnsuccessfulStatement?.(statement)
         if (this.#isExcused() || this.#isOverloadTimeout(statement)) return
@@ -240,9 +272,26 @@
   }
 }
 
+function hooksOf(
+  answers: AnswerChecker,
+  seed: number,
+): Pick<BackendHooks, 'rowsOf' | 'onReceived' | 'onSigned'> {
+  const random = new SeededRandom(seed)
+  return {
+    rowsOf: id => [hostileRow(id, random), `end of ${id}`],
+    onReceived: statement => {
+      answers.checkReceived(statement)
+    },
+    onSigned: answer => {
+      answers.recordSigned(answer)
+    },
+  }
+}
+
 async function waitForRecovery(
   fleet: SoakFleet,
   checker: ConsistencyChecker,
+  answers: AnswerChecker | null,
 ): Promise<number | null> {
   const faultsEndedAt = performance.now()
   const prober = new SoakCaller({
@@ -250,6 +299,7 @@
     fleet,
     checker,
     random: new SeededRandom(0),
+    answers,
     habits: fleet.plan.isHardLoad ? steadyHabits(0) : USUAL_HABITS,
   })
   for (const { plan } of fleet.hosts) {
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -4,13 +4,21 @@
 import { pick } from '@nutmegcourse/stand-ins'
 import { WireCaller, type WireAnswer } from '@nutmegcourse/platform/standIns'
 import { readRuleOf, type ConsistencyChecker } from './consistencyChecker.js'
+import type { AnswerChecker } from './answerChecker.js'
 import { databaseName, type Guarantee } from './guarantees.js'
 import { keyOf, type CallerHabits } from './hardLoad.js'
+import { hostileData } from './hostileContents.js'
 import type { SoakCallerOptions } from './soakCallerOptions.js'
 import type { SoakFleet } from './soakFleet.js'
 
 const RECONNECT_MILLISECONDS = 50
 const STATEMENTS_PER_SESSION = 25
+/** Of the callers whose answers are compared, this share of sessions goes on until the host ends it. */
+const ENDLESS_SESSION_SHARE = 0.5
+/** The share of their statements that set a value and run a prepared statement. */
+const PREPARED_SHARE = 0.15
+const PREPARED_NAME = 'p1'
+const SESSION_VALUE = 'v1'
 /** A caller stops waiting for an answer after this time; the longest statement timeout of a route is 1 s. */
 const ANSWER_TIMEOUT_MILLISECONDS = 8000
 
@@ -20,6 +28,8 @@
   readonly service: string
   readonly guarantee: Guarantee
   ownPosition: LogPosition | null
+  /** The session values, as a server reports them. */
+  values: string
 }
 
 export class SoakCaller {
@@ -29,6 +39,7 @@
   readonly #random: RandomSource
   readonly #habits: CallerHabits
   readonly #options: SoakCallerOptions
+  readonly #answers: AnswerChecker | null
   #lastId = 0
   /** Inside the open transaction, since its last statement. */
   #restedMilliseconds = 0
@@ -38,6 +49,7 @@
 
   constructor(options: SoakCallerOptions) {
     this.#options = options
+    this.#answers = options.answers ?? null
     this.#name = options.name
     this.#fleet = options.fleet
     this.#checker = options.checker
@@ -74,21 +86,30 @@
 
   async #openSession(host: string, service: string, guarantee: Guarantee): Promise<Session | null> {
     const wire = new WireCaller(this.#fleet.callerPorts.get(host) ?? 0)
+    wire.onUnsolicited = text => {
+      this.#answers?.checkUnsolicited(`${this.#name} at ${host}`, text)
+    }
     const { customer } = this.#habits
     const key = customer === null ? undefined : keyOf(customer)
     const isAccepted = await this.#withTimeout(
       wire,
       wire.startSession(databaseName(service, guarantee), key),
     )
-    if (isAccepted === true) return { wire, host, service, guarantee, ownPosition: null }
+    if (isAccepted === true)
+      return { wire, host, service, guarantee, ownPosition: null, values: '' }
     wire.destroy()
     return null
   }
 
   async #runSession(session: Session): Promise<void> {
     const { transactionShare, writeShare, thinkMilliseconds } = this.#habits
-    for (let count = 0; count < STATEMENTS_PER_SESSION; count += 1) {
+    const isEndless = this.#answers !== null && this.#random.next() < ENDLESS_SESSION_SHARE
+    for (let count = 0; isEndless || count < STATEMENTS_PER_SESSION; count += 1) {
       if (this.#isStopped || session.wire.isClosed) break
+      if (this.#answers !== null && this.#random.next() < PREPARED_SHARE) {
+        await this.#runPrepared(session)
+        continue
+      }
       const draw = this.#random.next()
       if (draw < transactionShare) await this.#runTransaction(session)
       else if (draw < transactionShare + writeShare) await this.#write(session)
@@ -101,20 +122,28 @@
   }
 
   async #read(session: Session): Promise<void> {
-    const id = this.#nextId()
+    await this.#readWith(session, this.#nextId(), 'READ a1')
+  }
+
+  async #readWith(
+    session: Session,
+    id: string,
+    text: string,
+    shape: string | null = null,
+  ): Promise<void> {
     const { service } = session
     const required = this.#checker.requiredPosition(
       service,
       readRuleOf(session.guarantee),
       session.ownPosition,
     )
-    const answer = await this.#awaitAnswer(session, id, session.wire.read(id, 'a1'), true)
+    const answer = await this.#send(session, id, text, true, shape)
     if (answer.kind === 'done') this.#checker.checkRead(service, id, answer, required)
   }
 
   async #write(session: Session): Promise<boolean> {
     const id = this.#nextId()
-    const answer = await this.#awaitAnswer(session, id, session.wire.write(id, 'a1', 'x'))
+    const answer = await this.#send(session, id, `WRITE a1 ${this.#data(id)}`)
     return this.#recordOutcome(session, [id], answer)
   }
 
@@ -127,7 +156,7 @@
     const count = this.#random.next() < 0.5 ? 1 : 2
     for (let made = 0; made < count; made += 1) {
       const id = this.#nextId()
-      const answer = await this.#awaitAnswer(session, id, wire.write(id, 'a1', 'x'))
+      const answer = await this.#send(session, id, `WRITE a1 ${this.#data(id)}`)
       writes.push(id)
       // Until the commit is sent, no write of the transaction may take effect, whatever its answer was.
       if (answer.kind !== 'done') {
@@ -146,8 +175,52 @@
       await this.#awaitAnswer(session, '-', wire.rollBack(this.#nextId()))
     } else {
       const id = this.#nextId()
-      this.#recordOutcome(session, writes, await this.#awaitAnswer(session, id, wire.commit(id)))
+      this.#recordOutcome(session, writes, await this.#send(session, id, 'COMMIT'))
+    }
+  }
+
+  /** Sets a value, prepares a statement under a name that it has had before, and runs it once. */
+  async #runPrepared(session: Session): Promise<void> {
+    const { wire } = session
+    const id = this.#nextId()
+    const isRead = this.#random.next() < 0.5
+    const value = hostileData(id, this.#random)
+    const shape = `shape-${id}`
+    const effect = isRead ? 'READ' : 'WRITE'
+    for (const text of [
+      `SET ${SESSION_VALUE} ${value}`,
+      `PREPARE ${PREPARED_NAME} ${effect} ${shape}`,
+    ]) {
+      const answer = await this.#awaitAnswer(session, '-', wire.ask(this.#nextId(), text))
+      if (answer.kind !== 'done') {
+        wire.destroy()
+        return
+      }
     }
+    session.values = `${SESSION_VALUE}=${value}`
+    const argument = isRead ? 'a1' : `a1 ${this.#data(id)}`
+    if (isRead) await this.#readWith(session, id, argument, shape)
+    else this.#recordOutcome(session, [id], await this.#send(session, id, argument, false, shape))
+    await this.#awaitAnswer(session, '-', wire.ask(this.#nextId(), `CLOSE ${PREPARED_NAME}`))
+  }
+
+  /** Callers whose answers are not compared draw nothing, so that recorded seeds stay as they are. */
+  #data(id: string): string {
+    return this.#answers === null ? 'x' : hostileData(id, this.#random)
+  }
+
+  /** Sends a read, write or commit; with a shape, as the prepared statement of that shape. */
+  #send(
+    session: Session,
+    id: string,
+    text: string,
+    isRead = false,
+    shape: string | null = null,
+  ): Promise<WireAnswer> {
+    const sent = shape === null ? text : `EXECUTE ${PREPARED_NAME} ${text}`
+    const known = shape === null ? text : `EXECUTE ${shape} ${text}`
+    this.#answers?.recordSent({ id, text: known, values: session.values })
+    return this.#awaitAnswer(session, id, session.wire.ask(id, sent), isRead)
   }
 
   #recordOutcome(session: Session, ids: readonly string[], answer: WireAnswer): boolean {
@@ -182,6 +255,10 @@
     const restedMilliseconds = this.#restedMilliseconds
     this.#restedMilliseconds = 0
     const answer = (await this.#withTimeout(session.wire, pending)) ?? { kind: 'closed' }
+    if (answer.kind === 'done') {
+      if (id === '-') this.#answers?.checkOwnAnswer(this.#name, answer)
+      else this.#answers?.checkAnswer(id, answer)
+    }
     if (id !== '-') this.#reportEnded(session, id, isRead, sentAt, answer)
     const { counts } = this.#checker
     if (answer.kind === 'notRun') counts.notRun += 1
--- a/packages/soak/src/soakCallerOptions.ts
+++ b/packages/soak/src/soakCallerOptions.ts
@@ -1,6 +1,7 @@
 /** What a caller is given, and what it tells of its statements. */
 import type { RandomSource } from '@nutmegcourse/shared'
 import type { WireAnswer } from '@nutmegcourse/platform/standIns'
+import type { AnswerChecker } from './answerChecker.js'
 import type { ConsistencyChecker } from './consistencyChecker.js'
 import type { CallerHabits } from './hardLoad.js'
 import type { EndedStatement } from './loadChecker.js'
@@ -28,6 +29,8 @@
   readonly checker: ConsistencyChecker
   readonly random: RandomSource
   readonly habits: CallerHabits
+  /** With it, the caller sends hostile contents and session state, and its answers are compared. */
+  readonly answers?: AnswerChecker | null
   readonly onUnsuccessfulStatement?: OnUnsuccessfulStatement
   /** Called for each read, write and commit when it has ended. */
   readonly onEndedStatement?: (statement: EndedStatement) => void
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -5,7 +5,12 @@
  * directly.
  */
 import { setTimeout as delay } from 'node:timers/promises'
-import { availabilityZoneId, backendServerId, type BackendServerId } from '@nutmegcourse/shared'
+import {
+  availabilityZoneId,
+  backendServerId,
+  SeededRandom,
+  type BackendServerId,
+} from '@nutmegcourse/shared'
 import type { BackendServerEntry } from '@nutmegcourse/protocol'
 import {
   MemoryDialer,
@@ -21,6 +26,7 @@
   HEARTBEAT_MILLISECONDS,
   serveStore,
   writeSettings,
+  type BackendHooks,
   type StoreEndpointFaults,
   type StoreResponse,
 } from '@nutmegcourse/platform/standIns'
@@ -29,8 +35,10 @@
 import { HARD_LOAD_CONTRACTS, HARD_LOAD_SLOTS, keyOf, limitSlots } from './hardLoad.js'
 import { HostProcess } from './hostProcess.js'
 import { withPorts } from './memberAddresses.js'
+import { Stutters } from './stutters.js'
 
 export interface FleetPlan {
+  readonly seed: number
   readonly hosts: number
   readonly services: number
   /** The connection limit of a backend server; a low limit makes only some hosts owners of connections. */
@@ -43,6 +51,8 @@
   readonly isReplicationDelayed: boolean
   /** Whether each version of the configuration adds a route and removes an older one. */
   readonly hasVersionRoutes: boolean
+  /** What the servers add to reads, and who is told of what they receive and answer. */
+  readonly backendHooks: Pick<BackendHooks, 'rowsOf' | 'onReceived' | 'onSigned'>
   readonly program: string
   readonly directory: string
 }
@@ -78,6 +88,7 @@
     regionDelayMilliseconds: LINK_DELAY_MILLISECONDS,
   })
   readonly hosts: HostProcess[] = []
+  readonly stutters: Stutters
   /** The relay port at which callers reach each host. */
   readonly callerPorts = new Map<string, number>()
   /** The port on which each host itself listens for callers. */
@@ -112,6 +123,7 @@
 
   constructor(plan: FleetPlan) {
     this.plan = plan
+    this.stutters = new Stutters(new SeededRandom(plan.seed))
     this.groups = Array.from({ length: plan.services }, (_, index) => {
       const service = `service-${String(index + 1)}`
       const servers = Array.from({ length: SERVERS_PER_SERVICE }, (__, place) =>
@@ -379,7 +391,13 @@
     id: BackendServerId,
     zone: BackendServerEntry['zone'],
   ): Promise<void> {
-    const listener = await serveBackend(this.dialer, group, id)
+    const listener = await serveBackend(this.dialer, group, id, {
+      ...this.plan.backendHooks,
+      repeatsAfter: (server, kind) => this.stutters.repeatsAfter(server, kind),
+      onRepeated: kind => {
+        this.stutters.repeated[kind] += 1
+      },
+    })
     this.#closeCallbacks.push(() => listener.close())
     this.relay.setTarget(id, portOf(listener))
     this.#listenPorts.set(id, portOf(listener))
