--- a/packages/soak/src/answerChecker.ts
+++ b/packages/soak/src/answerChecker.ts
@@ -31,12 +31,18 @@
   readonly #signed = new Map<string, SignedAnswer>()
   /** The statement to whose caller each run was told. */
   readonly #answered = new Map<string, string>()
+  readonly #endedAt = new Map<string, number>()
 
   recordSent(statement: SentStatement): void {
     this.counts.sent += 1
     this.#sent.set(statement.id, statement)
   }
 
+  /** Its caller waits no longer, with whatever answer. */
+  recordEnded(id: string): void {
+    this.#endedAt.set(id, performance.now())
+  }
+
   /** Checks what has reached a server. */
   checkReceived({ server, id, text, values }: ReceivedStatement): void {
     this.counts.received += 1
@@ -50,11 +56,11 @@
       const isOtherShape = found !== null && expected !== null && found !== expected
       this.#report(
         isOtherShape ? 'otherSession' : 'unasked',
-        `${server} received ${id} as ${quote(text)}, sent as ${quote(sent.text)}`,
+        `${server} received ${id} as ${quote(text)}, sent as ${quote(sent.text)}${this.#delayOf(id)}`,
       )
     }
     if (values !== sent.values) {
-      const under = `${quote(values)}, its session has ${quote(sent.values)}`
+      const under = `${quote(values)}, its session has ${quote(sent.values)}${this.#delayOf(id)}`
       this.#report('otherSession', `${server} ran ${id} under the values ${under}`)
     }
   }
@@ -103,6 +109,14 @@
     this.#report('unsolicited', `${caller} received ${quote(text)}, which answers nothing it sent`)
   }
 
+  /** Reads may still reach a server after their answer. */
+  #delayOf(id: string): string {
+    const endedAt = this.#endedAt.get(id)
+    return endedAt === undefined
+      ? ''
+      : `, ${(performance.now() - endedAt).toFixed(0)} ms after its answer`
+  }
+
   #report(kind: AnswerFindingKind, finding: string): void {
     this.findingCounts[kind] += 1
     this.findings.push(`${kind}: ${finding}`)
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -255,6 +255,7 @@
     const restedMilliseconds = this.#restedMilliseconds
     this.#restedMilliseconds = 0
     const answer = (await this.#withTimeout(session.wire, pending)) ?? { kind: 'closed' }
+    this.#answers?.recordEnded(id)
     if (answer.kind === 'done') {
       if (id === '-') this.#answers?.checkOwnAnswer(this.#name, answer)
       else this.#answers?.checkAnswer(id, answer)
