fix(protocol): a busy server confirms its refusals as well

What callers would see: an unknown outcome instead of a promise, where a server that is busy for a moment refused BEGIN, which stood in for PREPARE and CLOSE every second time. Now it is always PREPARE and CLOSE.

--- a/packages/protocol/src/host/commandPipeline.ts
+++ b/packages/protocol/src/host/commandPipeline.ts
@@ -17,9 +17,8 @@
 
 /**
  * The commands whose answers confirm a held reply, sent one after the other. Their answers are never like those to a
- * caller's statement or a report. The prepared statement is never executed; its name is new, since a rollback might
- * have kept an earlier one. Outside transactions every second time differs, so that the answers to the commands of the
- * time before do not fit if they come again as well.
+ * caller's statement or a report, and a busy server answers them as well. The prepared statement is never executed; its
+ * name is new, since a rollback might have kept an earlier one.
  */
 function confirmingCommands(status: SessionStatus, times: number): OwnCommand[] {
   const name = `confirm${String(times)}`
@@ -27,16 +26,8 @@
     { kind: 'prepare', name, effect: 'read', shape: name },
     { kind: 'close', name },
   ]
-  switch (status) {
-    case 'idle':
-      if (times % 2 === 1) return preparing
-      return [{ kind: 'begin', readOnly: true, after: null }, { kind: 'rollback' }]
-    case 'open':
-      return preparing
-    // The server answers nothing else in a failed transaction.
-    case 'failed':
-      return [{ kind: 'rollback' }, ...preparing]
-  }
+  // The server answers nothing else in a failed transaction.
+  return status === 'failed' ? [{ kind: 'rollback' }, ...preparing] : preparing
 }
 
 export type SettleReply = (reply: Result<BackendReply, LinkFailure>) => void
