--- a/packages/host/__tests__/relayedTransactions.spec.ts
+++ b/packages/host/__tests__/relayedTransactions.spec.ts
@@ -125,7 +125,7 @@
 describe('a relayed transaction that is given up while a statement runs in it', () => {
   const REQUEST_MILLISECONDS = 50
   // Guards against a transaction that keeps its connection until it has been idle for too long: its end arrives while
-  // the statement runs, and after that nobody ends it.
+  // the statement runs, and nothing ends it afterwards.
   const statements: readonly (readonly [string, boolean])[] = [
     ['its first statement', true],
     ['a later statement', false],
--- a/packages/host/src/relayChecks.ts
+++ b/packages/host/src/relayChecks.ts
@@ -5,6 +5,7 @@
  * @internal
  */
 import type { CallerRefusal, RevisedChange } from '@nutmegcourse/protocol'
+import { isFields } from '@nutmegcourse/shared'
 import type { ChangeFeedRequest, ChangeFeedResponse } from './changeFeedMessages.js'
 import type {
   ReceivedAnswer,
@@ -20,8 +21,6 @@
   RequestMessage,
 } from './relayMessages.js'
 
-type Fields = Readonly<Record<string, unknown>>
-
 /** The longest span for which a timer can be set. */
 const MAXIMUM_WAIT_MILLISECONDS = 2 ** 31 - 1
 
@@ -41,9 +40,6 @@
   tooLarge: true,
 }
 
-const isFields = (value: unknown): value is Fields =>
-  typeof value === 'object' && value !== null && !Array.isArray(value)
-
 const isText = (value: unknown): value is string => typeof value === 'string'
 
 const isFlag = (value: unknown): boolean => typeof value === 'boolean'
--- a/packages/protocol/src/host/seenTexts.ts
+++ b/packages/protocol/src/host/seenTexts.ts
@@ -38,7 +38,7 @@
   }
 }
 
-/** How many different texts are told apart; beyond that, all count as seen. */
+/** The number of different texts that are kept; beyond that, all count as seen. */
 const DISTINCT_TEXTS = 64
 
 /** Texts of which there are few, such as refusals. */
--- a/packages/soak/__tests__/answerChecker.spec.ts
+++ b/packages/soak/__tests__/answerChecker.spec.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl'
 import { AnswerChecker, type DoneAnswer } from '../src/index.js'
 
-// Guards against a checker that misses answers of other statements and statements that nobody sent. Each case breaks
+// Guards against a checker that misses answers of other statements and statements that no caller sent. Each case breaks
 // one promise as a faulty host would; the cases without findings guard against false reports.
 
 const ROWS = ['w0', 'row of r\nDONE 9.9.forged\nREADY I 1.1']
--- a/packages/soak/__tests__/soakAnswers.spec.ts
+++ b/packages/soak/__tests__/soakAnswers.spec.ts
@@ -31,7 +31,7 @@
   })
 })
 
-// Guards against answers of other statements and statements that nobody sent: data and rows that hold line feeds came
+// Guards against answers of other statements and statements that no caller sent: data and rows that hold line feeds came
 // apart, and an answer that a server sent twice was taken for that of the next statement on the connection.
 describe('entry host processes between servers that answer twice', () => {
   it('keep their promises with data and rows that look like messages', async () => {
--- a/packages/soak/src/answerChecker.ts
+++ b/packages/soak/src/answerChecker.ts
@@ -29,7 +29,7 @@
   }
   readonly #sent = new Map<string, SentStatement>()
   readonly #signed = new Map<string, SignedAnswer>()
-  /** The statement to whose caller each run was told. */
+  /** The statement whose caller received each run's answer. */
   readonly #answered = new Map<string, string>()
   readonly #endedAt = new Map<string, number>()
 
@@ -70,7 +70,7 @@
     this.#signed.set(answer.run, answer)
   }
 
-  /** Checks what the caller of a statement was told. */
+  /** Checks the answer that the caller of a statement received. */
   checkAnswer(id: string, { signature, run, rows }: DoneAnswer): void {
     this.counts.compared += 1
     const signed = run === undefined ? undefined : this.#signed.get(run)
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -51,7 +51,7 @@
   readonly isReplicationDelayed: boolean
   /** Whether each version of the configuration adds a route and removes an older one. */
   readonly hasVersionRoutes: boolean
-  /** What the servers add to reads, and who is told of what they receive and answer. */
+  /** What the servers add to reads, and who observes what they receive and answer. */
   readonly backendHooks: Pick<BackendHooks, 'rowsOf' | 'onReceived' | 'onSigned'>
   readonly program: string
   readonly directory: string
