--- a/packages/protocol/src/host/backendLink.ts
+++ b/packages/protocol/src/host/backendLink.ts
@@ -144,7 +144,8 @@
 /**
  * One connection to a backend server. Commands are answered in the order in which they were sent. A reply is passed on
  * only if it cannot be the answer to another command; otherwise the connection is closed, and every command that waits
- * fails with `malformedAnswer`.
+ * fails with `malformedAnswer`. That one of the host's own commands succeeded is certain only with the next reply to a
+ * statement: a repeated answer in its place makes that one unfit.
  */
 export interface BackendLink {
   readonly isOpen: boolean
