fix(protocol): a refusal in front of a refused lead check is not confirmed by the answer to its ROLLBACK

What callers saw: a read refused for a reason that its server did not give, for instance notPrimary in place of BUSY, upon which the host dropped its primary; and a connection that went on with one answer too many, so that the next write on it had an unknown outcome.

Cause: READ, BEGIN and ROLLBACK are sent together. A refusal that comes again is taken for the READ's, the READ's own for the BEGIN's, the BEGIN's own for the ROLLBACK's. The ROLLBACK's own answer then passes for that to the PREPARE which confirms the refusal, and the PREPARE's for that to the CLOSE.

Evidence: refusedLeadCheck.spec.ts, found by a review, red before ("notPrimary", the server's own was BUSY).

Where the last outstanding command is answered like the confirming ones, and no answer since has opened a transaction, a BEGIN READ and a ROLLBACK confirm as well: shifted answers do not fit a change of status. A server that is busy for a moment refuses the BEGIN, which costs the connection, and reads only.

--- a/packages/protocol/src/host/commandPipeline.ts
+++ b/packages/protocol/src/host/commandPipeline.ts
@@ -30,6 +30,32 @@
   return status === 'failed' ? [{ kind: 'rollback' }, ...preparing] : preparing
 }
 
+/** Whose answers differ from each other; a busy server may refuse the first. */
+const CHANGE_OF_STATUS: readonly OwnCommand[] = [
+  { kind: 'begin', readOnly: true, after: null },
+  { kind: 'rollback' },
+]
+
+/** Whether the command succeeds without rows and outside a transaction, as the first confirming ones do. */
+function isAnsweredAsConfirming({ kind }: BackendCommand): boolean {
+  switch (kind) {
+    case 'rollback':
+    case 'set':
+    case 'prepare':
+    case 'close':
+    case 'reset':
+      return true
+    case 'begin':
+    case 'forward':
+    case 'execute':
+    case 'report':
+    case 'pause':
+    case 'resume':
+    case 'stepDown':
+      return false
+  }
+}
+
 export type SettleReply = (reply: Result<BackendReply, LinkFailure>) => void
 
 /** A command whose answer has not arrived. */
@@ -59,6 +85,8 @@
   /** The confirming commands that are still to be sent. */
   #confirming: OwnCommand[] = []
   #confirmations = 0
+  /** The last command before the confirming ones is answered like them, and no answer since has opened a transaction. */
+  #needsChangeOfStatus = false
   readonly #connection: number
   readonly #openedAt: Milliseconds
   #commandsSent = 0
@@ -97,6 +125,7 @@
     this.#pending.shift()
     this.#answersReceived += 1
     this.#previousCommand = pending.command.kind
+    if (answer.status === 'open') this.#needsChangeOfStatus = false
     switch (pending.kind) {
       case 'requested':
         this.#settleOrHold(pending.settle, answer, verdict.kind === 'certain')
@@ -158,6 +187,8 @@
   #beginConfirming(): void {
     this.#confirmations += 1
     this.#confirming = confirmingCommands(this.#statusAfterPending(), this.#confirmations)
+    const last = this.#pending.at(-1)
+    this.#needsChangeOfStatus = last !== undefined && isAnsweredAsConfirming(last.command)
     this.#continueConfirming()
   }
 
@@ -166,6 +197,10 @@
    * the second of two only when its first answer is acknowledged.
    */
   #continueConfirming(): void {
+    if (this.#confirming.length === 0 && this.#needsChangeOfStatus) {
+      this.#needsChangeOfStatus = false
+      this.#confirming.push(...CHANGE_OF_STATUS)
+    }
     const next = this.#confirming.shift()
     if (next === undefined) this.#releaseHeld()
     else this.#enqueue({ kind: 'confirming', command: next })
