fix(host): the probe of a primary takes no answers to an earlier probe

What callers saw: bounded reads and reads of own writes from replicas that lacked the required position, without an error, for as long as the probe's older position was the newest bound.

Cause: a probe is a BEGIN and a ROLLBACK, and its answers carry no mark. Those to an earlier probe, repeated ahead of the own ones, fit; the earlier position was recorded as of the later time, and removed newer bounds. The connection was closed only when the own answers found no command waiting.

A PREPARE and a CLOSE are sent behind the two, in the same write. The own answer to the BEGIN, outstanding then, does not fit the PREPARE, so the connection is closed and nothing recorded.

--- a/packages/host/src/primaryProbe.ts
+++ b/packages/host/src/primaryProbe.ts
@@ -5,7 +5,7 @@
  * @internal
  */
 import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
-import type { ReadGuarantee } from '@nutmegcourse/protocol'
+import type { BackendReply, OwnCommand, ReadGuarantee } from '@nutmegcourse/protocol'
 import { runCommand } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
@@ -25,6 +25,22 @@
 /** An answer takes one round trip; after this limit the connection is considered broken. */
 const ANSWER_LIMIT_MILLISECONDS = 400
 
+const PROBE_NAME = 'probe'
+
+/**
+ * The answers to an earlier probe that come again fit the first two. The first one's own answer is then outstanding, and
+ * does not fit the third.
+ */
+const PROBE_COMMANDS: readonly OwnCommand[] = [
+  { kind: 'begin', readOnly: false, after: null },
+  { kind: 'rollback' },
+  { kind: 'prepare', name: PROBE_NAME, effect: 'read', shape: PROBE_NAME },
+  { kind: 'close', name: PROBE_NAME },
+]
+
+const isMissing = (reply: BackendReply | null | undefined): reply is null | undefined =>
+  reply === null || reply === undefined
+
 export class PrimaryProbe {
   readonly #context: HostContext
   readonly #service: ServiceState
@@ -74,11 +90,11 @@
     const askedAt = clock.now()
     const deadline = addMilliseconds(askedAt, ANSWER_LIMIT_MILLISECONDS)
     server.probeSent(askedAt)
-    const [begun, ended] = await Promise.all([
-      runCommand(this.#context, link, { kind: 'begin', readOnly: false, after: null }, deadline),
-      runCommand(this.#context, link, { kind: 'rollback' }, deadline),
-    ])
-    if (begun === null || ended?.status !== 'idle') {
+    const [begun, ended, prepared, closed] = await Promise.all(
+      PROBE_COMMANDS.map(command => runCommand(this.#context, link, command, deadline)),
+    )
+    const isConfirmed = ended?.status === 'idle' && !isMissing(prepared) && !isMissing(closed)
+    if (isMissing(begun) || !isConfirmed) {
       server.pool.discard(link)
       return
     }
