fix(soak): a change of primary that faults forced is not planned work when it outlasts them

No planned operation was under way.

The promise is that planned work without other trouble leaves no statement of unknown outcome. A group that was left without a primary by faults is other trouble. Its statements are excused until 3 s after one leads, as after a fault.

As strict as before: statements of other services; a group that loses its primary later than 3 s after the last fault; a group with a primary whose replicas stay paused for longer; closed connections, for which a missing primary is no reason; lost and repeated writes, reads, and the bound of 12 s for the recovery, which also bounds this excuse.

--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -9,6 +9,7 @@
 import { keepsFromStore, overlapKey } from './faultEffects.js'
 import type { Fault, PlannedFault } from './faultPlan.js'
 import { PLANNED_KINDS, STORE } from './faultPlan.js'
+import { FAULT_AFTERMATH_MILLISECONDS, LeaderlessGroups } from './leaderlessGroups.js'
 import { starve, type Starvation } from './starvation.js'
 import { FaultTrace } from './faultTrace.js'
 import type { SoakFleet } from './soakFleet.js'
@@ -31,6 +32,7 @@
   readonly #trace: FaultTrace
   /** The primary of each service that was traced last. */
   readonly #tracedPrimaries = new Map<string, string>()
+  readonly #leaderlessGroups = new LeaderlessGroups()
   readonly #changes: ChangeFaultInjector
   /** The number of started faults by kind. */
   readonly faultCounts = new Map<string, number>()
@@ -49,6 +51,7 @@
     this.#roleTimer = setInterval(() => {
       fleet.updateServerRoles()
       this.#tracePrimaries()
+      this.#observePrimaries()
     }, ROLE_CHECK_MILLISECONDS)
   }
 
@@ -76,6 +79,12 @@
     )
   }
 
+  /** Whether the group of the service was without a primary that it had lost to faults at or after `time`. */
+  wasLeaderlessSince(service: string, time: number): boolean {
+    this.#observePrimaries()
+    return this.#leaderlessGroups.wasLeaderlessSince(service, time)
+  }
+
   /** Whether any fault was active at or after `time`. */
   hadFaultSince(time: number): boolean {
     return (
@@ -108,6 +117,14 @@
     }
   }
 
+  #observePrimaries(): void {
+    const now = performance.now()
+    const isAmidFaults = this.hadUnplannedFaultSince(now - FAULT_AFTERMATH_MILLISECONDS)
+    for (const { service, currentPrimary } of this.#fleet.groups) {
+      this.#leaderlessGroups.observe(service, currentPrimary !== null, isAmidFaults, now)
+    }
+  }
+
   async #applyFault(planned: PlannedFault): Promise<void> {
     const { fault: drawn, durationMilliseconds, onClaim } = planned
     if (onClaim !== undefined) {
--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -10,6 +10,7 @@
 import { planFaults, type FaultKind, type PlannedFault } from './faultPlan.js'
 import { SHORTEST_TIMEOUT_MILLISECONDS } from './guarantees.js'
 import { USUAL_HABITS, steadyHabits, type CallerHabits } from './hardLoad.js'
+import { FAULT_AFTERMATH_MILLISECONDS } from './leaderlessGroups.js'
 import { LoadChecker } from './loadChecker.js'
 import { LoadGenerator } from './loadGenerator.js'
 import { planCalmLoads, planLoads } from './loadPlan.js'
@@ -84,9 +85,6 @@
 /** The time within which every host must serve every service again after the last fault. */
 const RECOVERY_TIMEOUT_MILLISECONDS = 12_000
 
-/** A failed statement within this time after an unplanned fault may be caused by the fault. */
-const FAULT_AFTERMATH_MILLISECONDS = 3000
-
 /** A failed statement within this time after a stall of this process may be caused by the stall. */
 const STALL_AFTERMATH_MILLISECONDS = 500
 
@@ -238,7 +236,7 @@
       answers: this.#answers,
       onUnsuccessfulStatement: statement => {
         this.#options.onUnsuccessfulStatement?.(statement)
-        if (this.#isExcused() || this.#isOverloadTimeout(statement)) return
+        if (this.#isExcused(statement) || this.#isOverloadTimeout(statement)) return
         const { isStopping } = this.#fleet.host(statement.host)
         this.#checker.checkDuringPlannedOperation(statement, isStopping)
       },
@@ -249,10 +247,13 @@
     })
   }
 
-  #isExcused(): boolean {
+  /** A group without a primary is no reason to close a connection. */
+  #isExcused({ service, answer }: UnsuccessfulStatement): boolean {
     const now = performance.now()
+    const aftermathSince = now - FAULT_AFTERMATH_MILLISECONDS
     return (
-      this.#injector.hadUnplannedFaultSince(now - FAULT_AFTERMATH_MILLISECONDS) ||
+      this.#injector.hadUnplannedFaultSince(aftermathSince) ||
+      (answer.kind !== 'closed' && this.#injector.wasLeaderlessSince(service, aftermathSince)) ||
       this.#stallDetector.hasStalledSince(now - STALL_AFTERMATH_MILLISECONDS)
     )
   }
--- a/packages/soak/src/soakCaller.ts
+++ b/packages/soak/src/soakCaller.ts
@@ -270,6 +270,7 @@
       const at = new Date().toISOString()
       this.#options.onUnsuccessfulStatement?.({
         host: session.host,
+        service: session.service,
         id,
         owedMilliseconds,
         answer,
--- a/packages/soak/src/soakCallerOptions.ts
+++ b/packages/soak/src/soakCallerOptions.ts
@@ -10,6 +10,7 @@
 /** A statement without a successful answer. */
 export interface UnsuccessfulStatement {
   readonly host: string
+  readonly service: string
   /** `-` for a begin or a rollback. */
   readonly id: string
   /** The time from sending the statement to its answer or to the end of the wait. */
