fix(host): a change of primary does not wait for a server that another host knows to have ended

Cause: two members of the group had ended while the store was away. A host that starts reads from the record of the members that they may return, and counts the 20 s after which they do not from its own start. What the others knew was written to the record 2 s late, and hosts that knew the member themselves did not read it.

Now a member's end is written to the record at once, and counts at each host that does not list the member either, if it is the same process. The 20 s are as before, counted by the host that missed the server first. It costs one more call for a member that ends, since its last position is written later.

Tests: changeReviewed.spec.ts "goes on once another host has found that they ended" timed out before (its limit is 2 s); serverDirectory.spec.ts and memberRecord.spec.ts have the cases of each part.

--- a/packages/coordination/__tests__/synchronous/memberRecord.spec.ts
+++ b/packages/coordination/__tests__/synchronous/memberRecord.spec.ts
@@ -71,6 +71,18 @@
     name: 'a member that has ended',
     recorded: recordOf(memberOf('a')),
     members: [memberOf('a', { hasEnded: true })],
+    expected: 'memberEnded',
+  },
+  {
+    name: 'a member that has ended, beside one that holds nothing any more',
+    recorded: recordOf(memberOf('b'), memberOf('a')),
+    members: [memberOf('a', { hasEnded: true })],
+    expected: 'memberEnded',
+  },
+  {
+    name: 'a member that is back',
+    recorded: recordOf(memberOf('a', { hasEnded: true })),
+    members: [memberOf('a')],
     expected: 'isOutdated',
   },
   {
--- a/packages/coordination/src/synchronous/memberRecord.ts
+++ b/packages/coordination/src/synchronous/memberRecord.ts
@@ -30,6 +30,8 @@
   | 'none'
   /** The record lacks a member: a host that starts would not know it. */
   | 'lacksMember'
+  /** A member has ended for good: a change of primary may wait for it, at a host that has missed it for less long. */
+  | 'memberEnded'
   /** It names a server that holds nothing any more, or says less of one than is known. */
   | 'isOutdated'
 
@@ -46,7 +48,8 @@
   for (const member of members) {
     const before = known.get(member.entry.server)
     if (before === undefined || !isSameProcess(before.entry, member.entry)) return 'lacksMember'
-    if (saysLess(before, member)) change = 'isOutdated'
+    if (!before.hasEnded && member.hasEnded) change = 'memberEnded'
+    else if (change === 'none' && saysLess(before, member)) change = 'isOutdated'
   }
   return change
 }
--- a/packages/host/__tests__/changeReviewed.spec.ts
+++ b/packages/host/__tests__/changeReviewed.spec.ts
@@ -1,7 +1,14 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { attemptId, logPosition } from '@nutmegcourse/shared'
-import { changeKey, unfinishedKey, writeRecord } from '@nutmegcourse/coordination'
+import {
+  changeKey,
+  membersKey,
+  readMemberRecord,
+  unfinishedKey,
+  writeMemberRecord,
+  writeRecord,
+} from '@nutmegcourse/coordination'
 import { freePorts } from '@nutmegcourse/stand-ins'
 import {
   A,
@@ -160,6 +167,34 @@
   })
 })
 
+describe('a change of primary that waits for servers which may return', () => {
+  // Guards against a group that stays without a primary for as long as the holder itself has to miss them, which may have
+  // started just now.
+  it('goes on once another host has found that they ended', async () => {
+    await withHostFixture(1, async (scene, [host]) => {
+      if (host === undefined) return
+      await wait(LIST_COMPLETE_MILLISECONDS)
+      for (const server of [P, B]) {
+        scene.crash(server)
+        scene.store.unlistServer(server)
+      }
+      const waits = (): boolean =>
+        linesOf(scene, 'change_waits').some(({ fields }) => fields.kind === 'unknownReplica')
+      await scene.until(waits, 'the change waits', NEXT_CHANGE_MILLISECONDS)
+      const key = membersKey(SERVICE)
+      const record = readMemberRecord(SERVICE, scene.store.record(key)?.value ?? '')
+      const members = (record?.members ?? []).map(member => ({
+        ...member,
+        hasEnded: member.entry.server !== A,
+      }))
+      const value = writeMemberRecord({ era: record?.era ?? 0, members })
+      scene.store.change({ expected: [], puts: [{ key, value, lease: 0 }], removes: [] })
+      const leads = (): boolean => scene.group.server(A).role === 'primary'
+      await scene.until(leads, 'the other replica leads', 2000)
+    })
+  })
+})
+
 describe('a host that has just started', () => {
   // Guards against a host that replaces a live primary which it does not know, since its entry has lapsed.
   it('names no primary while another host reaches one', async () => {
--- a/packages/host/src/memberRecorder.ts
+++ b/packages/host/src/memberRecorder.ts
@@ -73,7 +73,7 @@
       return
     }
     if (this.#pending?.change !== change) this.#pending = { change, since: now }
-    const delay = change === 'lacksMember' ? 0 : OUTDATED_MILLISECONDS
+    const delay = change === 'isOutdated' ? OUTDATED_MILLISECONDS : 0
     const turn = addMilliseconds(this.#pending.since, delay + rank() * RANK_DELAY_MILLISECONDS)
     if (now >= turn) void this.#write({ era, members })
   }
--- a/packages/state/__tests__/synchronous/serverDirectory.spec.ts
+++ b/packages/state/__tests__/synchronous/serverDirectory.spec.ts
@@ -282,6 +282,36 @@
       },
       { members: ['a'], isGone: false },
     ],
+    // Guards against a change of primary that waits for an ended server, since its host has missed it for less long than
+    // another host.
+    [
+      'do not return once another host has found that they ended',
+      directory => {
+        directory.noteRecorded({ entry: entry(), ...UNENDED }, at(0))
+        directory.noteRecorded({ entry: entry(), ...UNENDED, hasEnded: true }, at(1))
+      },
+      { members: ['a'], isGone: true },
+    ],
+    [
+      'do not return once another host has found that they ended, while their own grace lasts',
+      directory => {
+        directory.upsert(entry(), at(0))
+        directory.unlist(A, at(0))
+        directory.noteRecorded({ entry: entry(), ...UNENDED, hasEnded: true }, at(1))
+      },
+      { members: ['a'], isGone: true },
+    ],
+    [
+      'may return if only an earlier process has ended',
+      directory => {
+        directory.noteRecorded(
+          { entry: entry({ startedAtUnixMilliseconds: 2 }), ...UNENDED },
+          at(0),
+        )
+        directory.noteRecorded({ entry: entry(), ...UNENDED, hasEnded: true }, at(1))
+      },
+      { members: ['a'], isGone: false },
+    ],
     [
       'hold nothing of their own once another server was promoted',
       directory => {
--- a/packages/state/src/synchronous/serverDirectory.ts
+++ b/packages/state/src/synchronous/serverDirectory.ts
@@ -138,12 +138,15 @@
   }
 
   /**
-   * Records a member that another host left, and returns false if it is known. Otherwise it counts as one that was
-   * dropped just now: it may live, cut off from the store only.
+   * Records a member that another host left, and returns false if that is known. A member that was unknown counts as one
+   * that was dropped just now: it may live, cut off from the store only.
    */
-  noteRecorded({ entry, hasEnded, holdsUpTo }: KnownMember, now: Milliseconds): boolean {
+  noteRecorded(member: KnownMember, now: Milliseconds): boolean {
+    const { entry, hasEnded, holdsUpTo } = member
     const { server, service } = entry
-    if (this.#servers.has(server) || this.#dropped.has(server)) return false
+    if (this.#servers.has(server) || this.#dropped.has(server)) {
+      return hasEnded && this.#noteEnded(member, now)
+    }
     this.#dropped.set(server, { entry, at: now, mayHoldWrites: true })
     this.#gone.add(server, service, hasEnded ? now : addMilliseconds(now, RESTART_MILLISECONDS))
     this.#gone.recordAppeared(entry, now)
@@ -151,6 +154,18 @@
     return true
   }
 
+  /** A host that has missed the server for longer, perhaps since before this one started, knows sooner that it has ended. */
+  #noteEnded({ entry, holdsUpTo }: KnownMember, now: Milliseconds): boolean {
+    const { server, service } = entry
+    const own = this.lastEntry(server)
+    const isListed = this.#servers.get(server)?.goneSince === null
+    if (isListed || own === null || !isSameIncarnation(own, entry)) return false
+    if (this.isGone(server, now)) return false
+    this.#gone.add(server, service, now)
+    if (holdsUpTo !== null) this.#gone.recordHeldUpTo(server, holdsUpTo)
+    return true
+  }
+
   /**
    * Whether the server may be back with its log. The entry of a live one that is gone is back within some seconds, also
    * that of a server that was leaving.
