--- a/packages/soak/src/runSoak.ts
+++ b/packages/soak/src/runSoak.ts
@@ -8,6 +8,7 @@
 import type { FaultKind, PlannedFault } from './faultPlan.js'
 import { SHORTEST_TIMEOUT_MILLISECONDS } from './guarantees.js'
 import { USUAL_HABITS, steadyHabits, type CallerHabits } from './hardLoad.js'
+import { FAULT_AFTERMATH_MILLISECONDS } from './leaderlessGroups.js'
 import { LoadChecker } from './loadChecker.js'
 import { LoadGenerator } from './loadGenerator.js'
 import { planCalmLoads, planLoads } from './loadPlan.js'
@@ -82,9 +83,6 @@
 const PROMOTION_MILLISECONDS = 300
 const LONG_PROMOTION_MILLISECONDS = 1000
 
-/** A failed statement within this time after an unplanned fault may be caused by the fault. */
-const FAULT_AFTERMATH_MILLISECONDS = 3000
-
 /** A failed statement within this time after a stall of this process may be caused by the stall. */
 const STALL_AFTERMATH_MILLISECONDS = 500
 
@@ -247,7 +245,7 @@
       answers: this.#answers,
       onUnsuccessfulStatement: statement => {
         this.#options.onUnsuccessfulStatement?.(statement)
-        if (this.#isExcused() || this.#isOverloadTimeout(statement)) return
+        if (this.#isExcused(statement) || this.#isOverloadTimeout(statement)) return
         const { isStopping } = this.#fleet.host(statement.host)
         this.#checker.checkDuringPlannedOperation(statement, isStopping)
       },
@@ -258,10 +256,13 @@
     })
   }
 
-  #isExcused(): boolean {
+  /** A group without a primary is no reason to close a connection. */
+  #isExcused({ service, answer }: UnsuccessfulStatement): boolean {
     const now = performance.now()
+    const aftermathSince = now - FAULT_AFTERMATH_MILLISECONDS
     return (
-      this.#injector.hadUnplannedFaultSince(now - FAULT_AFTERMATH_MILLISECONDS) ||
+      this.#injector.hadUnplannedFaultSince(aftermathSince) ||
+      (answer.kind !== 'closed' && this.#injector.wasLeaderlessSince(service, aftermathSince)) ||
       this.#stallDetector.hasStalledSince(now - STALL_AFTERMATH_MILLISECONDS)
     )
   }
