--- a/packages/soak/src/answerFaults.ts
+++ b/packages/soak/src/answerFaults.ts
@@ -36,7 +36,7 @@
   changeSeries: { draw: planChangeSeries, stuttersPerStart: 15 },
 } as const satisfies Record<string, BasePlan>
 
-/** The base plan, and stutters beside it. */
+/** The base plan, followed by the faults of answers. */
 export function planAnswerFaults(
   sizes: PlanSizes,
   random: RandomSource,
--- a/packages/soak/src/stutters.ts
+++ b/packages/soak/src/stutters.ts
@@ -4,16 +4,9 @@
 import type { AnswerCut, AnswerKind } from '@nutmegcourse/platform/standIns'
 
 export type StutterFault =
-  /** Answers come again once, up to `latestMilliseconds` later. */
+  /** Answers come again up to `latestMilliseconds` later, once or twice. */
   | {
-      readonly kind: 'serverStutters'
-      readonly server: string
-      readonly answers: AnswerKind
-      readonly latestMilliseconds: number
-    }
-  /** The same, twice for each answer. */
-  | {
-      readonly kind: 'serverStuttersTwice'
+      readonly kind: 'serverStutters' | 'serverStuttersTwice'
       readonly server: string
       readonly answers: AnswerKind
       readonly latestMilliseconds: number
@@ -77,22 +70,13 @@
 
   /** See `BackendHooks`. */
   repeatsAfter(server: string, answers: AnswerKind): readonly number[] {
-    return [
-      ...this.#drawRepeats('serverStutters', server, answers),
-      ...this.#drawRepeats('serverStuttersTwice', server, answers),
-    ]
-  }
-
-  #drawRepeats(
-    kind: 'serverStutters' | 'serverStuttersTwice',
-    server: string,
-    answers: AnswerKind,
-  ): readonly number[] {
-    const fault = this.#active.get(keyOf(kind, server, answers))
-    if (fault === undefined || fault.kind === 'answersCutOff') return []
-    if (this.#random.next() >= REPEATED_SHARES[answers]) return []
-    const delayed = (): number => fault.latestMilliseconds * this.#random.next()
-    return kind === 'serverStutters' ? [delayed()] : [delayed(), delayed()]
+    return STUTTER_KINDS.flatMap(kind => {
+      const fault = this.#active.get(keyOf(kind, server, answers))
+      if (fault === undefined || fault.kind === 'answersCutOff') return []
+      if (this.#random.next() >= REPEATED_SHARES[answers]) return []
+      const drawDelay = (): number => fault.latestMilliseconds * this.#random.next()
+      return fault.kind === 'serverStutters' ? [drawDelay()] : [drawDelay(), drawDelay()]
+    })
   }
 
   /** See `BackendHooks`. */
