fix(agent, host): params are checked where they arrive

What could be seen: an agent that took, and passed on to all others, an item, an opinion or a hello with a field that is missing or of another type; it failed far from where it had arrived, or counted. A relayed end without a transaction's number ended nothing, without a trace. Read in the code, not seen in a run.

Cause: params were cast in fleetTask, peerNetwork, proxyServer and toolHandlers, and in the relay's handler of `end`.

Now each message has a schema (messageSchemas.ts); what does not fit is answered with JSON-RPC's invalid params, with the field and its value in the text, logged as "unreadable message" and counted (message.unreadable, by method). Nothing is closed on the receiving side. An unreadable item of news, or of what was fetched, is left out alone: the others of its batch are adopted. The relay's end is checked by isEndMessage; relay_malformed has a field `detail` for it.

--- a/packages/agent/__tests__/moveReports.spec.ts
+++ b/packages/agent/__tests__/moveReports.spec.ts
@@ -49,6 +49,7 @@
     heldWritesChanged: database => {
       this.reporter.check(database)
     },
+    unreadable: () => undefined,
   })
   readonly reporter = new MoveReporter({
     records: () => [this.record],
@@ -174,6 +175,7 @@
         opinionReceived: () => undefined,
         heldWritesReceived: ({ host, attempt }) => this.received.push(`${host} ${attempt}`),
         heldWritesLost: (coordinator, { kind }) => this.lost.push(`${coordinator} ${kind}`),
+        unreadable: () => undefined,
         repairTargets: () => Promise.resolve(),
       },
     })
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -87,6 +87,10 @@
   readonly #publication = new Coalescer(SNAPSHOT_DELAY_MILLISECONDS, () => {
     this.#publish()
   })
+  readonly #noteUnreadable = (method: string, detail: string): void => {
+    this.#metrics.count('message.unreadable', { method })
+    this.#log.warn('unreadable message', { method, detail })
+  }
   #fleet: FleetTask | null = null
   #server: Server | null = null
   #followCheck: NodeJS.Timeout | undefined
@@ -130,6 +134,7 @@
       heldWritesChanged: database => {
         this.#moveReporter.check(database)
       },
+      unreadable: this.#noteUnreadable,
     })
     this.#moveReporter = new MoveReporter({
       records: () => this.#groupRecords(),
@@ -239,6 +244,7 @@
         clock: this.#clock,
         proxies: this.#proxies,
         entryHost: this.#settings.entryHost,
+        unreadable: this.#noteUnreadable,
       }),
       listener: {
         itemChanged: item => {
@@ -267,6 +273,7 @@
             error: error.detail,
           })
         },
+        unreadable: this.#noteUnreadable,
         repairTargets: (document, expectedRevision) => {
           this.#log.warn('the store holds older targets; restoring the newest', {
             version: document.version,
--- a/packages/agent/src/fleetTask.ts
+++ b/packages/agent/src/fleetTask.ts
@@ -38,6 +38,17 @@
   type RandomSource,
 } from '@nutmegcourse/shared'
 import type { RpcHandlers, TransportError } from '@nutmegcourse/transport'
+import { checkedHandler, readEach, readOrReport, type UnreadableListener } from './checkedParams.js'
+import {
+  compareSchema,
+  fetchSchema,
+  gossipItemSchema,
+  newsSchema,
+  opinionSchema,
+  peerHeldWritesSchema,
+  pingSchema,
+  probeSchema,
+} from './messageSchemas.js'
 import { PeerNetwork } from './peerNetwork.js'
 
 const GOSSIP_TIMEOUT_MILLISECONDS = 5000
@@ -59,6 +70,8 @@
   heldWritesReceived(held: PeerHeldWrites): void
   /** The report on held writes did not reach the coordinator. */
   heldWritesLost(coordinator: EntryHostId, error: TransportError): void
+  /** What another side sent cannot be read. */
+  readonly unreadable: UnreadableListener
   /** Writes the document to the store; resolves after the attempt, whether or not it succeeded. */
   repairTargets(document: VersionedTargets, expectedRevision: number): Promise<void>
 }
@@ -111,6 +124,7 @@
         pingAnswered: (peer, answer, askedAt) => {
           this.#receivePingAnswer(peer, answer, askedAt)
         },
+        unreadable: options.listener.unreadable,
       },
     })
   }
@@ -281,14 +295,21 @@
   }
 
   async #fetch(peer: EntryHostId, keys: readonly string[]): Promise<void> {
+    const { unreadable } = this.#options.listener
     const params: PeerFetchParams = { keys }
-    const answer = await this.network.request<PeerFetchResult>(
+    const answer = await this.network.request<unknown>(
       peer,
       'peer.fetch',
       params,
       GOSSIP_TIMEOUT_MILLISECONDS,
     )
-    if (answer.isOk()) this.#handleGossip({ kind: 'fetched', peer, items: answer.value.items })
+    const fetched = answer.isOk()
+      ? readOrReport('peer.fetch', newsSchema, answer.value, unreadable)
+      : null
+    if (fetched !== null) {
+      const items = this.#readItems('peer.fetch', fetched.items)
+      this.#handleGossip({ kind: 'fetched', peer, items })
+    }
     this.#handleGossip({ kind: 'fetchEnded', peer })
   }
 
@@ -331,49 +352,58 @@
   }
 
   #peerHandlers(peerOf: () => EntryHostId | null): RpcHandlers {
+    const { unreadable } = this.#options.listener
     return {
       ...this.#options.toolHandlers,
       'peer.identify': () => this.#hello(),
-      'peer.ping': params => {
-        const { root } = params as PeerPingParams
+      ...checkedHandler('peer.ping', pingSchema, unreadable, ({ root }) => {
         const peer = peerOf()
         if (peer !== null) {
           this.handleMembership({ kind: 'heard', peer })
           this.#handleGossip({ kind: 'rootHeard', peer, root })
         }
         return this.#answerPing()
-      },
-      'peer.news': params => {
+      }),
+      ...checkedHandler('peer.news', newsSchema, unreadable, ({ items }) => {
         const peer = peerOf()
         if (peer !== null) {
-          this.#handleGossip({
-            kind: 'batchReceived',
-            peer,
-            items: (params as PeerGossipParams).items,
-          })
+          const read = this.#readItems('peer.news', items)
+          this.#handleGossip({ kind: 'batchReceived', peer, items: read })
         }
         return null
-      },
-      'peer.compare': (params): PeerCompareResult => ({
-        versions: this.gossip.differingVersions((params as PeerCompareParams).buckets),
-      }),
-      'peer.fetch': (params): PeerFetchResult => ({
-        items: this.gossip.itemsOf((params as PeerFetchParams).keys),
       }),
-      'peer.probe': async (params): Promise<PeerProbeResult> => ({
-        reached: await this.network.reaches(
-          (params as PeerProbeParams).subject,
-          PROBE_TIMEOUT_MILLISECONDS,
-        ),
-      }),
-      'peer.opinion': params => {
-        this.#options.listener.opinionReceived(params as WatcherOpinion)
+      ...checkedHandler(
+        'peer.compare',
+        compareSchema,
+        unreadable,
+        ({ buckets }): PeerCompareResult => ({
+          versions: this.gossip.differingVersions(buckets),
+        }),
+      ),
+      ...checkedHandler('peer.fetch', fetchSchema, unreadable, ({ keys }): PeerFetchResult => ({
+        items: this.gossip.itemsOf(keys),
+      })),
+      ...checkedHandler(
+        'peer.probe',
+        probeSchema,
+        unreadable,
+        async ({ subject }): Promise<PeerProbeResult> => ({
+          reached: await this.network.reaches(subject, PROBE_TIMEOUT_MILLISECONDS),
+        }),
+      ),
+      ...checkedHandler('peer.opinion', opinionSchema, unreadable, opinion => {
+        this.#options.listener.opinionReceived(opinion)
         return null
-      },
-      'peer.writesHeld': params => {
-        this.#options.listener.heldWritesReceived(params as PeerHeldWrites)
+      }),
+      ...checkedHandler('peer.writesHeld', peerHeldWritesSchema, unreadable, held => {
+        this.#options.listener.heldWritesReceived(held)
         return null
-      },
+      }),
     }
   }
+
+  /** An unreadable item does not keep the others from being adopted. */
+  #readItems(method: string, items: readonly unknown[]): GossipItem[] {
+    return readEach(method, gossipItemSchema, items, this.#options.listener.unreadable)
+  }
 }
--- a/packages/agent/src/peerNetwork.ts
+++ b/packages/agent/src/peerNetwork.ts
@@ -17,7 +17,9 @@
   type RpcHandlers,
   type TransportError,
 } from '@nutmegcourse/transport'
+import { checkedHandler, type UnreadableListener } from './checkedParams.js'
 import { DialBackoff } from './dialBackoff.js'
+import { helloSchema } from './messageSchemas.js'
 import { TrafficCounter } from './trafficCounter.js'
 
 const HELLO_TIMEOUT_MILLISECONDS = 1000
@@ -34,6 +36,8 @@
   unlinked(peer: EntryHostId): void
   messageReceived(peer: EntryHostId): void
   pingAnswered(peer: EntryHostId, answer: PeerPingResult, askedAt: Milliseconds): void
+  /** What another side sent cannot be read. */
+  readonly unreadable: UnreadableListener
 }
 
 export interface PeerNetworkOptions {
@@ -81,14 +85,13 @@
     let peer: EntryHostId | null = null
     const connection: JsonRpcConnection = new JsonRpcConnection(socket, {
       ...this.#options.peerHandlers(() => peer),
-      'peer.hello': params => {
-        const hello = params as PeerHello
+      ...checkedHandler('peer.hello', helloSchema, this.#options.listener.unreadable, hello => {
         this.#checkHello(hello)
         peer = hello.entryHost
         this.#traffic.add(connection)
         this.#addLink({ connection, peer: hello, dialed: false })
         return this.#options.hello()
-      },
+      }),
     })
     this.#trackConnection(connection)
   }
--- a/packages/agent/src/proxyServer.ts
+++ b/packages/agent/src/proxyServer.ts
@@ -3,6 +3,8 @@
 import type { HeldWrites, ProxyReport, RoutingSnapshot } from '@nutmegcourse/protocol'
 import type { AttemptId, DatabaseId } from '@nutmegcourse/shared'
 import { JsonRpcConnection, listen } from '@nutmegcourse/transport'
+import { checkedHandler, type UnreadableListener } from './checkedParams.js'
+import { heldWritesSchema, proxyReportSchema } from './messageSchemas.js'
 
 /**
  * A proxy that does not read, because it is stalled or overloaded, is skipped while more than this is
@@ -21,6 +23,8 @@
   reported(report: ProxyReport): void
   /** `holdsWrites` may have become true for the database, or for any if it is null. */
   heldWritesChanged(database: DatabaseId | null): void
+  /** A proxy sent what cannot be read. */
+  readonly unreadable: UnreadableListener
 }
 
 export class ProxyServer {
@@ -43,20 +47,21 @@
   }
 
   async start(address: string, port: number): Promise<number> {
+    const { unreadable } = this.#listener
     const listening = await listen(address, port, socket => {
       const connection: JsonRpcConnection = new JsonRpcConnection(socket, {
         'agent.subscribe': () => {
           this.#subscribe(connection)
           return null
         },
-        'agent.report': params => {
-          this.#listener.reported(params as ProxyReport)
+        ...checkedHandler('agent.report', proxyReportSchema, unreadable, report => {
+          this.#listener.reported(report)
           return null
-        },
-        'agent.writesHeld': params => {
-          this.#receiveHeldWrites(connection, params as HeldWrites)
+        }),
+        ...checkedHandler('agent.writesHeld', heldWritesSchema, unreadable, held => {
+          this.#receiveHeldWrites(connection, held)
           return null
-        },
+        }),
       })
     })
     this.#server = listening.server
--- a/packages/agent/src/toolHandlers.ts
+++ b/packages/agent/src/toolHandlers.ts
@@ -11,8 +11,10 @@
 } from '@nutmegcourse/protocol'
 import type { Clock, EntryHostId } from '@nutmegcourse/shared'
 import type { RpcHandlers } from '@nutmegcourse/transport'
+import { checkedHandler, type UnreadableListener } from './checkedParams.js'
 import type { EventLog } from './eventLog.js'
 import type { FleetTask } from './fleetTask.js'
+import { explainRoutingSchema, explainSchema } from './messageSchemas.js'
 import type { ProxyServer } from './proxyServer.js'
 
 const GATHER_TIMEOUT_MILLISECONDS = 1000
@@ -25,15 +27,24 @@
   readonly clock: Clock
   readonly proxies: ProxyServer
   readonly entryHost: EntryHostId
+  /** A tool or another agent sent what cannot be read. */
+  readonly unreadable: UnreadableListener
 }
 
 export function toolHandlers(options: ToolHandlerOptions): RpcHandlers {
+  const { unreadable } = options
   return {
     'agent.status': () => options.status(),
     'agent.usage': () => options.usage(),
-    'agent.explain': params => explain(options, params as AgentExplainParams),
-    'agent.explainRouting': params => explainRouting(options, params as AgentExplainRoutingParams),
-    'agent.events': params => options.events.of((params as AgentExplainParams).database),
+    ...checkedHandler('agent.explain', explainSchema, unreadable, params =>
+      explain(options, params),
+    ),
+    ...checkedHandler('agent.explainRouting', explainRoutingSchema, unreadable, params =>
+      explainRouting(options, params),
+    ),
+    ...checkedHandler('agent.events', explainSchema, unreadable, ({ database }) =>
+      options.events.of(database),
+    ),
     'agent.getTargets': (): AgentGetTargetsResult => {
       const { configuration } = options.fleet()
       return {
--- a/packages/host/__tests__/relayChecks.spec.ts
+++ b/packages/host/__tests__/relayChecks.spec.ts
@@ -11,6 +11,8 @@
 import type { StatementRunner } from '../src/statementRunner.js'
 
 const LIMIT_MILLISECONDS = 1000
+/** By JSON-RPC 2.0. */
+const INVALID_PARAMS = -32602
 
 const ANSWER = {
   kind: 'answered',
@@ -222,4 +224,40 @@
       expect(await ask(method, request)).toEqual([refusal, 0, ['relay_malformed']])
     })
   }
+
+  // Guards against an end that names no transaction and is taken as one without a trace.
+  const ends: readonly (readonly [string, unknown, string])[] = [
+    ['without a transaction', {}, 'missing'],
+    ['of a text', { transaction: '1' }, '"1"'],
+    ['of a negative number', { transaction: -1 }, '-1'],
+    ['of null', { transaction: null }, 'null'],
+    ['that is null', null, 'null'],
+    ['that is a list', [1], '[1]'],
+  ]
+  for (const [what, params, value] of ends) {
+    it(`is answered with invalid params if it is an end ${what}`, async () => {
+      const lines: string[] = []
+      const server = new RelayServer(
+        contextWith(lines),
+        {} as unknown as StatementRunner,
+        {} as unknown as RelayServices,
+      )
+      const [port = 0] = await freePorts(1)
+      server.listen('127.0.0.1', port)
+      const opened = await openJsonRpc('127.0.0.1', port, {}, LIMIT_MILLISECONDS)
+      const connection = opened._unsafeUnwrap()
+      try {
+        const answer = await connection.request(RELAY_METHODS.end, params, LIMIT_MILLISECONDS)
+        const detail = `end: transaction: ${value}: is no transaction's number`
+        const expected = { kind: 'remote', code: INVALID_PARAMS, detail } as const
+        expect(answer._unsafeUnwrapErr()).toEqual(expected)
+        expect(lines).toEqual(['relay_malformed'])
+        const ping = await connection.request(RELAY_METHODS.ping, {}, LIMIT_MILLISECONDS)
+        expect(ping.unwrapOr(false)).toEqual(true)
+      } finally {
+        connection.close()
+        server.close()
+      }
+    })
+  }
 })
--- a/packages/host/src/decisionEvents.ts
+++ b/packages/host/src/decisionEvents.ts
@@ -649,6 +649,7 @@
     fields: {
       host: 'the host that answered; null for a request',
       method: 'the request',
+      detail: 'the field and its value; null where only the message is known',
     },
   },
   relay_failed: {
--- a/packages/host/src/relayChecks.ts
+++ b/packages/host/src/relayChecks.ts
@@ -18,6 +18,7 @@
   AnswerMessage,
   BeginMessage,
   ContinueMessage,
+  EndMessage,
   RequestMessage,
 } from './relayMessages.js'
 
@@ -79,6 +80,9 @@
 export const isContinueMessage = (value: unknown): value is ContinueMessage =>
   isFields(value) && isCount(value.transaction) && isRequestMessage(value.request)
 
+export const isEndMessage = (value: unknown): value is EndMessage =>
+  isFields(value) && isCount(value.transaction)
+
 export function isAnswerMessage(value: unknown): value is AnswerMessage {
   if (!isFields(value)) return false
   if (value.kind === 'declined') return isFlagIfAny(value.isRedirected)
--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -137,7 +137,7 @@
     if (answer.isErr()) return outcomeOf(answer.error, connection)
     const message = answer.value
     if (!isAnswerMessage(message)) {
-      this.#context.log.write('relay_malformed', { host: this.name, method })
+      this.#context.log.write('relay_malformed', { host: this.name, method, detail: null })
       // The other host then ends a transaction that it may have begun.
       connection.close()
       return { kind: 'lost' }
@@ -178,7 +178,7 @@
     if (received.isErr()) return null
     const answer = received.value
     if (isAnswer(answer)) return answer
-    this.#context.log.write('relay_malformed', { host: this.name, method })
+    this.#context.log.write('relay_malformed', { host: this.name, method, detail: null })
     return null
   }
 
--- a/packages/host/src/relayServer.ts
+++ b/packages/host/src/relayServer.ts
@@ -6,7 +6,8 @@
  * @internal
  */
 import { createServer, type Server, type Socket } from 'node:net'
-import { JsonRpcConnection, type RpcHandlers } from '@nutmegcourse/transport'
+import { isFields } from '@nutmegcourse/shared'
+import { JsonRpcConnection, invalidParams, type RpcHandlers } from '@nutmegcourse/transport'
 import type {
   ReceivedAnswer,
   ReceivedRequest,
@@ -19,6 +20,7 @@
 import {
   isBeginMessage,
   isContinueMessage,
+  isEndMessage,
   isFeedRequest,
   isGrantRequest,
   isOrderRequest,
@@ -31,7 +33,6 @@
   type AnswerMessage,
   type BeginMessage,
   type ContinueMessage,
-  type EndMessage,
   type RequestMessage,
 } from './relayMessages.js'
 import { ReceivedRoutes } from './relayRoutes.js'
@@ -48,6 +49,9 @@
 /** Added to the idle timeout of transactions, so that the host of the caller ends an idle transaction first. */
 const IDLE_MARGIN_MILLISECONDS = 1000
 
+/** How much of a value that cannot be used is logged. */
+const DESCRIBED_CHARACTERS = 80
+
 const DECLINED = { kind: 'declined' } as const
 const UNREACHED: RelayedOrderAnswer = { report: null }
 const UNSEEN: ReceivedAnswer = { furthest: null }
@@ -171,10 +175,7 @@
       ...this.#handler('single', isRequestMessage, message => this.#single(message), DECLINED),
       ...this.#handler('begin', isBeginMessage, message => this.#begin(message), DECLINED),
       ...this.#handler('continue', isContinueMessage, message => this.#continue(message), DECLINED),
-      [RELAY_METHODS.end]: params => {
-        this.#end((params as EndMessage).transaction)
-        return true
-      },
+      [RELAY_METHODS.end]: params => this.#receiveEnd(params),
     })
     this.#connection.onClose(() => {
       for (const id of [...this.#held.keys()]) this.#end(id)
@@ -190,7 +191,7 @@
   ): RpcHandlers {
     const handle = (params: unknown): Answer | Promise<Answer> => {
       if (isMessage(params)) return answer(params)
-      this.#context.log.write('relay_malformed', { host: null, method })
+      this.#context.log.write('relay_malformed', { host: null, method, detail: null })
       return refusal
     }
     return { [RELAY_METHODS[method]]: handle }
@@ -328,6 +329,18 @@
     return id
   }
 
+  #receiveEnd(params: unknown): true {
+    if (isEndMessage(params)) {
+      this.#end(params.transaction)
+      return true
+    }
+    const value = isFields(params) ? params.transaction : params
+    const text = value === undefined ? 'missing' : JSON.stringify(value)
+    const detail = `transaction: ${text.slice(0, DESCRIBED_CHARACTERS)}: is no transaction's number`
+    this.#context.log.write('relay_malformed', { host: null, method: 'end', detail })
+    throw invalidParams(detail)
+  }
+
   #end(id: number): void {
     const use = this.#inUse.get(id)
     if (use !== undefined) use.isEnded = true
--- a/packages/shared/src/counters.ts
+++ b/packages/shared/src/counters.ts
@@ -20,6 +20,8 @@
     'Planned moves that this agent went on with though hosts had not confirmed. Tags: database.',
   'move.report_lost':
     'Reports on held writes that did not reach the coordinator of a planned move. Tags: why.',
+  'message.unreadable':
+    'Messages of other agents, proxies and tools that this agent could not read. Tags: method.',
   'store.call': 'Calls to the store. Tags: method, outcome.',
   'membership.changed': 'Entry hosts that joined, left or failed. Tags: change.',
 } as const
--- a/packages/transport/src/jsonRpcConnection.ts
+++ b/packages/transport/src/jsonRpcConnection.ts
@@ -4,6 +4,7 @@
   createJSONRPCErrorResponse,
   isJSONRPCRequest,
   JSONRPCClient,
+  JSONRPCErrorCode,
   JSONRPCErrorException,
   JSONRPCServer,
   JSONRPCServerAndClient,
@@ -33,6 +34,10 @@
 /** Takes the place of an answer that is too long to be sent. */
 const ANSWER_TOO_LONG_CODE = -32098
 
+/** What a handler throws if it cannot use its params; they are answered with the standard's code and `detail`. */
+export const invalidParams = (detail: string): Error =>
+  new JSONRPCErrorException(detail, JSONRPCErrorCode.InvalidParams)
+
 type RpcMessage = JSONRPCRequest | JSONRPCResponse
 
 class ConnectTimeout extends Error {}
