fix(protocol): an answer that may end with the state of the session's start is confirmed

What could be seen: the answer to STARTUP, READY alone, that comes again between DONE and READY of a later answer completes that answer, which then carries the older end of the log: an acknowledged write that the session's next read need not include, or a primary that seems not to have moved, by which a bounded read may be too old. Found by reading, not seen in a run. Its own READY then arrives where none is due and closes the connection, but the reply has been passed on.

Cause: the link dropped the READY of the start, and nothing told a later one that is like it from the answer's own.

Now the pipeline knows the end of the log of the start. A signed answer that ends with it and with the state I may end with that READY: it is held, as a repeated refusal is, until the answers to a PREPARE and a CLOSE have arrived; the own READY that is outstanding would arrive in place of the first, which closes the connection, and what waits has an unknown outcome. Ways weighed: closing the connection at once (while nothing is written, every read ends like that); to leave the position out (the primary's reads would prove no bound any more). Held only in the first 30 s of a session, as signatures are kept: while nothing is written every read of that time costs two round trips more. Reports are as before: their position is in the row.

--- a/packages/protocol/src/host/answerHistory.ts
+++ b/packages/protocol/src/host/answerHistory.ts
@@ -4,9 +4,15 @@
  *
  * @internal
  */
-import type { Clock } from '@nutmegcourse/shared'
+import {
+  addMilliseconds,
+  comparePositions,
+  type Clock,
+  type LogPosition,
+  type Milliseconds,
+} from '@nutmegcourse/shared'
 import type { BackendCommand, BackendReply, UnfitReason } from './backendLink.js'
-import { RecentTexts, SeenTexts } from './seenTexts.js'
+import { KEPT_MILLISECONDS, RecentTexts, SeenTexts } from './seenTexts.js'
 import type { SessionStatus } from './statements.js'
 
 export type Verdict =
@@ -22,6 +28,9 @@
 
 /** What one connection has brought so far. */
 export class AnswerHistory {
+  readonly #clock: Clock
+  /** The end of the log with which the server accepted the session; null once its repetition is not expected. */
+  #start: { readonly position: LogPosition; readonly until: Milliseconds } | null = null
   readonly #signatures: RecentTexts
   readonly #refusals = new SeenTexts()
   readonly #reports = new SeenTexts()
@@ -35,6 +44,7 @@
   #mayBeShifted = false
 
   constructor(clock: Clock) {
+    this.#clock = clock
     this.#signatures = new RecentTexts(clock)
   }
 
@@ -43,6 +53,12 @@
     return this.#status
   }
 
+  /** Records the end of the log with which the server has accepted the session. */
+  noteStart(position: LogPosition | null): void {
+    if (position === null) return
+    this.#start = { position, until: addMilliseconds(this.#clock.now(), KEPT_MILLISECONDS) }
+  }
+
   /** Judges the next answer, and records it unless it is unfit. */
   judge(command: BackendCommand, answer: BackendReply): Verdict {
     const reason =
@@ -55,7 +71,8 @@
     return verdict
   }
 
-  #identify(command: BackendCommand, { rows, outcome, status }: BackendReply): Verdict {
+  #identify(command: BackendCommand, answer: BackendReply): Verdict {
+    const { rows, outcome, status } = answer
     if (outcome.kind === 'refused') {
       const isNew = this.#refusals.add(outcome.detail)
       const failsOutside = this.#status === 'idle' && status === 'failed'
@@ -63,7 +80,8 @@
     }
     if (outcome.signature !== null) {
       this.#mayBeShifted = false
-      return this.#signatures.add(outcome.signature) ? CERTAIN : unfit('repeatedSignature')
+      if (!this.#signatures.add(outcome.signature)) return unfit('repeatedSignature')
+      return this.#mayEndAsStart(answer) ? POSSIBLY_REPEATED : CERTAIN
     }
     if (isReported(command)) {
       return this.#reports.add(rows.join('\n')) ? CERTAIN : POSSIBLY_REPEATED
@@ -74,6 +92,15 @@
     return CERTAIN
   }
 
+  /** The state behind the answer may be that of the session's start once more; the answer's own is then outstanding. */
+  #mayEndAsStart({ status, position }: BackendReply): boolean {
+    const start = this.#start
+    if (start === null || status !== 'idle' || position === null) return false
+    if (this.#clock.now() < start.until) return comparePositions(position, start.position) === 0
+    this.#start = null
+    return false
+  }
+
   #statusFault(command: BackendCommand, { outcome, status }: BackendReply): UnfitReason | null {
     const before = this.#status
     if (outcome.kind === 'done') {
--- a/packages/protocol/src/host/commandPipeline.ts
+++ b/packages/protocol/src/host/commandPipeline.ts
@@ -3,7 +3,7 @@
  * be the answer to another command.
  */
 import { err, ok, type Result } from 'neverthrow'
-import type { Clock, Milliseconds } from '@nutmegcourse/shared'
+import type { Clock, LogPosition, Milliseconds } from '@nutmegcourse/shared'
 import { AnswerHistory } from './answerHistory.js'
 import type {
   BackendCommand,
@@ -81,6 +81,11 @@
     return this.#pending.length > 0
   }
 
+  /** The server has accepted the session; `position` is the end of its log. */
+  begin(position: LogPosition | null): void {
+    this.#history.noteStart(position)
+  }
+
   run(command: BackendCommand): Promise<Result<BackendReply, LinkFailure>> {
     return new Promise(settle => {
       this.#enqueue({ kind: 'requested', command, settle })
--- a/packages/protocol/src/host/seenTexts.ts
+++ b/packages/protocol/src/host/seenTexts.ts
@@ -6,7 +6,7 @@
 import { addMilliseconds, type Clock, type Milliseconds } from '@nutmegcourse/shared'
 
 /** How long a text is kept at least, in milliseconds. */
-const KEPT_MILLISECONDS = 30_000
+export const KEPT_MILLISECONDS = 30_000
 
 /** How many of the newest texts are kept, however old they are. */
 const KEPT_TEXTS = 512
