fix(host): repeated answers to a lead check do not stand in for its own

What could be seen: a read at a server that had lost the lead, answered from its old log, because the answers to the BEGIN and the ROLLBACK of an earlier lead check came again, both, behind the read's own answer.

Decided on this wire: the refusal of the check's own BEGIN is then outstanding, and arrives in place of the answer to the next command. That command is now a PREPARE, with a CLOSE of its name behind it, sent in the same write: neither is ever refused, so the refusal closes the connection and the read is sent again. No round trip more; a busy server answers both. Not decidable: all four answers repeated in this order. A RESET or SET in their place would change the session's values on the connection, a second ROLLBACK may be refused by a server that is well.

--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -55,6 +55,19 @@
   readonly deadline: Milliseconds
 }
 
+const CHECK_NAME = 'leadCheck'
+
+/**
+ * Only a primary accepts the BEGIN. The last two are never refused: if earlier answers came again in place of those to
+ * BEGIN and ROLLBACK, the refusal of this BEGIN arrives in place of theirs.
+ */
+const PRIMARY_CHECK: readonly OwnCommand[] = [
+  { kind: 'begin', readOnly: false, after: null },
+  { kind: 'rollback' },
+  { kind: 'prepare', name: CHECK_NAME, effect: 'read', shape: CHECK_NAME },
+  { kind: 'close', name: CHECK_NAME },
+]
+
 const mishap = (
   cause: StatementFailure,
   status: SessionStatus | null,
@@ -77,9 +90,7 @@
   }
   const ahead = prepared.own.map(command => link.run(command))
   const main = link.run(prepared.command)
-  const primaryChecks = plan.verifiesPrimary
-    ? [link.run({ kind: 'begin', readOnly: false, after: null }), link.run({ kind: 'rollback' })]
-    : []
+  const primaryChecks = plan.verifiesPrimary ? PRIMARY_CHECK.map(command => link.run(command)) : []
   const all = Promise.all([Promise.all(ahead), main, Promise.all(primaryChecks)])
   const replies = await withDeadline(all, plan.deadline, context.clock)
   if (replies === OVERDUE) return mishap({ kind: 'overdue' }, null)
@@ -190,11 +201,12 @@
   outcome: AttemptOutcome,
   check: readonly Result<BackendReply, LinkFailure>[],
 ): AttemptOutcome {
-  const [begun, ended] = check
+  const [begun, ended, ...behind] = check
   if (begun === undefined || ended === undefined) return outcome
   if (begun.isErr() || ended.isErr()) {
     return mishap({ kind: 'lost', failure: 'connectionLost' }, null)
   }
+  if (!behind.every(isHostCommandDone)) return mishap(MALFORMED_ANSWER, null)
   const isIdle = ended.value.status === 'idle'
   if (isHostCommandDone(begun)) return isIdle ? outcome : mishap(MALFORMED_ANSWER, null)
   return mishap({ kind: 'refused', refusal: 'notPrimary' }, isIdle ? 'idle' : null)
