fix(proxy): a whole answer too many does not complete the next request's answer

What could be seen: a caller of the PostgreSQL side that had the answer to an earlier request of its connection, complete, when a server sent one twice and the second copy arrived while the next simple query ran.

Cause: PostgreSQL's answers carry no id. An end without a result was refused, a whole answer fitted; a row that is no report counted as the position query's.

Now a Sync is sent behind each request that has no position query, in the same write; its answer is ReadyForQuery alone. The part of the caller's answer that has not been passed on when its end arrives waits for it. After an answer too many the request's own arrives in its place, or in that of the report, which has to be one readable row: the connection is closed, and the request counts as broken, as if its connection had been lost. Rows that arrived in an earlier part may have been passed on, without an end. Ways weighed: holding all rows until the Sync is answered (no streaming of long answers); a marked query behind each request (costs the server a statement). What the Sync costs was not measured.

Evidence: strayAnswers.spec.ts (packages/proxy), 7 of 15 red without the change: 'The value true is not equal to false' (the stray answer completed the request), 'The value [1, true] is not equal to [0, false]'.

--- a/packages/protocol/src/wire/messageWriters.ts
+++ b/packages/protocol/src/wire/messageWriters.ts
@@ -109,6 +109,9 @@
   })
 }
 
+/** Ends a run of messages; answered with ReadyForQuery alone. */
+export const SYNC = frameOf(CallerMessage.sync, Buffer.alloc(0))
+
 export function queryMessage(text: string): Buffer {
   return frameOf(CallerMessage.query, textBody(text))
 }
--- a/packages/proxy/__tests__/strayAnswers.spec.ts
+++ b/packages/proxy/__tests__/strayAnswers.spec.ts
@@ -82,6 +82,60 @@
     }))
 })
 
+// Guards against a whole answer to an earlier request that becomes the answer to the one that runs.
+describe('a whole answer that arrives while the next request runs', () => {
+  const STRAY = Buffer.concat([STRAY_ROWS, STRAY_END])
+  const OTHER_READY = readyForQuery(TransactionStatus.open)
+  const cases: readonly (readonly [string, readonly Buffer[]])[] = [
+    ['at once', [STRAY]],
+    ['in two parts', [STRAY_ROWS, STRAY_END]],
+    ['and the next one too', [STRAY, STRAY]],
+    ['without rows', [STRAY_END]],
+    ['in a transaction', [Buffer.concat([STRAY_ROWS, commandComplete('SELECT 1'), OTHER_READY])]],
+  ]
+  for (const [what, chunks] of cases) {
+    it(`does not complete its answer: ${what}`, () =>
+      withProxy(1, async fixture => {
+        const caller = await RawCaller.connect(fixture.port)
+        caller.send(query('SELECT own, pg_sleep(100)'))
+        await delay(PAUSE_MILLISECONDS)
+        for (const chunk of chunks) {
+          for (const session of fixture.backend.sessions) session.send(chunk)
+          await delay(PAUSE_MILLISECONDS / 3)
+        }
+        await caller.until(() => caller.closed || caller.types.includes('Z'))
+        const isAnswered = caller.types.includes('Z') && !caller.types.includes('E')
+        expect(isAnswered && !caller.text.includes('own')).toEqual(false)
+        const ran = fixture.core.messages.filter(({ kind }) => kind === 'requestRan')
+        expect(ran).toEqual([])
+        caller.disconnect()
+      }))
+  }
+
+  it('is not passed on at all if it arrives at once', () =>
+    withProxy(1, async fixture => {
+      const caller = await RawCaller.connect(fixture.port)
+      caller.send(query('SELECT own, pg_sleep(60)'))
+      await delay(PAUSE_MILLISECONDS)
+      for (const session of fixture.backend.sessions) session.send(STRAY)
+      await caller.until(() => caller.closed || caller.types.includes('Z'))
+      expect(caller.text.includes('of another caller')).toEqual(false)
+      caller.disconnect()
+    }))
+
+  it('does not complete the answer to a request with a position query', () =>
+    withProxy(1, async fixture => {
+      const caller = await RawCaller.connect(fixture.port, WRITE_CLASS)
+      caller.send(query('SELECT own, pg_sleep(60)'))
+      await delay(PAUSE_MILLISECONDS)
+      for (const session of fixture.backend.sessions) session.send(STRAY)
+      await caller.until(() => caller.closed || caller.types.includes('Z'))
+      const ran = fixture.core.messages.filter(({ kind }) => kind === 'requestRan')
+      expect([ran.length, caller.text.includes('of another caller')]).toEqual([0, false])
+      caller.disconnect()
+    }))
+})
+
 // Guards against the position query's answer, which is left over when a write's answer comes twice and was given to
 // the next caller.
 describe('an answer that a server sends twice', () => {
--- a/packages/proxy/src/backendConnection.ts
+++ b/packages/proxy/src/backendConnection.ts
@@ -2,6 +2,7 @@
 import { connect, type Socket } from 'node:net'
 import {
   POSITION_STATEMENT,
+  SYNC,
   ServerFrames,
   ServerMessage,
   TransactionStatus,
@@ -124,7 +125,7 @@
   }
 
   /**
-   * Sends a request, with the setup queries before it and the position query after it, in one write.
+   * Sends a request, with the setup queries before it and the position query, or a Sync, after it, in one write.
    * Returns false if the connection is not open, so that nothing was sent.
    */
   start(runRequest: RunRequest): boolean {
@@ -309,7 +310,7 @@
         if (step !== undefined) this.#encoder.encode(step, output)
       }
     }
-    if (request.complete && this.#queriesPosition) output.push(POSITION_QUERY)
+    if (request.complete) output.push(this.#queriesPosition ? POSITION_QUERY : SYNC)
   }
 
   #writeAll(output: readonly Buffer[]): void {
--- a/packages/proxy/src/backendRun.ts
+++ b/packages/proxy/src/backendRun.ts
@@ -42,7 +42,8 @@
 const CLOSE_COMPLETE_TYPE = ServerMessage.closeComplete
 const FATAL_SEVERITIES: ReadonlySet<string> = new Set(['FATAL', 'PANIC'])
 
-type Phase = 'preparations' | 'answer' | 'positionQuery' | 'ended'
+/** `sync`: the answer to the Sync behind the request is due, which shows that the one before is the request's. */
+type Phase = 'preparations' | 'answer' | 'sync' | 'positionQuery' | 'ended'
 
 export class BackendRun implements ServerFrameSink {
   readonly request: CallerRequest
@@ -68,6 +69,9 @@
   readonly #sessionTags: SessionTag[] = []
   #position: LogPosition | null = null
   #rowPieces: Buffer[] = []
+  #hasReport = false
+  /** The last part of the caller's answer, held until the Sync behind it is answered. */
+  #heldEnd: Buffer[] = []
 
   constructor(request: CallerRequest, answer: AnswerBuffer, plan: RunPlan, events: RunEvents) {
     this.request = request
@@ -92,6 +96,7 @@
   abandon(): void {
     this.#phase = 'ended'
     this.#pending = null
+    this.#heldEnd = []
     this.answer.drop()
   }
 
@@ -108,6 +113,8 @@
       this.#forward(bytes, start, end)
     } else if (this.#phase === 'positionQuery' && type === ServerMessage.dataRow) {
       this.#collectRow(Buffer.from(bytes.subarray(start, end)), closes)
+    } else if (this.#phase === 'sync' && type !== ServerMessage.noticeResponse) {
+      this.#fault({ kind: 'unexpectedMessage', type })
     }
   }
 
@@ -119,6 +126,9 @@
       case 'answer':
         this.#readAnswer(type, bytes, start, end)
         return
+      case 'sync':
+        this.#readSyncAnswer(type, bytes, start, end)
+        return
       case 'positionQuery':
         this.#readPositionAnswer(type, bytes, start, end)
         return
@@ -134,7 +144,8 @@
     // Copied because the read buffer is reused for the next chunk of any backend connection.
     const piece = Buffer.allocUnsafe(this.#pendingEnd - this.#pendingStart)
     bytes.copy(piece, 0, this.#pendingStart, this.#pendingEnd)
-    if (!this.answer.push(piece)) this.#fault({ kind: 'answerTooLarge' })
+    if (this.#phase === 'sync') this.#heldEnd.push(piece)
+    else if (!this.answer.push(piece)) this.#fault({ kind: 'answerTooLarge' })
   }
 
   #forward(bytes: Buffer, start: number, end: number): void {
@@ -181,8 +192,7 @@
           this.#fault({ kind: 'unexpectedMessage', type })
           return
         }
-        this.#forward(bytes, start, end)
-        this.#endAnswer(bytes[end - 1])
+        this.#endAnswer(bytes, start, end)
         return
       case ServerMessage.commandComplete:
         this.#readTag(bytes, start, end)
@@ -282,7 +292,8 @@
     this.#forward(bytes, start, end)
   }
 
-  #endAnswer(status: number | undefined): void {
+  #endAnswer(bytes: Buffer, start: number, end: number): void {
+    const status = bytes[end - 1]
     if (
       status !== TransactionStatus.idle &&
       status !== TransactionStatus.open &&
@@ -292,11 +303,49 @@
       return
     }
     this.#status = status
+    this.#forward(bytes, start, end)
+    if (!this.#queriesPosition) {
+      this.#phase = 'sync'
+      return
+    }
+    this.#phase = 'positionQuery'
+    this.#reportAnswered()
+  }
+
+  #reportAnswered(): void {
     this.#isAnswered = true
     this.flush()
-    if (this.#queriesPosition) this.#phase = 'positionQuery'
     this.#events.answered(this)
-    if (!this.#queriesPosition) this.#end()
+  }
+
+  #releaseEnd(): void {
+    this.#phase = 'answer'
+    for (const piece of this.#heldEnd) this.answer.push(piece)
+    this.#heldEnd = []
+  }
+
+  #readSyncAnswer(type: number, bytes: Buffer, start: number, end: number): void {
+    switch (type) {
+      case ServerMessage.readyForQuery:
+        if (bytes[end - 1] !== this.#status) {
+          this.#fault({ kind: 'unexpectedMessage', type })
+          return
+        }
+        this.#releaseEnd()
+        this.#reportAnswered()
+        this.#end()
+        return
+      case ServerMessage.errorResponse:
+        this.#fault({ kind: 'fatalError', error: readServerError(bytes, start, end) })
+        return
+      case ServerMessage.parameterStatus:
+        this.#forward(bytes, start, end)
+        return
+      case ServerMessage.notificationResponse:
+        return
+      default:
+        this.#fault({ kind: 'unexpectedMessage', type })
+    }
   }
 
   #readPositionAnswer(type: number, bytes: Buffer, start: number, end: number): void {
@@ -320,8 +369,14 @@
     this.#rowPieces = []
     this.#hasResult = true
     const report = readPositionReport(readDataRow(row, 0, row.length))
+    // Then the answer before was an earlier one, and this is the caller's.
+    if (report === null || this.#hasReport) {
+      this.#fault({ kind: 'unexpectedMessage', type: ServerMessage.dataRow })
+      return
+    }
+    this.#hasReport = true
     // A position reported by a replica does not cover this write: the server was demoted before answering.
-    this.#position = report?.role === 'primary' ? report.position : null
+    this.#position = report.role === 'primary' ? report.position : null
   }
 
   #end(): void {
