fix(host): a route counts as known to a peer host once it has answered a message with it

What callers saw: one statement that is too long for the connection to another host was not sent, as it should be. If it was the first of its route there, the other host declined all later statements of the route until the connection ended, whoever sent them: they were run elsewhere, or refused with notRun where no other host was left.

Cause: SentRoutes counted a route as sent when its message was written, and the message was refused for its length after that. Later messages held the number alone, which the other host did not know.

Why it works: a route is sent in full until the other host has answered a message that contained it, and by its number afterwards. Whatever happens to a message on its way, no number is used before the receiver is known to have it. A declined message does not count, so that a route that is not known there is sent again. Statements that are sent before the first answer hold the route too, a few hundred bytes each.

--- a/packages/host/src/relayPeer.ts
+++ b/packages/host/src/relayPeer.ts
@@ -23,7 +23,7 @@
   isReceivedAnswer,
 } from './relayChecks.js'
 import { RELAY_METHODS, type AnswerMessage, type EndMessage } from './relayMessages.js'
-import { SentRoutes } from './relayRoutes.js'
+import { RouteNumbers, SentRoutes } from './relayRoutes.js'
 import type { ChangeFeedSource } from './changeFeedReader.js'
 
 /** A host accepts a connection within one round trip, which takes tens of milliseconds between regions. */
@@ -61,8 +61,8 @@
   readonly #context: HostContext
   readonly #address: HostAddress
   #connection: JsonRpcConnection | null = null
-  /** The routes that the other end of the connection knows. */
-  #routes = new SentRoutes()
+  /** The numbers of the routes on the connection. */
+  #routeNumbers = new RouteNumbers()
   #opening: Promise<JsonRpcConnection | null> | null = null
   /** When to reconnect after a failure; null if the last attempt did not fail. */
   #retryAt: Milliseconds | null = null
@@ -132,7 +132,8 @@
     if (this.#pendingCalls === 0) this.#lastReceivedAt = clock.now()
     this.#pendingCalls += 1
     const timeout = Math.max(1, deadline - clock.now() + ANSWER_MARGIN_MILLISECONDS)
-    const answer = await connection.request<unknown>(method, params(this.#routes), timeout)
+    const routes = new SentRoutes(this.#routeNumbers)
+    const answer = await connection.request<unknown>(method, params(routes), timeout)
     this.#pendingCalls -= 1
     if (answer.isErr()) return outcomeOf(answer.error, connection)
     const message = answer.value
@@ -142,7 +143,10 @@
       connection.close()
       return { kind: 'lost' }
     }
-    if (message.kind !== 'declined') return { kind: 'answered', message, connection }
+    if (message.kind !== 'declined') {
+      routes.noteReceived()
+      return { kind: 'answered', message, connection }
+    }
     return { kind: message.isRedirected === true ? 'redirected' : 'notSent' }
   }
 
@@ -242,7 +246,7 @@
       return null
     }
     this.#connection = opened.value
-    this.#routes = new SentRoutes()
+    this.#routeNumbers = new RouteNumbers()
     this.#retryAt = null
     this.#receivedBytes = 0
     return opened.value
--- a/packages/host/src/relayRoutes.ts
+++ b/packages/host/src/relayRoutes.ts
@@ -1,7 +1,7 @@
 /**
  * Encoding of routes in messages between hosts. A route is most of a short statement's message, and a connection
- * carries the same few repeatedly, so each route is sent in full once per connection and referred to by its number
- * afterwards.
+ * carries the same few repeatedly, so each route is sent in full until the receiver has answered a message with it, and
+ * referred to by its number afterwards.
  *
  * @internal
  */
@@ -17,17 +17,47 @@
 const MAXIMUM_SENT_ROUTES = 1024
 const MAXIMUM_RECEIVED_ROUTES = 2 * MAXIMUM_SENT_ROUTES
 
-export class SentRoutes {
-  readonly #numbers = new Map<Route, number>()
+interface SentRoute {
+  readonly number: number
+  /** Whether the receiver has answered a message that contained the route. */
+  isReceived: boolean
+}
+
+/** The numbers of the routes that are sent over one connection. */
+export class RouteNumbers {
+  readonly #sent = new Map<Route, SentRoute>()
   #lastNumber = 0
 
-  write(route: Route): RouteMessage {
-    const number = this.#numbers.get(route)
-    if (number !== undefined) return { number }
-    if (this.#numbers.size >= MAXIMUM_SENT_ROUTES) this.#numbers.clear()
+  of(route: Route): SentRoute {
+    const known = this.#sent.get(route)
+    if (known !== undefined) return known
+    if (this.#sent.size >= MAXIMUM_SENT_ROUTES) this.#sent.clear()
     this.#lastNumber += 1
-    this.#numbers.set(route, this.#lastNumber)
-    return { number: this.#lastNumber, route }
+    const sent = { number: this.#lastNumber, isReceived: false }
+    this.#sent.set(route, sent)
+    return sent
+  }
+}
+
+/** Writes the routes of one message. */
+export class SentRoutes {
+  readonly #numbers: RouteNumbers
+  readonly #written: SentRoute[] = []
+
+  constructor(numbers: RouteNumbers) {
+    this.#numbers = numbers
+  }
+
+  write(route: Route): RouteMessage {
+    const sent = this.#numbers.of(route)
+    this.#written.push(sent)
+    const { number, isReceived } = sent
+    return isReceived ? { number } : { number, route }
+  }
+
+  /** The receiver has answered the message. */
+  noteReceived(): void {
+    for (const sent of this.#written) sent.isReceived = true
   }
 }
 
