fix(transport): a control connection uses only answers to the statement that waits

A server that answers twice could have a proxy take an earlier log position for the present one, by which a read misses later writes, and an agent take the refusal of a fence for that of a promotion.

Cause: pg gives each answer to the statement that waits, whatever it answers. After a message without a statement, the connection counted as closed, but its socket was never ended.

Why it works: each statement has a number, a literal that the server returns as a further column of the row. An answer is used only if it is one row with the number of the statement that waits. An error has no number, so it ends the connection: the first error of a connection whose earlier statements have all been answered belongs to the statement that waits. The next statement is sent only when the answer before it has been judged. Whenever an answer does not fit, or none was due, the socket is ended and what waits fails. The agent forgets a connection that a failed query leaves closed, as it did after a time-out; a refusal would count as a lost connection otherwise.

The fake servers of the proxy's tests, of the proxy's cost bench and the stand-in return the number too. The proxy cost bench itself was not run.

--- a/packages/agent/src/serverLink.ts
+++ b/packages/agent/src/serverLink.ts
@@ -85,7 +85,7 @@
       })
       .mapErr(error => {
         this.#pendingQueries -= 1
-        if (error.kind === 'answerTimeout') this.#discardConnection()
+        if (this.#connection?.closed === true) this.#discardConnection()
         return toControlFailure(error)
       })
   }
--- a/packages/bench/src/proxyCost/leanBackend.ts
+++ b/packages/bench/src/proxyCost/leanBackend.ts
@@ -60,10 +60,10 @@
 ])
 const SET = Buffer.concat([commandComplete('SET'), READY])
 
-const positionOf = (role: string): Buffer =>
+const positionOf = (role: string, numbers: readonly string[]): Buffer =>
   Buffer.concat([
-    rowDescription(['role', 'term', 'log_offset', 'fenced_term']),
-    dataRow([role, '1', '10', '1']),
+    rowDescription(['role', 'term', 'log_offset', 'fenced_term', ...numbers.map(() => 'number')]),
+    dataRow([role, '1', '10', '1', ...numbers]),
     commandComplete('SELECT 1'),
     READY,
   ])
@@ -71,13 +71,15 @@
 class MinimalSession implements FrameSink {
   readonly wantsMore = true
   readonly #socket: Socket
+  readonly #role: string
   readonly #position: Buffer
   readonly #frames = new CallerFrames(1024 * 1024)
   #started = false
   #answers: Buffer[] = []
 
-  constructor(socket: Socket, position: Buffer) {
+  constructor(socket: Socket, role: string, position: Buffer) {
     this.#socket = socket
+    this.#role = role
     this.#position = position
     socket.on('error', () => undefined)
     socket.on('data', chunk => {
@@ -97,19 +99,26 @@
       return
     }
     if (bytes[0] !== CallerMessage.query) return
-    if (bytes.includes('platform_position')) this.#answers.push(this.#position)
+    if (bytes.includes('platform_position')) this.#answers.push(this.#positionAnswer(bytes))
     else if (bytes.includes('SET SESSION')) this.#answers.push(SET)
     else this.#answers.push(ROW)
   }
 
+  /** Proxies send a number with the queries of their control connections alone, which are few. */
+  #positionAnswer(bytes: Buffer): Buffer {
+    if (!bytes.includes(' AS number')) return this.#position
+    const [, number = ''] = /(\d+) AS number/.exec(bytes.toString('latin1')) ?? []
+    return positionOf(this.#role, [number])
+  }
+
   mistake(): void {
     this.#socket.destroy()
   }
 }
 
 const { role } = readProcessSettings()
-const position = positionOf(String(role))
+const position = positionOf(String(role), [])
 const { port } = await listen(LOOPBACK, 0, socket => {
-  new MinimalSession(socket, position)
+  new MinimalSession(socket, String(role), position)
 })
 reportReady(port)
--- a/packages/protocol/src/backendServer.ts
+++ b/packages/protocol/src/backendServer.ts
@@ -16,16 +16,25 @@
 /** SQLSTATE with which a backend server refuses a fence or promotion that carries an outdated term. */
 export const STALE_TERM_SQL_STATE = 'NM001'
 
-export const POSITION_STATEMENT =
-  'SELECT role, term, log_offset, fenced_term FROM platform_position()'
+const REPORT_COLUMNS = 'role, term, log_offset, fenced_term'
+
+export const POSITION_STATEMENT = `SELECT ${REPORT_COLUMNS} FROM platform_position()`
 export const fenceStatement = (fenced: Term): string =>
-  `SELECT role, term, log_offset, fenced_term FROM platform_fence(${fenced})`
+  `SELECT ${REPORT_COLUMNS} FROM platform_fence(${fenced})`
 /** Succeeds only on a server fenced at exactly this term; writes the term's first log record. */
 export const promoteStatement = (promoted: Term): string =>
-  `SELECT role, term, log_offset, fenced_term FROM platform_promote(${promoted})`
+  `SELECT ${REPORT_COLUMNS} FROM platform_promote(${promoted})`
 /** Makes a server replicate from the primary of `leaderTerm`, discarding what that primary lacks. */
 export const followStatement = (leaderTerm: Term, address: string, port: number): string =>
-  `SELECT role, term, log_offset, fenced_term FROM platform_follow(${leaderTerm}, '${address}', ${port})`
+  `SELECT ${REPORT_COLUMNS} FROM platform_follow(${leaderTerm}, '${address}', ${port})`
+
+/** The statement with a number that its answer repeats in a further column. */
+export const numberedStatement = (statement: string, number: number): string =>
+  statement.replace(REPORT_COLUMNS, `${REPORT_COLUMNS}, ${number} AS number`)
+
+/** The number that the answer to a numbered statement repeats; null for one without. */
+export const readStatementNumber = (row: readonly (string | null)[]): string | null =>
+  row[REPORT_COLUMNS.split(',').length] ?? null
 
 /** Reads one row as text columns; null when a column is missing or not a number. */
 export function readPositionReport(row: readonly (string | null)[]): PositionReport | null {
--- a/packages/proxy/__tests__/support/fakeBackend.ts
+++ b/packages/proxy/__tests__/support/fakeBackend.ts
@@ -316,7 +316,10 @@
     if (sql.includes('platform_position')) {
       const { role, offset } = this.#backend.position
       const columns = ['role', 'term', 'log_offset', 'fenced_term']
-      return { columns, rows: [[role, '1', String(offset), '1']] }
+      const row = [role, '1', String(offset), '1']
+      const [, number] = /, (\d+) AS number/.exec(sql) ?? []
+      if (number === undefined) return { columns, rows: [row] }
+      return { columns: [...columns, 'number'], rows: [[...row, number]] }
     }
     if (sql.startsWith('INSERT')) {
       this.#backend.offset += 1
--- a/packages/stand-ins/__tests__/postgresProtocol.spec.ts
+++ b/packages/stand-ins/__tests__/postgresProtocol.spec.ts
@@ -94,6 +94,14 @@
     expect(pipelinedOffset).toEqual(Number(currentOffset))
   })
 
+  it('repeats the number of a numbered statement in the last column', async () => {
+    const { rows, fields } = await client.query<Record<string, string>>(
+      'SELECT role, term, log_offset, fenced_term, 17 AS number FROM platform_position()',
+    )
+    expect(rows.map(({ role, number }) => [role, number])).toEqual([['primary', '17']])
+    expect(fields.at(-1)?.name).toEqual('number')
+  })
+
   it('commits a transaction as one record and logs none for a rollback', async () => {
     const offset = async (): Promise<number> => Number((await group.position(0))[2])
     const start = await offset()
--- a/packages/stand-ins/src/backendServer/backendServer.ts
+++ b/packages/stand-ins/src/backendServer/backendServer.ts
@@ -1,7 +1,8 @@
 /** A complete backend server: its listener, connections, limits and replication. */
 import type { Server, Socket } from 'node:net'
-import { err, type Result } from 'neverthrow'
-import { assertNever, term, type Term } from '@nutmegcourse/shared'
+import { err, ok, type Result } from 'neverthrow'
+import type { PositionReport } from '@nutmegcourse/protocol'
+import { assertNever, term } from '@nutmegcourse/shared'
 import { listen } from '@nutmegcourse/transport'
 import type { BackendServerSettings } from './backendServerSettings.js'
 import { ClientConnection } from './clientConnection.js'
@@ -11,7 +12,7 @@
 import { ReplicationSource } from './replicationSource.js'
 import { Slots } from './slots.js'
 import { completed, reportAnswer, StatementRunner, type Answer } from './statementRunner.js'
-import type { ControlStatement } from './statements.js'
+import type { ControlStatement, FollowCall } from './statements.js'
 import type { SqlError } from './wire/backendFrames.js'
 
 export class BackendServer {
@@ -124,19 +125,19 @@
   #control(statement: ControlStatement): Result<Answer, SqlError> {
     switch (statement.kind) {
       case 'position':
-        return reportAnswer(this.#instance.report())
+        return reportAnswer(this.#instance.report(), statement.number)
       case 'fence':
         return this.#instance.fence(statement.term).andThen(report => {
           this.#dropOutdatedFollower()
-          return reportAnswer(report)
+          return reportAnswer(report, statement.number)
         })
       case 'promote':
         return this.#instance.promote(statement.term).andThen(report => {
           this.#replaceFollower(null)
-          return reportAnswer(report)
+          return reportAnswer(report, statement.number)
         })
       case 'follow':
-        return this.#follow(statement.term, statement.address, statement.port)
+        return this.#follow(statement).andThen(report => reportAnswer(report, statement.number))
       case 'setLag':
         this.#lag.milliseconds = statement.milliseconds
         this.#follower?.applyDue()
@@ -156,7 +157,11 @@
     }
   }
 
-  #follow(primaryTerm: Term, address: string, advertisedPort: number): Result<Answer, SqlError> {
+  #follow({
+    term: primaryTerm,
+    address,
+    port: advertisedPort,
+  }: FollowCall): Result<PositionReport, SqlError> {
     const port = this.#routedPort(advertisedPort)
     const allowed = this.#instance.allowFollowing(primaryTerm)
     if (allowed.isErr()) return err(allowed.error)
@@ -171,7 +176,7 @@
         new ReplicationFollower(this.#instance, primaryTerm, endpoint, this.#lag),
       )
     }
-    return reportAnswer(this.#instance.report())
+    return ok(this.#instance.report())
   }
 
   /** The fleet names a server by the port used in its own zone; this zone may need another port. */
--- a/packages/stand-ins/src/backendServer/statementRunner.ts
+++ b/packages/stand-ins/src/backendServer/statementRunner.ts
@@ -49,9 +49,10 @@
   ok({ tag: () => tag, rows })
 const selected = (rows: Iterable<Row>): Outcome => ok({ tag: count => `SELECT ${count}`, rows })
 
-export function reportAnswer(report: PositionReport): Outcome {
+export function reportAnswer(report: PositionReport, number: string | null): Outcome {
   const { term, offset } = report.position
-  return selected([[report.role, String(term), String(offset), String(report.fencedTerm)]])
+  const row = [report.role, String(term), String(offset), String(report.fencedTerm)]
+  return selected([number === null ? row : [...row, number]])
 }
 
 export class StatementRunner {
--- a/packages/stand-ins/src/backendServer/statements.ts
+++ b/packages/stand-ins/src/backendServer/statements.ts
@@ -34,17 +34,25 @@
   | { readonly kind: 'generateRows'; readonly count: number; readonly bytes: number }
   | ControlStatement
 
-/** Sent by the fleet or, for lag, paused replication and counts, by a test. Does not occupy a slot. */
-export type ControlStatement =
+export interface FollowCall {
+  readonly kind: 'follow'
+  readonly term: ReturnType<typeof term>
+  readonly address: string
+  readonly port: number
+}
+
+type ReportCall =
   | { readonly kind: 'position' }
   | { readonly kind: 'fence'; readonly term: ReturnType<typeof term> }
   | { readonly kind: 'promote'; readonly term: ReturnType<typeof term> }
-  | {
-      readonly kind: 'follow'
-      readonly term: ReturnType<typeof term>
-      readonly address: string
-      readonly port: number
-    }
+  | FollowCall
+
+/** Returns a report and, unless it is null, the number. */
+export type ReportStatement = ReportCall & { readonly number: string | null }
+
+/** Sent by the fleet or, for lag, paused replication and counts, by a test. Does not occupy a slot. */
+export type ControlStatement =
+  | ReportStatement
   | { readonly kind: 'setLag'; readonly milliseconds: number }
   | { readonly kind: 'pauseReplication'; readonly paused: boolean }
   /** Number of reads and writes that the server has run since it started. */
@@ -68,7 +76,8 @@
   bigintColumn('log_offset'),
   bigintColumn('fenced_term'),
 ]
-const REPORT = String.raw`select role, term, log_offset, fenced_term from `
+const NUMBERED_REPORT_COLUMNS = [...REPORT_COLUMNS, bigintColumn('number')]
+const REPORT = String.raw`select role, term, log_offset, fenced_term(?:, (\d+) as number)? from `
 const MILLISECONDS_IN_SECOND = 1000
 
 const valueOrEmpty = (value: string | null | undefined): string => value ?? ''
@@ -78,22 +87,31 @@
   return { pattern: new RegExp(`^${flexible}$`, 'is'), columns, read }
 }
 
+function reportShape(
+  call: string,
+  read: (values: readonly (string | null)[]) => ReportCall,
+): Shape {
+  return shape(`${REPORT}${call}`, REPORT_COLUMNS, ([number, ...values]) => ({
+    ...read(values),
+    number: number ?? null,
+  }))
+}
+
 const L = LITERAL
 const INSERT_ENTRY = String.raw`insert into entries ?\(key, value\) values ?\(${L}, ${L}\)`
 
 const SHAPES: readonly Shape[] = [
-  shape(String.raw`${REPORT}platform_position\(\)`, REPORT_COLUMNS, () => ({ kind: 'position' })),
-  shape(String.raw`${REPORT}platform_fence\((\d+)\)`, REPORT_COLUMNS, ([requestedTerm]) => ({
+  reportShape(String.raw`platform_position\(\)`, () => ({ kind: 'position' })),
+  reportShape(String.raw`platform_fence\((\d+)\)`, ([requestedTerm]) => ({
     kind: 'fence',
     term: term(Number(requestedTerm)),
   })),
-  shape(String.raw`${REPORT}platform_promote\((\d+)\)`, REPORT_COLUMNS, ([requestedTerm]) => ({
+  reportShape(String.raw`platform_promote\((\d+)\)`, ([requestedTerm]) => ({
     kind: 'promote',
     term: term(Number(requestedTerm)),
   })),
-  shape(
-    String.raw`${REPORT}platform_follow\((\d+), '([^']+)', (\d+)\)`,
-    REPORT_COLUMNS,
+  reportShape(
+    String.raw`platform_follow\((\d+), '([^']+)', (\d+)\)`,
     ([primaryTerm, address, port]) => ({
       kind: 'follow',
       term: term(Number(primaryTerm)),
@@ -236,6 +254,7 @@
     const statement = this.bind([])
     if (statement.kind === 'selectLiteral') return [textColumn(statement.name)]
     if (statement.kind === 'show') return [textColumn(statement.name)]
+    if ('number' in statement && statement.number !== null) return NUMBERED_REPORT_COLUMNS
     return this.#shape.columns
   }
 
--- a/packages/transport/__tests__/controlConnection.spec.ts
+++ b/packages/transport/__tests__/controlConnection.spec.ts
@@ -3,42 +3,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { expect } from 'earl'
 import { ControlConnection, listen } from '../src/index.js'
-import { startPositionServer } from './positionServer.js'
-
-/** An ErrorResponse as the server sends it when it refuses a connection at startup. */
-function errorFrame(sqlState: string): Buffer {
-  const fields = Buffer.from(`SFATAL\0C${sqlState}\0Mtoo many connections\0\0`)
-  const head = Buffer.alloc(5)
-  head.write('E')
-  head.writeInt32BE(fields.length + 4, 1)
-  return Buffer.concat([head, fields])
-}
-
-function frame(type: string, body: Buffer): Buffer {
-  const head = Buffer.alloc(5)
-  head.write(type)
-  head.writeInt32BE(body.length + 4, 1)
-  return Buffer.concat([head, body])
-}
-
-const count16 = (count: number): Buffer => Buffer.from([count >> 8, count & 0xff])
-const AUTHENTICATED = frame('R', Buffer.alloc(4))
-const READY = frame('Z', Buffer.from('I'))
-
-/** The answer to a position query. */
-function positionAnswer(): Buffer {
-  const values = ['primary', '1', '7', '1'].map(value => Buffer.from(value))
-  const columns = values.map(() => Buffer.concat([Buffer.from('c\0'), Buffer.alloc(18)]))
-  const fields = values.map(value =>
-    Buffer.concat([Buffer.alloc(3), Buffer.from([value.length]), value]),
-  )
-  return Buffer.concat([
-    frame('T', Buffer.concat([count16(columns.length), ...columns])),
-    frame('D', Buffer.concat([count16(fields.length), ...fields])),
-    frame('C', Buffer.from('SELECT 1\0')),
-    READY,
-  ])
-}
+import { errorFrame, startPositionServer } from './positionServer.js'
 
 function stall(milliseconds: number): void {
   const end = performance.now() + milliseconds
@@ -51,15 +16,9 @@
   // query has to wait for a new one.
   it('reads an answer that arrived in time before it gives up', async () => {
     const timeout = 50
-    const { server, port } = await listen('127.0.0.1', 0, socket => {
-      socket.on('error', () => undefined)
-      socket.once('data', () => {
-        socket.write(Buffer.concat([AUTHENTICATED, READY]))
-        socket.once('data', () => {
-          socket.write(positionAnswer())
-          stall(2 * timeout)
-        })
-      })
+    const { server, port } = await startPositionServer((_, answer) => {
+      answer()
+      stall(2 * timeout)
     })
     const options = { address: '127.0.0.1', port, database: 'any', user: 'any' }
     const connection = (await ControlConnection.open(options, 1000))._unsafeUnwrap()
@@ -92,7 +51,7 @@
     },
     {
       name: 'a server that has reached its connection limit',
-      accept: socket => socket.once('data', () => socket.end(errorFrame('53300'))),
+      accept: socket => socket.once('data', () => socket.end(errorFrame('FATAL', '53300'))),
       kind: 'remote',
     },
   ]
--- a/packages/transport/__tests__/positionServer.ts
+++ b/packages/transport/__tests__/positionServer.ts
@@ -1,9 +1,8 @@
 /** A fake backend server that accepts every login and answers each statement with one position. */
-import type { Server } from 'node:net'
+import type { Server, Socket } from 'node:net'
 import { listen } from '../src/index.js'
 
-const COLUMNS = ['role', 'term', 'log_offset', 'fenced_term']
-const POSITION = ['primary', '1', '7', '1']
+const COLUMNS = ['role', 'term', 'log_offset', 'fenced_term', 'number']
 const TEXT_TYPE = 25
 
 function frame(type: string, ...parts: readonly Buffer[]): Buffer {
@@ -43,28 +42,50 @@
 
 const READY = frame('Z', Buffer.from('I'))
 const LOGIN_ACCEPTED = Buffer.concat([frame('R', int32(0)), READY])
-const POSITION_ANSWER = Buffer.concat([
-  frame('T', int16(COLUMNS.length), ...COLUMNS.map(describeColumn)),
-  frame('D', int16(POSITION.length), ...POSITION.map(describeValue)),
-  frame('C', Buffer.from('SELECT 1\0')),
-  READY,
-])
+
+/** An ErrorResponse. */
+export const errorFrame = (severity: 'ERROR' | 'FATAL', sqlState: string): Buffer =>
+  frame('E', Buffer.from(`S${severity}\0C${sqlState}\0Mrefused\0\0`))
+
+/** The answer that refuses a statement. */
+export const refusal = (sqlState: string): Buffer =>
+  Buffer.concat([errorFrame('ERROR', sqlState), READY])
+
+/** The answer to a numbered statement. */
+export function positionAnswer(number: string, offset = 7): Buffer {
+  const values = ['primary', '1', String(offset), '1', number]
+  return Buffer.concat([
+    frame('T', int16(COLUMNS.length), ...COLUMNS.map(describeColumn)),
+    frame('D', int16(values.length), ...values.map(describeValue)),
+    frame('C', Buffer.from('SELECT 1\0')),
+    READY,
+  ])
+}
+
+export interface ReceivedStatement {
+  /** The number that its answer has to repeat. */
+  readonly number: string
+  readonly socket: Socket
+}
 
 /** `onStatement` is called with each statement's number, from 1, and sends its answer by `answer`. */
 export async function startPositionServer(
-  onStatement: (number: number, answer: () => void) => void,
+  onStatement: (number: number, answer: () => void, statement: ReceivedStatement) => void,
 ): Promise<{ readonly server: Server; readonly port: number }> {
   let statements = 0
   return listen('127.0.0.1', 0, socket => {
     let isLoggedIn = false
     socket.on('error', () => undefined)
     socket.on('data', bytes => {
+      const text = bytes.toString('latin1')
       if (!isLoggedIn) {
         isLoggedIn = true
         socket.write(LOGIN_ACCEPTED)
-      } else if (bytes.toString('latin1', 0, 1) === 'Q') {
+      } else if (text.startsWith('Q')) {
         statements += 1
-        onStatement(statements, () => socket.write(POSITION_ANSWER))
+        const number = /(\d+) AS number/.exec(text)?.[1] ?? ''
+        const answer = () => socket.write(positionAnswer(number))
+        onStatement(statements, answer, { number, socket })
       }
     })
   })
--- a/packages/transport/src/controlConnection.ts
+++ b/packages/transport/src/controlConnection.ts
@@ -6,8 +6,10 @@
   STALE_TERM_SQL_STATE,
   fenceStatement,
   followStatement,
+  numberedStatement,
   promoteStatement,
   readPositionReport,
+  readStatementNumber,
   type PositionReport,
 } from '@nutmegcourse/protocol'
 import type { Term } from '@nutmegcourse/shared'
@@ -36,21 +38,27 @@
  */
 const LATE_ANSWER_MILLISECONDS = 1000
 
-type Answer = pg.QueryArrayResult<(string | null)[]>
+type Answer = pg.QueryArrayResult<unknown[]>
 type LateReportListener = (report: PositionReport) => void
 
 class TimeLimitExceeded extends Error {}
 
+/** An answer that does not repeat the number of the statement that waits for it. */
+class UnfitAnswer extends Error {}
+
 /** Sends one statement at a time; further statements are queued in order. */
 export class ControlConnection {
   readonly #client: Client
   #pendingStatements = 0
+  #lastNumber = 0
+  /** Settles once the last statement has been answered or has failed. */
+  #idle: Promise<unknown> = Promise.resolve()
   #closed = false
 
   private constructor(client: Client) {
     this.#client = client
     client.on('error', () => {
-      this.#closed = true
+      this.close()
     })
     client.on('end', () => {
       this.#closed = true
@@ -119,15 +127,16 @@
     onLateReport: LateReportListener | null = null,
   ): ResultAsync<PositionReport, TransportError> {
     this.#pendingStatements += 1
-    const answer = this.#client
-      .query<(string | null)[]>({ text: statement, rowMode: 'array' })
+    const answer = this.#idle
+      .then(() => this.#run(statement))
       .finally(() => {
         this.#pendingStatements -= 1
       })
+    // Its failure is reported to its caller.
+    this.#idle = answer.catch(() => undefined)
     return ResultAsync.fromPromise(withTimeout(answer, timeoutMilliseconds), error =>
       this.#describeError(error, answer, onLateReport),
-    ).andThen(result => {
-      const report = toReport(result)
+    ).andThen(report => {
       if (report !== null) return okAsync(report)
       return errAsync<PositionReport, TransportError>({
         kind: 'remote',
@@ -137,9 +146,29 @@
     })
   }
 
+  /**
+   * Closes the connection when the answer is an error, which has no number: a repeated one would be taken for the answer
+   * to the next statement.
+   */
+  async #run(statement: string): Promise<PositionReport | null> {
+    this.#lastNumber += 1
+    const number = String(this.#lastNumber)
+    const text = numberedStatement(statement, this.#lastNumber)
+    if (this.#closed) throw new Error('connection closed')
+    try {
+      const row = rowOf(await this.#client.query<unknown[]>({ text, rowMode: 'array' }))
+      const repeated = readStatementNumber(row)
+      if (repeated === number) return readPositionReport(row)
+      throw new UnfitAnswer(`the answer has the number ${repeated ?? 'null'}, expected ${number}`)
+    } catch (error) {
+      this.close()
+      throw error
+    }
+  }
+
   #describeError(
     error: unknown,
-    answer: Promise<Answer>,
+    answer: Promise<PositionReport | null>,
     onLateReport: LateReportListener | null,
   ): TransportError {
     const detail = error instanceof Error ? error.message : String(error)
@@ -157,15 +186,14 @@
     return { kind: isLate ? 'answerTimeout' : 'connectionLost', detail }
   }
 
-  #awaitLateAnswer(answer: Promise<Answer>, onLateReport: LateReportListener): void {
+  #awaitLateAnswer(answer: Promise<PositionReport | null>, onLateReport: LateReportListener): void {
     this.#closed = true
     const timer = setTimeout(() => {
       this.close()
     }, LATE_ANSWER_MILLISECONDS)
     answer
       .then(
-        result => {
-          const report = toReport(result)
+        report => {
           if (report !== null) onLateReport(report)
         },
         // The caller has already received the time-out.
@@ -200,8 +228,14 @@
   return typeof value === 'number' || typeof value === 'bigint' ? String(value) : null
 }
 
-const toReport = (result: Answer): PositionReport | null =>
-  readPositionReport((result.rows[0] ?? []).map(toText))
+/** The only row of an answer. pg returns an array for an answer of several results. */
+function rowOf(answer: Answer | Answer[]): (string | null)[] {
+  const [result, ...others] = Array.isArray(answer) ? answer : [answer]
+  if (result === undefined || others.length > 0 || result.rows.length !== 1) {
+    throw new UnfitAnswer('the answer has not exactly one row')
+  }
+  return (result.rows[0] ?? []).map(toText)
+}
 
 function withTimeout<Value>(promise: Promise<Value>, timeoutMilliseconds: number): Promise<Value> {
   return new Promise((resolve, reject) => {
