--- a/packages/host/__tests__/relayedTransactions.spec.ts
+++ b/packages/host/__tests__/relayedTransactions.spec.ts
@@ -188,7 +188,7 @@
 describe('a relayed transaction whose first answer is too long for the connection', () => {
   const TOO_LONG: CallerAnswer = { kind: 'rows', rows: ['x'.repeat(5_000_000)], signature: '1.1.s' }
   // Guards against a transaction that keeps its connection until it has been idle for too long: the host that began it
-  // was not told of its end, as the answer without which it goes on had not been sent.
+  // gets no notice of its end, as the answer without which it goes on had not been sent.
   for (const hosts of [1, 2]) {
     it(`is ended at once at each of ${String(hosts)} hosts, before it runs here`, async () => {
       const ports = await freePorts(hosts)
