--- a/packages/host/src/attempt.ts
+++ b/packages/host/src/attempt.ts
@@ -59,9 +59,9 @@
 
 /**
  * Only a primary accepts the BEGIN. The last two are never refused: if earlier answers came again in place of those to
- * BEGIN and ROLLBACK, the refusal of this BEGIN arrives in place of theirs.
+ * BEGIN and ROLLBACK, the own answer to this BEGIN arrives in place of theirs and does not fit.
  */
-const PRIMARY_CHECK: readonly OwnCommand[] = [
+export const PRIMARY_CHECK: readonly OwnCommand[] = [
   { kind: 'begin', readOnly: false, after: null },
   { kind: 'rollback' },
   { kind: 'prepare', name: CHECK_NAME, effect: 'read', shape: CHECK_NAME },
--- a/packages/host/src/primaryProbe.ts
+++ b/packages/host/src/primaryProbe.ts
@@ -5,8 +5,8 @@
  * @internal
  */
 import { addMilliseconds, milliseconds, type Milliseconds } from '@nutmegcourse/shared'
-import type { BackendReply, OwnCommand, ReadGuarantee } from '@nutmegcourse/protocol'
-import { runCommand } from './attempt.js'
+import type { BackendReply, ReadGuarantee } from '@nutmegcourse/protocol'
+import { PRIMARY_CHECK, runCommand } from './attempt.js'
 import type { BackendServerState } from './backendServerState.js'
 import type { HostContext } from './hostContext.js'
 import type { ServiceState } from './serviceState.js'
@@ -25,19 +25,6 @@
 /** An answer takes one round trip; after this limit the connection is considered broken. */
 const ANSWER_LIMIT_MILLISECONDS = 400
 
-const PROBE_NAME = 'probe'
-
-/**
- * The answers to an earlier probe that come again fit the first two. The first one's own answer is then outstanding, and
- * does not fit the third.
- */
-const PROBE_COMMANDS: readonly OwnCommand[] = [
-  { kind: 'begin', readOnly: false, after: null },
-  { kind: 'rollback' },
-  { kind: 'prepare', name: PROBE_NAME, effect: 'read', shape: PROBE_NAME },
-  { kind: 'close', name: PROBE_NAME },
-]
-
 const isMissing = (reply: BackendReply | null | undefined): reply is null | undefined =>
   reply === null || reply === undefined
 
@@ -91,7 +78,7 @@
     const deadline = addMilliseconds(askedAt, ANSWER_LIMIT_MILLISECONDS)
     server.probeSent(askedAt)
     const [begun, ended, prepared, closed] = await Promise.all(
-      PROBE_COMMANDS.map(command => runCommand(this.#context, link, command, deadline)),
+      PRIMARY_CHECK.map(command => runCommand(this.#context, link, command, deadline)),
     )
     const isConfirmed = ended?.status === 'idle' && !isMissing(prepared) && !isMissing(closed)
     if (isMissing(begun) || !isConfirmed) {
